--- /dev/null
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_core.py
@@ -0,0 +1,606 @@
+"""AgentCore: the sans-I/O decisions of one agent."""
+
+import dataclasses
+
+from hawthornbarrow.dispatch import SlotSplitter
+from hawthornbarrow.links import (
+    CancelJobs,
+    ConfigurationUpdate,
+    DispatchBatch,
+    DispatchItem,
+    JobEpoch,
+    JobHoldings,
+    JobsClosed,
+    JobsRecovered,
+    LinkEvent,
+    Message,
+    PeerDown,
+    PeerUp,
+    RecoverJobs,
+    ResultBatch,
+    SlotDemand,
+    SlotGrant,
+    TaskOutcome,
+    TaskResult,
+    TaskStart,
+    UpstreamAnnounced,
+    UpstreamGone,
+)
+from hawthornbarrow.upstreams import (
+    ANNOUNCEMENT_LEASE_S,
+    Announcement,
+    CallEnd,
+    judge_call,
+)
+
+from hawthornbarrow_agent._effects import (
+    AgentEffect,
+    SendMessage,
+    StartCall,
+    StopCall,
+)
+from hawthornbarrow_agent._holdings import HeldTask, JobHolding, UpstreamSlots
+
+FENCE_S = 5.0
+_RUN_WEIGHT = 0.1
+_LIMIT_CHANGE = 0.25
+_CLOSED_MEMORY_S = 600.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AgentTiming:
+    """Times of the agent's decisions.
+
+    Attributes:
+        result_hold_s: Longest time that a result waits for a batch.
+        ahead_s: Work that an entry may queue ahead of its slots.
+        split_interval_s: Least time between two splits of an upstream's slots.
+        fence_s: Silence of an entry after which its work is stopped.
+    """
+
+    result_hold_s: float = 0.025
+    ahead_s: float = 0.04
+    split_interval_s: float = 0.02
+    fence_s: float = FENCE_S
+
+
+@dataclasses.dataclass(kw_only=True)
+class _EntryLink:
+    is_up: bool = True
+    silent_since_s: float = 0.0
+    backlog: dict[str, int] = dataclasses.field(default_factory=dict)
+    results: list[TaskResult] = dataclasses.field(default_factory=list)
+    due_at_s: float = 0.0
+
+
+class AgentCore:
+    """Holds slots, starts tasks and keeps results until their job is closed.
+
+    Args:
+        timing: Times of its decisions.
+    """
+
+    def __init__(self, *, timing: AgentTiming | None = None) -> None:
+        """Starts without upstreams and entries."""
+        self._timing = timing or AgentTiming()
+        self._upstreams: dict[str, UpstreamSlots] = {}
+        self._entries: dict[str, _EntryLink] = {}
+        self._jobs: dict[str, JobHolding] = {}
+        self._closed: dict[str, tuple[int, float]] = {}
+        self._fenced: set[tuple[str, int]] = set()
+        self._effects: list[AgentEffect] = []
+        self._dirty: set[str] = set()
+        self._configuration = ConfigurationUpdate(version=0, document=b"")
+        self._wasted: dict[str, int] = {}
+
+    @property
+    def configuration(self) -> ConfigurationUpdate:
+        """The newest configuration that an entry has told."""
+        return self._configuration
+
+    @property
+    def upstreams(self) -> dict[str, UpstreamSlots]:
+        """Announced upstreams by name."""
+        return self._upstreams
+
+    @property
+    def job_count(self) -> int:
+        """Number of jobs of which something is held."""
+        return len(self._jobs)
+
+    @property
+    def wasted(self) -> dict[str, int]:
+        """Messages that did not help any job, by cause."""
+        return self._wasted
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no task is held and no result waits to be sent."""
+        has_results = any(entry.results for entry in self._entries.values())
+        has_tasks = any(
+            slots.queue or slots.running for slots in self._upstreams.values()
+        )
+        return not has_results and not has_tasks
+
+    def retime(self, *, result_hold_s: float, ahead_s: float) -> None:
+        """Takes new times from the configuration in force."""
+        self._timing = dataclasses.replace(
+            self._timing, result_hold_s=result_hold_s, ahead_s=ahead_s
+        )
+        for name, slots in self._upstreams.items():
+            slots.splitter = SlotSplitter(
+                slots=slots.announcement.slots, ahead_s=ahead_s
+            )
+            self._dirty.add(name)
+
+    def take_effects(self) -> list[AgentEffect]:
+        """Returns what there is to do, and forgets it."""
+        effects, self._effects = self._effects, []
+        return effects
+
+    def announce(self, announcement: Announcement, now_s: float) -> None:
+        """Takes or renews an upstream's announcement."""
+        expires_at_s = now_s + ANNOUNCEMENT_LEASE_S
+        known = self._upstreams.get(announcement.name)
+        if known is not None and known.announcement == announcement:
+            known.expires_at_s = expires_at_s
+            if known.is_leaving:
+                known.is_leaving = False
+                self._tell_all(UpstreamAnnounced(announcement=announcement))
+                self._split(known, now_s)
+            return
+        splitter = SlotSplitter(slots=announcement.slots, ahead_s=self._timing.ahead_s)
+        if known is None:
+            known = UpstreamSlots(
+                announcement=announcement, splitter=splitter, expires_at_s=expires_at_s
+            )
+            self._upstreams[announcement.name] = known
+        known.announcement = announcement
+        known.splitter = splitter
+        known.expires_at_s = expires_at_s
+        known.is_leaving = False
+        known.shares = {}
+        self._tell_all(UpstreamAnnounced(announcement=announcement))
+        self._split(known, now_s)
+
+    def withdraw(self, upstream: str, now_s: float, reason: str = "left") -> bool:
+        """Stops new work for an upstream; returns False when it is unknown."""
+        slots = self._upstreams.get(upstream)
+        if slots is None or slots.is_leaving:
+            return slots is not None
+        slots.is_leaving = True
+        self._tell_all(UpstreamGone(upstream=upstream, reason=reason))
+        waiting = list(slots.queue)
+        slots.queue.clear()
+        for task in waiting:
+            self._end(task, upstream, TaskOutcome.NOT_STARTED, 0.0, b"", reason, now_s)
+        self._flush_due(now_s)
+        return True
+
+    def on_link_event(self, event: LinkEvent, now_s: float) -> None:
+        """Takes an event of the link to an entry."""
+        if isinstance(event, PeerUp):
+            self._entry_up(event, now_s)
+        elif isinstance(event, PeerDown):
+            entry = self._entries.get(event.peer)
+            if entry is not None:
+                entry.is_up = False
+                entry.silent_since_s = now_s
+                self._dirty.update(self._upstreams)
+        else:
+            self._receive(event.peer, event.message, now_s)
+        self._flush_due(now_s)
+
+    def call_ended(
+        self,
+        *,
+        upstream: str,
+        job: str,
+        index: int,
+        end: CallEnd,
+        run_s: float,
+        body: bytes,
+        now_s: float,
+    ) -> None:
+        """Takes the end of a call that StartCall began."""
+        slots = self._upstreams[upstream]
+        task = slots.running.pop((job, index), None)
+        if task is None:
+            return
+        verdict = judge_call(end)
+        reason = "" if verdict.completed else end.value
+        if verdict.completed:
+            outcome = TaskOutcome.COMPLETED
+            self._learn(slots, run_s)
+        elif not verdict.started:
+            outcome = TaskOutcome.NOT_STARTED
+        elif verdict.known:
+            outcome = TaskOutcome.FAILED
+        else:
+            outcome = TaskOutcome.UNKNOWN
+        self._start_waiting(slots, now_s)
+        self._end(task, upstream, outcome, run_s, body, reason, now_s)
+        self._flush_due(now_s)
+
+    def tick(self, now_s: float) -> None:
+        """Lets time pass: ends leases, fences silent entries, sends results."""
+        for name, slots in list(self._upstreams.items()):
+            if not slots.is_leaving and now_s >= slots.expires_at_s:
+                self.withdraw(name, now_s, "announcement_expired")
+        for name, entry in self._entries.items():
+            silent_s = now_s - entry.silent_since_s
+            if not entry.is_up and silent_s >= self._timing.fence_s:
+                self._stop_work_of(name, now_s)
+        for name in list(self._dirty):
+            slots = self._upstreams[name]
+            if now_s - slots.split_at_s >= self._timing.split_interval_s:
+                self._split(slots, now_s)
+        self._forget_closed(now_s)
+        self._flush_due(now_s)
+
+    def next_due_s(self, now_s: float) -> float:
+        """Returns the time until something is due."""
+        due_s = 0.2
+        for entry in self._entries.values():
+            if entry.results:
+                due_s = min(due_s, max(0.0, entry.due_at_s - now_s))
+        if self._dirty:
+            due_s = min(due_s, self._timing.split_interval_s)
+        return due_s
+
+    # --- entries -------------------------------------------------------------
+
+    def _entry_up(self, event: PeerUp, now_s: float) -> None:
+        if event.role != "entry":
+            return
+        entry = self._entries.get(event.peer)
+        if entry is None or event.restarted:
+            entry = self._entries[event.peer] = _EntryLink()
+        entry.is_up = True
+        entry.silent_since_s = now_s
+        for slots in self._upstreams.values():
+            slots.shares.pop(event.peer, None)
+            if not slots.is_leaving:
+                announced = UpstreamAnnounced(announcement=slots.announcement)
+                self._send(event.peer, announced)
+                self._split(slots, now_s)
+
+    def _receive(self, peer: str, message: Message, now_s: float) -> None:
+        match message:
+            case DispatchBatch():
+                self._on_dispatch(peer, message, now_s)
+            case SlotDemand():
+                self._on_demand(peer, message.backlog, now_s)
+            case CancelJobs():
+                for job in message.jobs:
+                    self._cancel(peer, job, now_s)
+            case JobsClosed():
+                for job in message.jobs:
+                    self._close(job, now_s)
+            case RecoverJobs():
+                self._on_recover(peer, message, now_s)
+            case ConfigurationUpdate():
+                if message.version > self._configuration.version:
+                    self._configuration = message
+            case _:
+                self._count_wasted("unexpected")
+
+    def _on_demand(self, peer: str, backlog: dict[str, int], now_s: float) -> None:
+        entry = self._entries.get(peer)
+        if entry is None:
+            return
+        for upstream, waiting in backlog.items():
+            before = entry.backlog.get(upstream, 0)
+            entry.backlog[upstream] = waiting
+            slots = self._upstreams.get(upstream)
+            if slots is None or before == waiting:
+                continue
+            if not before:
+                self._split(slots, now_s)
+            else:
+                self._dirty.add(upstream)
+
+    def _on_dispatch(self, peer: str, batch: DispatchBatch, now_s: float) -> None:
+        is_fenced = (peer, batch.incarnation) in self._fenced
+        for item in batch.items:
+            for start in item.tasks:
+                reason = "fenced" if is_fenced else self._refusal(item, start)
+                self._take(peer, item, start, reason, now_s)
+        self._on_demand(peer, batch.backlog, now_s)
+        for name in {item.upstream for item in batch.items}:
+            slots = self._upstreams.get(name)
+            if slots is not None:
+                self._start_waiting(slots, now_s)
+
+    def _refusal(self, item: DispatchItem, start: TaskStart) -> str:
+        """Returns why a task must not be taken, or an empty string."""
+        closed = self._closed.get(item.job)
+        if closed is not None and item.epoch <= closed[0]:
+            return "job_closed"
+        holding = self._jobs.get(item.job)
+        if holding is not None:
+            if item.epoch < holding.epoch:
+                return "stale_epoch"
+            if start.attempt <= holding.attempts.get(start.index, 0):
+                return "repeated"
+            if not item.repeatable and start.index in holding.started:
+                return "already_started"
+        slots = self._upstreams.get(item.upstream)
+        if slots is None or slots.is_leaving:
+            return "upstream_gone"
+        return ""
+
+    def _take(
+        self,
+        peer: str,
+        item: DispatchItem,
+        start: TaskStart,
+        reason: str,
+        now_s: float,
+    ) -> None:
+        task = HeldTask(
+            entry=peer,
+            job=item.job,
+            key=item.key,
+            service=item.service,
+            index=start.index,
+            attempt=start.attempt,
+            payload=start.payload,
+            repeatable=item.repeatable,
+            expires_at_s=now_s + item.budget_s,
+            run_limit_s=item.run_limit_s,
+        )
+        if reason == "repeated":
+            self._count_wasted("duplicate")
+            return
+        if reason:
+            self._refuse(task, item, reason, now_s)
+            return
+        holding = self._jobs.get(item.job)
+        if holding is None:
+            holding = self._jobs[item.job] = JobHolding(owner=peer, epoch=item.epoch)
+        holding.owner = peer
+        holding.epoch = item.epoch
+        holding.attempts[start.index] = start.attempt
+        holding.active += 1
+        self._upstreams[item.upstream].queue.append(task)
+
+    def _refuse(
+        self, task: HeldTask, item: DispatchItem, reason: str, now_s: float
+    ) -> None:
+        self._count_wasted("refused")
+        result = TaskResult(
+            job=task.job,
+            epoch=item.epoch,
+            index=task.index,
+            attempt=task.attempt,
+            upstream=item.upstream,
+            outcome=TaskOutcome.NOT_STARTED,
+            run_s=0.0,
+            body=b"",
+            reason=reason,
+        )
+        self._report(task.entry, result, now_s, is_urgent=True)
+
+    def _cancel(self, peer: str, job: str, now_s: float) -> None:
+        holding = self._jobs.get(job)
+        if holding is None or holding.owner != peer:
+            return
+        for slots in self._upstreams.values():
+            kept = [task for task in slots.queue if task.job != job]
+            holding.active -= len(slots.queue) - len(kept)
+            slots.queue.clear()
+            slots.queue.extend(kept)
+            for task in slots.running.values():
+                if task.job == job:
+                    self._stop(task)
+            self._start_waiting(slots, now_s)
+
+    def _close(self, job: str, now_s: float) -> None:
+        holding = self._jobs.pop(job, None)
+        epoch = holding.epoch if holding else 0
+        self._closed[job] = (epoch, now_s)
+
+    def _forget_closed(self, now_s: float) -> None:
+        for job, (_, closed_at_s) in list(self._closed.items()):
+            if now_s - closed_at_s < _CLOSED_MEMORY_S:
+                return
+            del self._closed[job]
+
+    # --- change of owner -----------------------------------------------------
+
+    def _on_recover(self, peer: str, message: RecoverJobs, now_s: float) -> None:
+        """Fences the former owners and reports all that is held of the jobs."""
+        for former in message.fenced:
+            self._fenced.add((former.name, former.incarnation))
+        holdings = []
+        for job in message.jobs:
+            holding = self._adopt(peer, job, now_s)
+            if holding is not None:
+                holdings.append(holding)
+        self._send(peer, JobsRecovered(recovery=message.recovery, holdings=holdings))
+
+    def _adopt(self, peer: str, job: JobEpoch, now_s: float) -> JobHoldings | None:
+        holding = self._jobs.get(job.job)
+        if holding is None:
+            self._jobs[job.job] = JobHolding(owner=peer, epoch=job.epoch)
+            return None
+        if job.epoch < holding.epoch:
+            return None
+        holding.owner = peer
+        holding.epoch = job.epoch
+        running = []
+        for slots in self._upstreams.values():
+            kept = [task for task in slots.queue if task.job != job.job]
+            holding.active -= len(slots.queue) - len(kept)
+            slots.queue.clear()
+            slots.queue.extend(kept)
+            for task in slots.running.values():
+                if task.job == job.job:
+                    running.append((task.index, task.attempt))
+            self._start_waiting(slots, now_s)
+        return JobHoldings(
+            job=job.job, running=running, finished=list(holding.finished.values())
+        )
+
+    def _stop_work_of(self, entry: str, now_s: float) -> None:
+        """Drops what waits and stops what may run again for a silent entry."""
+        for name, slots in self._upstreams.items():
+            waiting = [task for task in slots.queue if task.entry == entry]
+            if waiting:
+                kept = [task for task in slots.queue if task.entry != entry]
+                slots.queue.clear()
+                slots.queue.extend(kept)
+                for task in waiting:
+                    outcome = TaskOutcome.NOT_STARTED
+                    self._end(task, name, outcome, 0.0, b"", "owner_silent", now_s)
+            if not slots.announcement.stops_on_disconnect:
+                continue
+            for task in slots.running.values():
+                holding = self._jobs.get(task.job)
+                owner = holding.owner if holding else task.entry
+                if owner == entry and task.repeatable:
+                    self._stop(task)
+
+    def _stop(self, task: HeldTask) -> None:
+        self._effects.append(
+            StopCall(job=task.job, index=task.index, attempt=task.attempt)
+        )
+
+    # --- slots ---------------------------------------------------------------
+
+    def _start_waiting(self, slots: UpstreamSlots, now_s: float) -> None:
+        announcement = slots.announcement
+        while slots.queue and len(slots.running) < announcement.slots:
+            task = slots.queue.popleft()
+            if now_s >= task.expires_at_s:
+                outcome = TaskOutcome.NOT_STARTED
+                self._end(task, announcement.name, outcome, 0.0, b"", "deadline", now_s)
+                continue
+            self._start(slots, task)
+
+    def _start(self, slots: UpstreamSlots, task: HeldTask) -> None:
+        slots.running[task.job, task.index] = task
+        holding = self._jobs.get(task.job)
+        if holding is not None:
+            holding.started.add(task.index)
+        self._effects.append(
+            StartCall(
+                upstream=slots.announcement.name,
+                job=task.job,
+                key=task.key,
+                service=task.service,
+                index=task.index,
+                attempt=task.attempt,
+                payload=task.payload,
+                limit_s=task.run_limit_s,
+            )
+        )
+
+    def _split(self, slots: UpstreamSlots, now_s: float) -> None:
+        """Splits an upstream's slots anew and sends the grants that changed."""
+        name = slots.announcement.name
+        self._dirty.discard(name)
+        slots.split_at_s = now_s
+        slots.split_mean_s = slots.mean_run_s
+        demand = {
+            peer: entry.backlog.get(name, 0) + slots.held_for(peer)
+            for peer, entry in self._entries.items()
+            if entry.is_up
+        }
+        shares = slots.splitter.split(demand, slots.mean_run_s)
+        for peer, share in shares.items():
+            before = slots.shares.get(peer)
+            if before is not None and before.slots == share.slots:
+                change = abs(share.limit - before.limit)
+                if change <= _LIMIT_CHANGE * before.limit:
+                    continue
+            slots.generation += 1
+            slots.shares[peer] = share
+            grant = SlotGrant(
+                upstream=name,
+                limit=share.limit,
+                slots=share.slots,
+                generation=slots.generation,
+            )
+            self._send(peer, grant)
+
+    def _learn(self, slots: UpstreamSlots, run_s: float) -> None:
+        """Updates the mean run time; a clear change resizes the queues ahead."""
+        slots.completed += 1
+        weight = max(_RUN_WEIGHT, 1 / slots.completed)
+        slots.mean_run_s += weight * (run_s - slots.mean_run_s)
+        change = abs(slots.mean_run_s - slots.split_mean_s)
+        if change > _LIMIT_CHANGE * slots.split_mean_s:
+            self._dirty.add(slots.announcement.name)
+
+    # --- results -------------------------------------------------------------
+
+    def _end(
+        self,
+        task: HeldTask,
+        upstream: str,
+        outcome: TaskOutcome,
+        run_s: float,
+        body: bytes,
+        reason: str,
+        now_s: float,
+    ) -> None:
+        """Records the end of a task and reports it to the job's owner."""
+        holding = self._jobs.get(task.job)
+        if holding is None:
+            self._count_wasted("late")
+            return
+        holding.active -= 1
+        result = TaskResult(
+            job=task.job,
+            epoch=holding.epoch,
+            index=task.index,
+            attempt=task.attempt,
+            upstream=upstream,
+            outcome=outcome,
+            run_s=run_s,
+            body=body,
+            reason=reason,
+        )
+        if outcome is not TaskOutcome.NOT_STARTED:
+            holding.finished[task.index] = result
+        is_urgent = (
+            holding.active == 0
+            or reason != ""
+            or self._is_starving(upstream, holding.owner)
+        )
+        self._report(holding.owner, result, now_s, is_urgent=is_urgent)
+
+    def _is_starving(self, upstream: str, owner: str) -> bool:
+        """Tells whether the upstream idles while work for it waits at the owner."""
+        entry = self._entries.get(owner)
+        if entry is None or self._upstreams[upstream].queue:
+            return False
+        return entry.backlog.get(upstream, 0) > 0
+
+    def _report(
+        self, peer: str, result: TaskResult, now_s: float, *, is_urgent: bool
+    ) -> None:
+        entry = self._entries.setdefault(peer, _EntryLink(is_up=False))
+        if not entry.results:
+            entry.due_at_s = now_s + self._timing.result_hold_s
+        if is_urgent:
+            entry.due_at_s = now_s
+        entry.results.append(result)
+
+    def _flush_due(self, now_s: float) -> None:
+        for peer, entry in self._entries.items():
+            if entry.results and now_s >= entry.due_at_s:
+                self._send(peer, ResultBatch(results=entry.results))
+                entry.results = []
+
+    def _send(self, peer: str, message: Message) -> None:
+        self._effects.append(SendMessage(peer=peer, message=message))
+
+    def _tell_all(self, message: Message) -> None:
+        for peer in self._entries:
+            self._send(peer, message)
+
+    def _count_wasted(self, cause: str) -> None:
+        self._wasted[cause] = self._wasted.get(cause, 0) + 1
--- /dev/null
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_holdings.py
@@ -0,0 +1,92 @@
+"""What the agent holds: tasks in line, tasks on slots, results of open jobs."""
+
+import collections
+import dataclasses
+
+from hawthornbarrow.dispatch import DEFAULT_RUN_S, SlotSplitter, SplitShare
+from hawthornbarrow.links import TaskResult
+from hawthornbarrow.upstreams import Announcement
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HeldTask:
+    """A task that waits for a slot or runs on one.
+
+    Attributes:
+        entry: Entry that sent it.
+        job: Job id.
+        key: The caller's idempotency key.
+        service: Name of the service.
+        index: Position in the job.
+        attempt: Number of the attempt.
+        payload: The task as JSON.
+        repeatable: Whether it may run again after an uncertain end.
+        expires_at_s: When the job's deadline passes.
+        run_limit_s: Longest time that it may run.
+    """
+
+    entry: str
+    job: str
+    key: str
+    service: str
+    index: int
+    attempt: int
+    payload: bytes
+    repeatable: bool
+    expires_at_s: float
+    run_limit_s: float
+
+
+class JobHolding:
+    """What the agent knows of one open job.
+
+    Args:
+        owner: Entry that owns the job.
+        epoch: Ownership epoch of the job.
+    """
+
+    def __init__(self, *, owner: str, epoch: int) -> None:
+        """Starts without tasks."""
+        self.owner = owner
+        self.epoch = epoch
+        self.attempts: dict[int, int] = {}
+        self.started: set[int] = set()
+        self.finished: dict[int, TaskResult] = {}
+        self.active = 0
+
+
+class UpstreamSlots:
+    """One announced upstream with its line and its slots.
+
+    Args:
+        announcement: Its latest announcement.
+        splitter: Splits its slots among the entries.
+        expires_at_s: When the announcement's lease ends.
+    """
+
+    def __init__(
+        self,
+        *,
+        announcement: Announcement,
+        splitter: SlotSplitter,
+        expires_at_s: float,
+    ) -> None:
+        """Starts idle."""
+        self.announcement = announcement
+        self.splitter = splitter
+        self.expires_at_s = expires_at_s
+        self.is_leaving = False
+        self.queue: collections.deque[HeldTask] = collections.deque()
+        self.running: dict[tuple[str, int], HeldTask] = {}
+        self.mean_run_s = DEFAULT_RUN_S
+        self.split_mean_s = DEFAULT_RUN_S
+        self.completed = 0
+        self.shares: dict[str, SplitShare] = {}
+        self.generation = 0
+        self.split_at_s = 0.0
+
+    def held_for(self, entry: str) -> int:
+        """Returns the number of tasks held for an entry."""
+        queued = sum(task.entry == entry for task in self.queue)
+        running = sum(task.entry == entry for task in self.running.values())
+        return queued + running
--- /dev/null
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_process.py
@@ -0,0 +1,243 @@
+"""AgentProcess: the curio tasks of one agent around its core."""
+
+import dataclasses
+import hmac
+import secrets
+import time
+
+import curio
+import msgspec
+import structlog
+from hawthornbarrow.configuration import decode_configuration
+from hawthornbarrow.http import HttpServer, Request, Response, problem
+from hawthornbarrow.links import LinkPort, Mailbox, PeerDown, PeerUp
+from hawthornbarrow.observability import Metrics
+from hawthornbarrow.upstreams import Announcement
+
+from hawthornbarrow_agent._caller import CallEnded, UpstreamCaller
+from hawthornbarrow_agent._core import AgentCore, AgentTiming
+from hawthornbarrow_agent._effects import SendMessage, StartCall
+
+_DRAIN_POLL_S = 0.02
+_log = structlog.get_logger()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AgentSettings:
+    """Settings of one agent process.
+
+    Attributes:
+        name: Name of the agent, unique in the deployment.
+        listen: IP number and port for announcements.
+        entries: Link addresses of all entries.
+        cluster_key: Secret shared by all processes of the deployment.
+        announce_token: Token that upstreams present; empty for none.
+        drain_limit_s: Longest time that a graceful shutdown waits.
+    """
+
+    name: str
+    listen: str
+    entries: list[str]
+    cluster_key: bytes
+    announce_token: str = ""
+    drain_limit_s: float = 60.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Announced:
+    announcement: Announcement
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Withdrawn:
+    upstream: str
+
+
+class AgentProcess:
+    """One agent.
+
+    Args:
+        settings: Settings of the process.
+        timing: Times of its decisions, until a configuration says otherwise.
+    """
+
+    def __init__(
+        self, *, settings: AgentSettings, timing: AgentTiming | None = None
+    ) -> None:
+        """Builds the agent without opening sockets."""
+        self._settings = settings
+        self._mailbox = Mailbox()
+        self._core = AgentCore(timing=timing)
+        self._caller = UpstreamCaller(mailbox=self._mailbox)
+        self._metrics = Metrics(process=settings.name)
+        self._http = HttpServer(handler=self._handle)
+        self._port = LinkPort(
+            process=settings.name,
+            role="agent",
+            incarnation=secrets.randbits(62),
+            cluster_key=settings.cluster_key,
+            mailbox=self._mailbox,
+        )
+        self._links_up = 0
+        self._version = 0
+        self._is_draining = False
+
+    @property
+    def core(self) -> AgentCore:
+        """The agent's decisions."""
+        return self._core
+
+    @property
+    def port(self) -> LinkPort:
+        """The agent's links."""
+        return self._port
+
+    @property
+    def announce_port(self) -> int:
+        """TCP port at which upstreams announce."""
+        return self._http.bound_port
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        host, _, port = self._settings.listen.rpartition(":")
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._http.serve, host, int(port))
+            for address in self._settings.entries:
+                entry_host, _, entry_port = address.rpartition(":")
+                await group.spawn(self._port.dial, entry_host, int(entry_port))
+            await group.spawn(self._serve)
+
+    async def drain(self) -> None:
+        """Takes no new work, finishes what is held and hands over all results."""
+        self._is_draining = True
+        for name in self._core.upstreams:
+            await self._mailbox.post(_Withdrawn(upstream=name))
+        until_s = time.monotonic() + self._settings.drain_limit_s
+        await curio.sleep(_DRAIN_POLL_S)
+        while time.monotonic() < until_s:
+            if self._core.is_idle and not len(self._mailbox):
+                break
+            await curio.sleep(_DRAIN_POLL_S)
+        await self._port.settle(limit_s=2.0)
+
+    async def _serve(self) -> None:
+        while True:
+            timeout_s = self._core.next_due_s(time.monotonic())
+            events = await self._mailbox.drain(timeout_s=timeout_s)
+            now_s = time.monotonic()
+            for event in events:
+                self._take(event, now_s)
+            self._core.tick(now_s)
+            await self._carry_out()
+
+    def _take(self, event: object, now_s: float) -> None:
+        if isinstance(event, CallEnded):
+            self._metrics.count_tasks(event.end.value)
+            self._core.call_ended(
+                upstream=event.upstream,
+                job=event.job,
+                index=event.index,
+                end=event.end,
+                run_s=event.run_s,
+                body=event.body,
+                now_s=now_s,
+            )
+        elif isinstance(event, _Announced):
+            self._caller.connect(event.announcement)
+            self._core.announce(event.announcement, now_s)
+        elif isinstance(event, _Withdrawn):
+            self._core.withdraw(event.upstream, now_s)
+        else:
+            if isinstance(event, PeerUp | PeerDown):
+                _log.info("link", peer=event.peer, up=isinstance(event, PeerUp))
+            self._core.on_link_event(event, now_s)
+            self._adopt_configuration()
+
+    async def _carry_out(self) -> None:
+        for effect in self._core.take_effects():
+            if isinstance(effect, SendMessage):
+                self._port.send(effect.peer, effect.message)
+            elif isinstance(effect, StartCall):
+                await self._caller.start(effect)
+            else:
+                await self._caller.stop(effect)
+        await self._port.flush()
+
+    def _adopt_configuration(self) -> None:
+        update = self._core.configuration
+        if update.version <= self._version:
+            return
+        self._version = update.version
+        tuning = decode_configuration(update.document).tuning
+        self._core.retime(
+            result_hold_s=tuning.result_hold_ms / 1000, ahead_s=tuning.ahead_ms / 1000
+        )
+        _log.info("configuration_in_force", version=update.version)
+
+    # --- announcements -------------------------------------------------------
+
+    async def _handle(self, request: Request) -> Response:
+        parts = request.path.strip("/").split("/")
+        if request.path == "/healthz":
+            return Response(status=200, body=b'{"status":"ok"}')
+        if request.path == "/metrics":
+            self._metrics.set_state("jobs_held", self._core.job_count)
+            return Response(
+                status=200, body=self._metrics.render(), content_type="text/plain"
+            )
+        if request.path == "/v1/status":
+            return self._status()
+        if parts[:2] != ["v1", "upstreams"] or len(parts) != 3:
+            return problem(404, "not found", detail=request.path)
+        if not self._is_authentic(request):
+            return problem(401, "announcement token missing or wrong")
+        if request.method == "PUT":
+            return await self._announce(parts[2], request.body)
+        if request.method == "DELETE":
+            await self._mailbox.post(_Withdrawn(upstream=parts[2]))
+            return Response(status=204)
+        return problem(405, "method not allowed", detail=request.method)
+
+    async def _announce(self, name: str, body: bytes) -> Response:
+        if self._is_draining:
+            return problem(503, "the agent is shutting down", retry_after_s=1.0)
+        try:
+            announcement = msgspec.json.decode(body, type=Announcement)
+        except msgspec.DecodeError as error:
+            return problem(400, "invalid announcement", detail=str(error))
+        if announcement.name != name or not announcement.slots > 0:
+            detail = f"name {announcement.name!r}, slots {announcement.slots}"
+            return problem(400, "invalid announcement", detail=detail)
+        if not announcement.connections >= announcement.slots:
+            detail = (
+                f"{announcement.connections} connections, expected at least one "
+                f"for each of the {announcement.slots} slots"
+            )
+            return problem(400, "invalid announcement", detail=detail)
+        await self._mailbox.post(_Announced(announcement=announcement))
+        return Response(status=200, body=b"{}")
+
+    def _is_authentic(self, request: Request) -> bool:
+        if not self._settings.announce_token:
+            return True
+        expected = f"Bearer {self._settings.announce_token}"
+        given = request.headers.get("authorization", "")
+        return hmac.compare_digest(given.encode(), expected.encode())
+
+    def _status(self) -> Response:
+        document = {
+            "agent": self._settings.name,
+            "configuration_version": self._core.configuration.version,
+            "jobs_held": self._core.job_count,
+            "wasted": self._core.wasted,
+            "upstreams": {
+                name: {
+                    "queued": len(slots.queue),
+                    "running": len(slots.running),
+                    "leaving": slots.is_leaving,
+                }
+                for name, slots in self._core.upstreams.items()
+            },
+            "links": dataclasses.asdict(self._port.counters),
+        }
+        return Response(status=200, body=msgspec.json.encode(document))
--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_dispatcher.py
@@ -0,0 +1,255 @@
+"""Dispatcher: turns waiting jobs and slot credit into dispatch messages."""
+
+import collections
+import heapq
+import itertools
+import math
+
+from hawthornbarrow.configuration import Configuration
+from hawthornbarrow.dispatch import (
+    FairQueue,
+    JobOrder,
+    Lane,
+    PlacementPolicy,
+    RunTimeEstimator,
+    UpstreamHealth,
+    UpstreamView,
+)
+from hawthornbarrow.jobs import Job, JobStatus, Placement
+from hawthornbarrow.links import DispatchBatch, DispatchItem, SlotDemand, TaskStart
+
+from hawthornbarrow_entry._fleet import FleetView
+
+_DEMAND_CHANGE = 2.0
+_DEMAND_INTERVAL_S = 0.02
+
+
+class Dispatcher:
+    """Fair queue, placement and batching of one entry.
+
+    Args:
+        fleet: What the entry knows of upstreams.
+        health: Judgement of the upstreams.
+        estimator: Learned run times.
+        order: Order of the jobs of one member.
+        placement: Chooses the upstream of a task.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: FleetView,
+        health: UpstreamHealth,
+        estimator: RunTimeEstimator,
+        order: JobOrder,
+        placement: PlacementPolicy,
+    ) -> None:
+        """Starts with nothing waiting."""
+        self._fleet = fleet
+        self._health = health
+        self._estimator = estimator
+        self._queue = FairQueue(order=order)
+        self._placement = placement
+        self._delayed: list[tuple[float, int, Job, int]] = []
+        self._serial = itertools.count()
+        self._waiting: collections.Counter[str] = collections.Counter()
+        self._told: dict[str, dict[str, int]] = {}
+        self._told_at_s: dict[str, float] = {}
+        self._configuration = Configuration()
+        self._usage: collections.Counter[str] = collections.Counter()
+
+    def configure(self, configuration: Configuration) -> None:
+        """Takes the members' shares and the services' limits."""
+        self._configuration = configuration
+        for name, member in configuration.members.items():
+            quota = member.slot_quota if member.slot_quota else math.inf
+            self._queue.set_member(name, weight=member.weight, slot_quota=quota)
+
+    def take_usage(self) -> dict[str, float]:
+        """Returns the slot time charged to each member since the last call."""
+        usage, self._usage = dict(self._usage), collections.Counter()
+        return usage
+
+    def charge_elsewhere(self, usage: dict[str, float]) -> None:
+        """Charges slot time that members used through another entry."""
+        for member, used_s in usage.items():
+            self._queue.charge_elsewhere(member, used_s)
+
+    def enqueue(self, job: Job) -> None:
+        """Lets all waiting tasks of a job wait for slots."""
+        self._waiting[job.service] += job.waiting_count
+        self._queue.push(job)
+
+    def dequeue(self, job: Job) -> None:
+        """Uncounts the waiting tasks of a job that is about to close."""
+        self._waiting[job.service] -= job.waiting_count
+
+    def put_back(self, job: Job, index: int, at_s: float, now_s: float) -> None:
+        """Lets one task wait again, from a later time on."""
+        if at_s > now_s:
+            entry = (at_s, next(self._serial), job, index)
+            heapq.heappush(self._delayed, entry)
+            return
+        if job.status is JobStatus.RUNNING:
+            job.put_back(index)
+            self._waiting[job.service] += 1
+            self._queue.push(job)
+
+    def release(self, job: Job, placement: Placement, measured_s: float) -> None:
+        """Frees the credit of a placed task and corrects its charge."""
+        self._usage[job.member] += measured_s
+        if not placement.upstream:
+            self._queue.charge_elsewhere(job.member, measured_s)
+            return
+        view = self._fleet.upstreams.get(placement.upstream)
+        if view is not None:
+            view.outstanding = max(0, view.outstanding - 1)
+        self._queue.charge_end(
+            job.member, charged_s=placement.cost_s, measured_s=measured_s
+        )
+
+    def next_delayed_s(self) -> float:
+        """Returns when the next delayed task may wait again."""
+        return self._delayed[0][0] if self._delayed else math.inf
+
+    def dispatch(
+        self, incarnation: int, now_s: float
+    ) -> list[tuple[str, DispatchBatch]]:
+        """Places as many tasks as there is credit for.
+
+        Returns:
+            One batch for each agent that gets tasks.
+        """
+        self._wake_delayed(now_s)
+        items: dict[str, dict[tuple[str, str], DispatchItem]] = {}
+        services = self._fleet.services_with_credit()
+        blocked: set[Lane] = set()
+        while services:
+            job = self._queue.pick(services, now_s, blocked)
+            if job is None:
+                break
+            view = self._choose(job, now_s)
+            if view is None:
+                blocked.add(job.lane)
+                continue
+            self._place(job, view, items, now_s)
+            if view.credit <= 0:
+                services = self._fleet.services_with_credit() & services
+        return [
+            (
+                agent,
+                DispatchBatch(
+                    incarnation=incarnation,
+                    items=list(agent_items.values()),
+                    backlog=self._tell(agent, now_s),
+                ),
+            )
+            for agent, agent_items in items.items()
+        ]
+
+    def demands(self, now_s: float) -> list[tuple[str, SlotDemand]]:
+        """Returns the demand messages that agents need beside the batches."""
+        demands = []
+        for agent in self._fleet.agents.values():
+            if not agent.is_up or not agent.is_registered:
+                continue
+            if now_s - self._told_at_s.get(agent.name, -1.0) < _DEMAND_INTERVAL_S:
+                continue
+            if self._is_changed(agent.name):
+                backlog = self._tell(agent.name, now_s)
+                demands.append((agent.name, SlotDemand(backlog=backlog)))
+        return demands
+
+    def forget_agent(self, agent: str) -> None:
+        """Drops what an agent was told, as its link is new."""
+        self._told.pop(agent, None)
+
+    def _choose(self, job: Job, now_s: float) -> UpstreamView | None:
+        assert job.spec is not None
+        candidates = self._fleet.candidates(
+            job.service, job.spec.resources, now_s, repeatable=job.repeatable
+        )
+        if not candidates:
+            return None
+        return self._placement.choose(candidates, self._mean_s(job))
+
+    def _place(
+        self,
+        job: Job,
+        view: UpstreamView,
+        items: dict[str, dict[tuple[str, str], DispatchItem]],
+        now_s: float,
+    ) -> None:
+        assert job.spec is not None
+        cost_s = self._mean_s(job)
+        index = job.take()
+        self._waiting[job.service] -= 1
+        placement = Placement(
+            agent=view.agent,
+            upstream=view.name,
+            attempt=job.next_attempt(index),
+            cost_s=cost_s,
+        )
+        job.place(index, placement)
+        view.outstanding += 1
+        self._health.note_sent(view.name)
+        self._queue.charge_start(job, cost_s)
+        agent_items = items.setdefault(view.agent, {})
+        item = agent_items.get((job.job_id, view.name))
+        if item is None:
+            item = self._item(job, view, now_s)
+            agent_items[job.job_id, view.name] = item
+        item.tasks.append(
+            TaskStart(
+                index=index,
+                attempt=placement.attempt,
+                payload=bytes(job.spec.tasks[index]),
+            )
+        )
+
+    def _item(self, job: Job, view: UpstreamView, now_s: float) -> DispatchItem:
+        service = self._configuration.services.get(job.service)
+        run_limit_s = service.run_limit_s if service else 30.0
+        return DispatchItem(
+            job=job.job_id,
+            epoch=job.epoch,
+            key=job.key,
+            service=job.service,
+            upstream=view.name,
+            repeatable=job.repeatable,
+            budget_s=job.deadline_at_s - now_s,
+            run_limit_s=run_limit_s,
+            tasks=[],
+        )
+
+    def _mean_s(self, job: Job) -> float:
+        declared_s = job.spec.declared_run_s if job.spec else None
+        return self._estimator.mean_s(job.member, job.service, declared_s)
+
+    def _wake_delayed(self, now_s: float) -> None:
+        while self._delayed and self._delayed[0][0] <= now_s:
+            _, _, job, index = heapq.heappop(self._delayed)
+            self.put_back(job, index, now_s, now_s)
+
+    def _backlog(self, agent: str) -> dict[str, int]:
+        return {
+            view.name: sum(self._waiting[name] for name in view.announcement.services)
+            for view in self._fleet.upstreams.values()
+            if view.agent == agent and view.is_open
+        }
+
+    def _is_changed(self, agent: str) -> bool:
+        told = self._told.get(agent, {})
+        for upstream, waiting in self._backlog(agent).items():
+            before = told.get(upstream, 0)
+            if bool(before) != bool(waiting):
+                return True
+            if waiting > before * _DEMAND_CHANGE or before > waiting * _DEMAND_CHANGE:
+                return True
+        return False
+
+    def _tell(self, agent: str, now_s: float) -> dict[str, int]:
+        backlog = self._backlog(agent)
+        self._told[agent] = backlog
+        self._told_at_s[agent] = now_s
+        return backlog
--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_fleet.py
@@ -0,0 +1,153 @@
+"""FleetView: what an entry knows of agents and their upstreams."""
+
+import dataclasses
+
+from hawthornbarrow.dispatch import UpstreamHealth, UpstreamView
+from hawthornbarrow.links import SlotGrant
+from hawthornbarrow.upstreams import Announcement, Resources
+
+
+@dataclasses.dataclass(kw_only=True)
+class AgentView:
+    """What an entry knows of one agent.
+
+    Attributes:
+        name: Name of the agent.
+        incarnation: Incarnation of its process.
+        is_up: Whether its link is up.
+        is_registered: Whether the ledger knows this incarnation.
+        down_since_s: When its link went down.
+        is_lost: Whether its tasks have been given up.
+    """
+
+    name: str
+    incarnation: int
+    is_up: bool = True
+    is_registered: bool = False
+    down_since_s: float = 0.0
+    is_lost: bool = False
+
+
+class FleetView:
+    """Agents and upstreams, indexed by service.
+
+    Args:
+        health: Judgement of the upstreams.
+        data_centre: Data centre of the entry.
+        remote_delay_s: One-way delay to another data centre.
+    """
+
+    def __init__(
+        self,
+        *,
+        health: UpstreamHealth,
+        data_centre: str = "",
+        remote_delay_s: float = 0.0015,
+    ) -> None:
+        """Starts without agents."""
+        self._health = health
+        self._data_centre = data_centre
+        self._remote_delay_s = remote_delay_s
+        self.agents: dict[str, AgentView] = {}
+        self.upstreams: dict[str, UpstreamView] = {}
+        self._by_service: dict[str, list[UpstreamView]] = {}
+
+    def announce(self, agent: str, announcement: Announcement) -> None:
+        """Takes an announcement told by an agent."""
+        view = self.upstreams.get(announcement.name)
+        if view is None or view.agent != agent:
+            view = UpstreamView(agent=agent, announcement=announcement)
+            self.upstreams[announcement.name] = view
+        view.announcement = announcement
+        view.is_open = True
+        is_local = announcement.data_centre == self._data_centre
+        view.link_delay_s = 0.0 if is_local else self._remote_delay_s
+        self._index()
+
+    def grant(self, agent: str, grant: SlotGrant) -> None:
+        """Takes a slot grant from an agent."""
+        view = self.upstreams.get(grant.upstream)
+        if view is not None and view.agent == agent:
+            view.grant(
+                slots=grant.slots, limit=grant.limit, generation=grant.generation
+            )
+
+    def withdraw(self, agent: str, upstream: str) -> None:
+        """Stops sending to an upstream that left."""
+        view = self.upstreams.get(upstream)
+        if view is not None and view.agent == agent:
+            view.is_open = False
+            self._health.forget(upstream)
+            self._index()
+
+    def agent_down(self, agent: str) -> None:
+        """Stops sending to all upstreams of an agent."""
+        for view in self.upstreams.values():
+            if view.agent == agent:
+                view.is_open = False
+                view.generation = 0
+        self._index()
+
+    def agent_restarted(self, agent: str) -> None:
+        """Forgets the upstreams of an agent that lost its memory."""
+        for name, view in list(self.upstreams.items()):
+            if view.agent == agent:
+                del self.upstreams[name]
+        self._index()
+
+    def open_services(self) -> set[str]:
+        """Returns the services that an open upstream runs."""
+        return set(self._by_service)
+
+    def services_with_credit(self) -> set[str]:
+        """Returns the services for which a task may be sent now."""
+        return {
+            service
+            for service, views in self._by_service.items()
+            if any(view.credit > 0 for view in views)
+        }
+
+    def candidates(
+        self, service: str, resources: Resources, now_s: float, *, repeatable: bool
+    ) -> list[UpstreamView]:
+        """Returns the upstreams to which a task may be sent now."""
+        return [
+            view
+            for view in self._by_service.get(service, ())
+            if view.credit > 0
+            and resources.fits(view.announcement.resources)
+            and self._health.may_send(view.name, now_s, repeatable=repeatable)
+        ]
+
+    def capacity(self, service: str) -> int:
+        """Returns the slots of all open upstreams that run a service."""
+        return sum(
+            view.announcement.slots for view in self._by_service.get(service, ())
+        )
+
+    def ever_fits(self, service: str, resources: Resources) -> bool:
+        """Tells whether any known upstream of the service fits the resources."""
+        return any(
+            service in view.announcement.services
+            and resources.fits(view.announcement.resources)
+            for view in self.upstreams.values()
+        )
+
+    def knows_service(self, service: str) -> bool:
+        """Tells whether any upstream, open or not, runs the service."""
+        return any(
+            service in view.announcement.services for view in self.upstreams.values()
+        )
+
+    def _index(self) -> None:
+        self._by_service = {}
+        for view in self.upstreams.values():
+            agent = self.agents.get(view.agent)
+            if not view.is_open or agent is None or not agent.is_registered:
+                continue
+            for service in view.announcement.services:
+                self._by_service.setdefault(service, []).append(view)
+
+    def reindex(self) -> None:
+        """Takes note of a change of an agent."""
+        self._index()
--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_outcomes.py
@@ -0,0 +1,223 @@
+"""OutcomeHandler: what each end of an attempt means for its job."""
+
+import collections
+import dataclasses
+import random
+
+from hawthornbarrow.configuration import Configuration, Service
+from hawthornbarrow.dispatch import RetryBudget, RunTimeEstimator, UpstreamHealth
+from hawthornbarrow.jobs import Job, JobStatus, Placement
+from hawthornbarrow.links import TaskOutcome, TaskResult
+from hawthornbarrow.upstreams import CallEnd
+
+from hawthornbarrow_entry._dispatcher import Dispatcher
+from hawthornbarrow_entry._fleet import FleetView
+
+_BACKOFF_MIN_S = 0.05
+_BACKOFF_MAX_S = 2.0
+_UPSTREAM_FAULTS = frozenset(
+    {
+        CallEnd.REFUSED,
+        CallEnd.RESET_BEFORE_SENT,
+        CallEnd.RESET_AFTER_SENT,
+        CallEnd.GARBAGE,
+        CallEnd.TRUNCATED,
+        CallEnd.SERVER_ERROR,
+        CallEnd.DECLINED,
+        CallEnd.TIMED_OUT,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class JobEnd:
+    """Final state that a job must move to, and why."""
+
+    status: JobStatus
+    reason: str
+
+
+class OutcomeHandler:
+    """Applies the rules for repeatable and not repeatable work.
+
+    Args:
+        dispatcher: Takes tasks that must run again.
+        health: Judgement of the upstreams.
+        estimator: Learned run times.
+        budget: Bound of retries.
+        fleet: What is known of upstreams.
+        generator: Seeded source of backoff jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        dispatcher: Dispatcher,
+        health: UpstreamHealth,
+        estimator: RunTimeEstimator,
+        budget: RetryBudget,
+        fleet: FleetView,
+        generator: random.Random,
+    ) -> None:
+        """Stores the parts."""
+        self._dispatcher = dispatcher
+        self._health = health
+        self._estimator = estimator
+        self._budget = budget
+        self._fleet = fleet
+        self._generator = generator
+        self._services: dict[str, Service] = {}
+        self._recovered: dict[str, JobEnd] = {}
+        self.wasted: collections.Counter[str] = collections.Counter()
+
+    def configure(self, configuration: Configuration) -> None:
+        """Takes the services' limits."""
+        self._services = configuration.services
+
+    def take(
+        self, job: Job | None, agent: str, result: TaskResult, now_s: float
+    ) -> JobEnd | None:
+        """Takes a result; returns the job's end if the result brings it."""
+        if job is None or job.status.is_final or result.epoch != job.epoch:
+            self.wasted["late"] += 1
+            return None
+        placement = job.placed.get(result.index)
+        if placement is None or placement.attempt != result.attempt:
+            self.wasted["duplicate"] += 1
+            return None
+        if placement.agent != agent:
+            self.wasted["crossed"] += 1
+            return None
+        self._dispatcher.release(job, placement, result.run_s)
+        self._judge_upstream(job, result, now_s)
+        if result.outcome is TaskOutcome.COMPLETED:
+            return self._completed(job, result)
+        detail = f"task {result.index} at {result.upstream}: {result.reason}"
+        job.timeline.add(now_s, result.outcome.value, detail)
+        if result.outcome is TaskOutcome.NOT_STARTED:
+            return self._not_started(job, result, now_s)
+        if result.outcome is TaskOutcome.FAILED:
+            return self._failed(job, result, now_s)
+        return self._uncertain(job, result.index, result.upstream, detail, now_s)
+
+    def take_recovered(self, job: Job, agent: str, result: TaskResult) -> None:
+        """Takes a result that an agent held for an earlier owner."""
+        placement = Placement(
+            agent=agent, upstream="", attempt=result.attempt, cost_s=0.0
+        )
+        if result.outcome is TaskOutcome.COMPLETED:
+            job.adopt(result.index, placement)
+            job.finish(result.index, result.body)
+            return
+        job.adopt(result.index, placement)
+        job.placed.pop(result.index)
+        if job.repeatable:
+            return
+        is_known = result.outcome is TaskOutcome.FAILED
+        status = JobStatus.FAILED if is_known else JobStatus.UNKNOWN
+        reason = f"task {result.index} at {result.upstream}: {result.reason}"
+        self._recovered[job.job_id] = JobEnd(status=status, reason=reason)
+
+    def failure_of(self, job: Job) -> JobEnd | None:
+        """Returns and forgets the end that recovered results bring."""
+        return self._recovered.pop(job.job_id, None)
+
+    def give_up_agent(
+        self, job: Job, agent: str, reason: str, now_s: float
+    ) -> JobEnd | None:
+        """Resolves all tasks of a job that were at a lost agent."""
+        lost = [
+            (index, placement)
+            for index, placement in job.placed.items()
+            if placement.agent == agent
+        ]
+        for index, placement in lost:
+            detail = f"task {index} at {placement.upstream or agent}: {reason}"
+            job.timeline.add(now_s, "lost", detail)
+            if not job.repeatable:
+                return JobEnd(status=JobStatus.UNKNOWN, reason=detail)
+            self._dispatcher.release(job, placement, 0.0)
+            self._uncertain(job, index, placement.upstream, detail, now_s)
+        return None
+
+    def release_all(self, job: Job) -> None:
+        """Frees the credit of all placed tasks of a job."""
+        for placement in job.placed.values():
+            self._dispatcher.release(job, placement, 0.0)
+        job.placed.clear()
+
+    def _completed(self, job: Job, result: TaskResult) -> JobEnd | None:
+        self._budget.record_success()
+        self._estimator.observe(job.member, job.service, result.run_s)
+        job.finish(result.index, result.body)
+        if job.unfinished_count:
+            return None
+        return JobEnd(status=JobStatus.COMPLETED, reason="")
+
+    def _not_started(self, job: Job, result: TaskResult, now_s: float) -> JobEnd | None:
+        is_fault = result.reason in _UPSTREAM_FAULTS
+        delay_s = self._backoff_s(job, result.index) if is_fault else 0.0
+        self._again(job, result.index, now_s + delay_s, now_s)
+        return None
+
+    def _failed(self, job: Job, result: TaskResult, now_s: float) -> JobEnd | None:
+        detail = f"task {result.index}: {result.reason}"
+        is_final = result.reason == CallEnd.CLIENT_ERROR
+        if not is_final and self._may_retry(job, result.index):
+            delay_s = self._backoff_s(job, result.index)
+            self._again(job, result.index, now_s + delay_s, now_s)
+            return None
+        return JobEnd(status=JobStatus.FAILED, reason=detail)
+
+    def _uncertain(
+        self, job: Job, index: int, upstream: str, detail: str, now_s: float
+    ) -> JobEnd | None:
+        """Resolves a task that may have run, or may still be running.
+
+        It runs again only when it is repeatable and can no longer be running: at
+        once where the upstream stops what its agent cuts off, else after the limit
+        of its run time.
+        """
+        if not job.repeatable:
+            return JobEnd(status=JobStatus.UNKNOWN, reason=detail)
+        if not self._may_retry(job, index):
+            return JobEnd(status=JobStatus.FAILED, reason=detail)
+        view = self._fleet.upstreams.get(upstream)
+        stops = view is not None and view.announcement.stops_on_disconnect
+        delay_s = self._backoff_s(job, index)
+        if not stops:
+            delay_s += self._run_limit_s(job)
+        self._again(job, index, now_s + delay_s, now_s)
+        return None
+
+    def _may_retry(self, job: Job, index: int) -> bool:
+        if not job.repeatable:
+            return False
+        service = self._services.get(job.service)
+        attempts = service.attempts if service else 1
+        return job.next_attempt(index) <= attempts and self._budget.try_retry()
+
+    def _run_limit_s(self, job: Job) -> float:
+        service = self._services.get(job.service)
+        return service.run_limit_s if service else Service().run_limit_s
+
+    def _again(self, job: Job, index: int, at_s: float, now_s: float) -> None:
+        job.placed.pop(index, None)
+        self._dispatcher.put_back(job, index, at_s, now_s)
+
+    def _backoff_s(self, job: Job, index: int) -> float:
+        exponent = min(job.next_attempt(index), 8)
+        ceiling_s = min(_BACKOFF_MIN_S * 2**exponent, _BACKOFF_MAX_S)
+        return self._generator.uniform(ceiling_s / 2, ceiling_s)
+
+    def _judge_upstream(self, job: Job, result: TaskResult, now_s: float) -> None:
+        is_fault = result.reason in _UPSTREAM_FAULTS
+        if result.outcome is TaskOutcome.NOT_STARTED and not is_fault:
+            return
+        mean_s = self._estimator.mean_s(job.member, job.service, None)
+        self._health.record(
+            result.upstream,
+            failed=is_fault,
+            relative_run=result.run_s / max(mean_s, 0.001),
+            now_s=now_s,
+        )
--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_takeover.py
@@ -0,0 +1,101 @@
+"""Takeover: an entry gathers what agents hold of the jobs that it inherits."""
+
+import dataclasses
+
+from hawthornbarrow.jobs import Job
+from hawthornbarrow.ledger import AgentRecord, LedgerState
+from hawthornbarrow.links import EntryIncarnation, JobEpoch, RecoverJobs
+
+TAKEOVER_LIMIT_S = 6.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Recovery:
+    """One takeover under way.
+
+    Attributes:
+        number: Number of the recovery.
+        jobs: The inherited jobs by id.
+        pending: Agents that have not answered yet.
+        lost: Agents that may have held tasks and lost their memory of them.
+        fenced: Former owners.
+        deadline_s: When agents that have not answered count as lost.
+    """
+
+    number: int
+    jobs: dict[str, Job]
+    pending: set[str]
+    lost: set[str]
+    fenced: list[EntryIncarnation]
+    deadline_s: float
+
+    def request(self) -> RecoverJobs:
+        """Returns the request to each agent."""
+        return RecoverJobs(
+            recovery=self.number,
+            fenced=self.fenced,
+            jobs=[
+                JobEpoch(job=job.job_id, epoch=job.epoch) for job in self.jobs.values()
+            ],
+        )
+
+
+class Takeover:
+    """All takeovers of one entry."""
+
+    def __init__(self) -> None:
+        """Starts with none."""
+        self._next_number = 1
+        self._recoveries: dict[int, Recovery] = {}
+
+    @property
+    def recoveries(self) -> list[Recovery]:
+        """Takeovers under way."""
+        return list(self._recoveries.values())
+
+    def begin(
+        self,
+        jobs: list[Job],
+        state: LedgerState,
+        fenced: list[EntryIncarnation],
+        now_s: float,
+    ) -> Recovery:
+        """Begins to recover jobs that this entry has just inherited."""
+        recovery = Recovery(
+            number=self._next_number,
+            jobs={job.job_id: job for job in jobs},
+            pending=set(state.agents),
+            lost=set(),
+            fenced=fenced,
+            deadline_s=now_s + TAKEOVER_LIMIT_S,
+        )
+        self._next_number += 1
+        self._recoveries[recovery.number] = recovery
+        return recovery
+
+    def answered(self, number: int, agent: str) -> Recovery | None:
+        """Notes an agent's answer; returns the recovery if it is under way."""
+        recovery = self._recoveries.get(number)
+        if recovery is not None:
+            recovery.pending.discard(agent)
+        return recovery
+
+    def take_finished(self, now_s: float) -> list[Recovery]:
+        """Returns and forgets the recoveries that have all they can get."""
+        finished = []
+        for recovery in self.recoveries:
+            if recovery.pending and now_s < recovery.deadline_s:
+                continue
+            recovery.lost |= recovery.pending
+            del self._recoveries[recovery.number]
+            finished.append(recovery)
+        return finished
+
+
+def has_lost_memory(agent: AgentRecord, claim_index: int) -> bool:
+    """Tells whether an agent may have forgotten tasks of a claim.
+
+    The ledger orders claims and incarnations of agents: an incarnation that joined
+    after the claim can not tell what an earlier one had started for it.
+    """
+    return agent.index > claim_index and agent.first_index < agent.index
--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/cli/_jobs.py
@@ -0,0 +1,64 @@
+"""`hawthornbarrow job submit|show|cancel` and `hawthornbarrow explain`."""
+
+import argparse
+import pathlib
+import urllib.parse
+import uuid
+
+import msgspec
+
+from hawthornbarrow_entry.cli._client import add_connection_flags, call, finish
+
+
+def add_parsers(commands: argparse._SubParsersAction) -> None:
+    """Adds the subcommands."""
+    group = commands.add_parser("job", help="submit, show and cancel jobs")
+    jobs = group.add_subparsers(dest="job_command", required=True)
+    submit = jobs.add_parser("submit", help="submit a job and wait for its answer")
+    submit.add_argument("file", type=pathlib.Path, help="the job as JSON")
+    submit.add_argument("--key", default="", help="idempotency key (default: random)")
+    submit.add_argument("--no-wait", action="store_true", help="return at once")
+    add_connection_flags(submit, token="member")
+    submit.set_defaults(run=_submit)
+    for name, method, text in (
+        ("show", "GET", "show a job's state or answer"),
+        ("cancel", "DELETE", "cancel a job"),
+    ):
+        parser = jobs.add_parser(name, help=text)
+        parser.add_argument("key")
+        add_connection_flags(parser, token="member")
+        parser.set_defaults(run=_on_job, method=method)
+    explain = commands.add_parser("explain", help="tell what happened to a job")
+    explain.add_argument("key")
+    add_connection_flags(explain, token="member")
+    explain.set_defaults(run=_explain)
+
+
+def _submit(arguments: argparse.Namespace) -> int:
+    headers = {"Idempotency-Key": arguments.key or str(uuid.uuid4())}
+    if arguments.no_wait:
+        headers["Prefer"] = "respond-async"
+    body = arguments.file.read_bytes()
+    response = call(arguments, "POST", "/v1/jobs", body=body, headers=headers)
+    return finish(arguments, response)
+
+
+def _path(arguments: argparse.Namespace) -> str:
+    return "/v1/jobs/" + urllib.parse.quote(arguments.key, safe="")
+
+
+def _on_job(arguments: argparse.Namespace) -> int:
+    return finish(arguments, call(arguments, arguments.method, _path(arguments)))
+
+
+def _explain(arguments: argparse.Namespace) -> int:
+    response = call(arguments, "GET", _path(arguments) + "/explain")
+    if response is None or response.status != 200 or arguments.json:
+        return finish(arguments, response)
+    document = msgspec.json.decode(response.body)
+    print(f"{document['key']}: {document['status']} {document['reason']}".rstrip())
+    for step in document["steps"]:
+        print(f"{step['at_ms']:>10.1f} ms  {step['event']:<12} {step['detail']}")
+    if document["omitted_steps"]:
+        print(f"({document['omitted_steps']} more steps are not kept)")
+    return 0
--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/cli/_operate.py
@@ -0,0 +1,56 @@
+"""`hawthornbarrow status`, `ledger status|replace|init` and `report burn`."""
+
+import argparse
+import pathlib
+
+import msgspec
+
+from hawthornbarrow_entry.cli._client import add_connection_flags, call, finish
+from hawthornbarrow_entry.cli._serve import add_init_parser
+
+
+def add_parsers(commands: argparse._SubParsersAction) -> None:
+    """Adds the subcommands."""
+    status = commands.add_parser("status", help="show an entry's view of the fleet")
+    add_connection_flags(status, token="operator")
+    status.set_defaults(run=lambda arguments: _get(arguments, "/v1/status"))
+    group = commands.add_parser("ledger", help="look after the ledger's replicas")
+    ledger = group.add_subparsers(dest="ledger_command", required=True)
+    ledger_status = ledger.add_parser("status", help="show a replica")
+    add_connection_flags(ledger_status, token="operator")
+    ledger_status.set_defaults(run=lambda arguments: _get(arguments, "/v1/ledger"))
+    replace = ledger.add_parser("replace", help="replace a lost replica")
+    replace.add_argument("--old", required=True, help="identity of the lost replica")
+    replace.add_argument("--new", required=True, help="identity of the new replica")
+    add_connection_flags(replace, token="operator")
+    replace.set_defaults(run=_replace)
+    add_init_parser(ledger)
+    reports = commands.add_parser("report", help="print reports")
+    report = reports.add_subparsers(dest="report_command", required=True)
+    burn = report.add_parser("burn", help="burn of the service-level objectives")
+    burn.add_argument("--plot", type=pathlib.Path, help="write a .png or .svg file")
+    add_connection_flags(burn, token="operator")
+    burn.set_defaults(run=_burn)
+
+
+def _get(arguments: argparse.Namespace, path: str) -> int:
+    return finish(arguments, call(arguments, "GET", path))
+
+
+def _replace(arguments: argparse.Namespace) -> int:
+    body = msgspec.json.encode({"old": arguments.old, "new": arguments.new})
+    response = call(arguments, "POST", "/v1/ledger/replace", body=body)
+    return finish(arguments, response)
+
+
+def _burn(arguments: argparse.Namespace) -> int:
+    if arguments.plot is None:
+        suffix = "" if arguments.json else ".txt"
+        return finish(arguments, call(arguments, "GET", f"/v1/burn{suffix}"))
+    suffix = arguments.plot.suffix
+    response = call(arguments, "GET", f"/v1/burn{suffix}")
+    if response is None or response.status != 200:
+        return finish(arguments, response)
+    arguments.plot.write_bytes(response.body)
+    print(arguments.plot)
+    return 0
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/dispatch/_fair_queue.py
@@ -0,0 +1,187 @@
+"""Start-time fair queueing over members, with an order of jobs inside each.
+
+The algorithm is that of P. Goyal, H. Vin and H. Cheng, "Start-time Fair Queueing"
+(SIGCOMM 1996). A start is charged with the expected run time at once and corrected
+by the measured one when the task ends.
+"""
+
+import heapq
+import itertools
+import math
+
+from hawthornbarrow.dispatch._ordering import JobOrder
+from hawthornbarrow.jobs import Job
+from hawthornbarrow.upstreams import Resources
+
+Lane = tuple[str, Resources]
+
+_KEY_TOLERANCE = 1.05
+
+
+class _JobHeap:
+    """Jobs of one member and service, smallest key first; keys are lazy."""
+
+    def __init__(self, *, order: JobOrder) -> None:
+        self._order = order
+        self._by_key: list[tuple[float, int, Job]] = []
+        self._by_promotion: list[tuple[float, int, Job]] = []
+        self._serial = itertools.count()
+
+    def push(self, job: Job) -> None:
+        serial = next(self._serial)
+        heapq.heappush(self._by_key, (self._order.key(job), serial, job))
+        promote_at_s = self._order.promote_at_s(job)
+        if promote_at_s < math.inf:
+            heapq.heappush(self._by_promotion, (promote_at_s, serial, job))
+
+    def head(self, now_s: float) -> Job | None:
+        """Returns the job that goes first, or None when none has waiting tasks."""
+        promoted = self._promoted(now_s)
+        if promoted is not None:
+            return promoted
+        while self._by_key:
+            key, serial, job = self._by_key[0]
+            if not job.waiting_count:
+                heapq.heappop(self._by_key)
+                continue
+            fresh = self._order.key(job)
+            if fresh > key * _KEY_TOLERANCE and len(self._by_key) > 1:
+                heapq.heapreplace(self._by_key, (fresh, serial, job))
+                continue
+            return job
+        return None
+
+    def refresh(self, job: Job) -> None:
+        """Renews the key of the head after one of its tasks was taken."""
+        if self._by_key and self._by_key[0][2] is job:
+            serial = self._by_key[0][1]
+            heapq.heapreplace(self._by_key, (self._order.key(job), serial, job))
+
+    def _promoted(self, now_s: float) -> Job | None:
+        while self._by_promotion and self._by_promotion[0][0] <= now_s:
+            _, serial, job = self._by_promotion[0]
+            if not job.waiting_count:
+                heapq.heappop(self._by_promotion)
+                continue
+            fresh_s = self._order.promote_at_s(job)
+            if fresh_s <= now_s:
+                return job
+            heapq.heapreplace(self._by_promotion, (fresh_s, serial, job))
+        return None
+
+
+class _MemberQueue:
+    """Waiting work and account of one member."""
+
+    def __init__(self, *, weight: float) -> None:
+        self.weight = weight
+        self.finish_tag = 0.0
+        self.running = 0
+        self.slot_quota = math.inf
+        self.heaps: dict[Lane, _JobHeap] = {}
+
+
+class FairQueue:
+    """Picks the job whose task gets the next slot.
+
+    Args:
+        order: Order of the jobs of one member.
+    """
+
+    def __init__(self, *, order: JobOrder) -> None:
+        """Starts without members."""
+        self._order = order
+        self._members: dict[str, _MemberQueue] = {}
+        self._virtual_time = 0.0
+
+    def set_member(
+        self, member: str, *, weight: float, slot_quota: float = math.inf
+    ) -> None:
+        """Sets a member's share and the most slots that it may hold here."""
+        queue = self._member(member)
+        queue.weight = weight
+        queue.slot_quota = slot_quota
+
+    def push(self, job: Job) -> None:
+        """Adds a job with waiting tasks, or tells that it has some again."""
+        queue = self._member(job.member)
+        heap = queue.heaps.get(job.lane)
+        if heap is None:
+            heap = queue.heaps[job.lane] = _JobHeap(order=self._order)
+        heap.push(job)
+
+    def pick(
+        self,
+        services: set[str],
+        now_s: float,
+        blocked: frozenset[Lane] | set[Lane] = frozenset(),
+    ) -> Job | None:
+        """Returns the job to take one task from, or None.
+
+        Args:
+            services: Services for which there is credit.
+            now_s: Current time.
+            blocked: Lanes that no upstream with credit fits.
+        """
+        best: Job | None = None
+        best_tag = math.inf
+        for queue in self._members.values():
+            if queue.running >= queue.slot_quota:
+                continue
+            tag = max(self._virtual_time, queue.finish_tag)
+            if tag >= best_tag:
+                continue
+            job = self._head(queue, services, blocked, now_s)
+            if job is not None:
+                best, best_tag = job, tag
+        return best
+
+    def charge_start(self, job: Job, cost_s: float) -> None:
+        """Charges the start of one task of the job that was picked."""
+        queue = self._members[job.member]
+        start_tag = max(self._virtual_time, queue.finish_tag)
+        self._virtual_time = start_tag
+        queue.finish_tag = start_tag + cost_s / queue.weight
+        queue.running += 1
+        queue.heaps[job.lane].refresh(job)
+
+    def charge_end(self, member: str, *, charged_s: float, measured_s: float) -> None:
+        """Replaces the charge of a task by what it took on its slot."""
+        queue = self._member(member)
+        queue.finish_tag += (measured_s - charged_s) / queue.weight
+        queue.running = max(0, queue.running - 1)
+
+    def charge_elsewhere(self, member: str, used_s: float) -> None:
+        """Charges slot time that the member used through another entry."""
+        queue = self._member(member)
+        queue.finish_tag += used_s / queue.weight
+
+    def _head(
+        self,
+        queue: _MemberQueue,
+        services: set[str],
+        blocked: frozenset[Lane] | set[Lane],
+        now_s: float,
+    ) -> Job | None:
+        best: Job | None = None
+        best_key = math.inf
+        emptied = []
+        for lane, heap in queue.heaps.items():
+            if lane[0] not in services or lane in blocked:
+                continue
+            job = heap.head(now_s)
+            if job is None:
+                emptied.append(lane)
+                continue
+            key = self._order.key(job)
+            if key < best_key:
+                best, best_key = job, key
+        for lane in emptied:
+            del queue.heaps[lane]
+        return best
+
+    def _member(self, member: str) -> _MemberQueue:
+        queue = self._members.get(member)
+        if queue is None:
+            queue = self._members[member] = _MemberQueue(weight=1.0)
+        return queue
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/dispatch/_ordering.py
@@ -0,0 +1,102 @@
+"""Orders of the jobs of one member; the job with the smallest key goes first."""
+
+import abc
+import math
+
+from hawthornbarrow.dispatch._estimates import RunTimeEstimator
+from hawthornbarrow.jobs import Job
+
+_SLACK_FACTOR = 2.0
+_PARALLEL_SLOTS = 8
+
+
+class JobOrder(abc.ABC):
+    """Decides which job of a member gets the next slot."""
+
+    @abc.abstractmethod
+    def key(self, job: Job) -> float:
+        """Returns the job's rank; smaller goes first."""
+
+    def promote_at_s(self, job: Job) -> float:
+        """Returns when the job passes all that are not promoted."""
+        del job
+        return math.inf
+
+
+class FirstComeFirstServed(JobOrder):
+    """Baseline: order of arrival."""
+
+    def key(self, job: Job) -> float:
+        """Returns the arrival time."""
+        return job.submitted_at_s
+
+
+class AgedCount(JobOrder):
+    """Baseline: remaining count, less a credit for each second waited.
+
+    As all credits grow alike, the key is the count plus a term in arrival time.
+
+    Args:
+        tasks_per_second: Credit for one second of waiting.
+    """
+
+    def __init__(self, *, tasks_per_second: float = 20.0) -> None:
+        """Stores the credit."""
+        self._tasks_per_second = tasks_per_second
+
+    def key(self, job: Job) -> float:
+        """Returns the remaining count less the credit."""
+        return job.unfinished_count + self._tasks_per_second * job.submitted_at_s
+
+
+class DeclaredWork(JobOrder):
+    """Baseline: remaining count times what the caller declared."""
+
+    def key(self, job: Job) -> float:
+        """Returns the declared remaining work in seconds."""
+        declared_s = job.spec.declared_run_s if job.spec else None
+        return job.unfinished_count * (declared_s or 0.2)
+
+
+class LeastRemainingWork(JobOrder):
+    """Remaining count times learned mean, with a guard by deadline slack.
+
+    A large job passes the others once its slack is used up: when the time to its
+    deadline is twice what its remaining work needs on a few slots.
+
+    Args:
+        estimator: Source of the learned means.
+    """
+
+    def __init__(self, *, estimator: RunTimeEstimator) -> None:
+        """Stores the estimator."""
+        self._estimator = estimator
+
+    def key(self, job: Job) -> float:
+        """Returns the expected remaining work in seconds."""
+        return self._remaining_s(job)
+
+    def promote_at_s(self, job: Job) -> float:
+        """Returns when the job's slack is used up."""
+        needed_s = self._remaining_s(job) / _PARALLEL_SLOTS
+        return job.deadline_at_s - _SLACK_FACTOR * needed_s
+
+    def _remaining_s(self, job: Job) -> float:
+        declared_s = job.spec.declared_run_s if job.spec else None
+        mean_s = self._estimator.mean_s(job.member, job.service, declared_s)
+        return job.unfinished_count * mean_s
+
+
+class ShortTaskReserve(LeastRemainingWork):
+    """Candidate after the paper's reserve: short classes always go first.
+
+    Follows the share kept for urgent short tasks in A. Sodan and X. Huang,
+    "SCOJO: Share Based Job Coscheduling", section 3.2, as a strict precedence.
+    """
+
+    def key(self, job: Job) -> float:
+        """Returns the remaining work, offset by the run-time class."""
+        rank = list(type(self._estimator.run_time_class("", ""))).index(
+            self._estimator.run_time_class(job.member, job.service)
+        )
+        return rank * 1e6 + super().key(job)
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/dispatch/_placement.py
@@ -0,0 +1,81 @@
+"""Placement: which of the upstreams with credit takes a task."""
+
+import abc
+import random
+
+from hawthornbarrow.dispatch._slots import UpstreamView
+
+MAX_CANDIDATES = 16
+
+
+class PlacementPolicy(abc.ABC):
+    """Chooses an upstream for one task."""
+
+    @abc.abstractmethod
+    def choose(
+        self, candidates: list[UpstreamView], mean_run_s: float
+    ) -> UpstreamView | None:
+        """Returns the upstream for a task, or None when none may take it.
+
+        Args:
+            candidates: Upstreams that run the service and fit the resources.
+            mean_run_s: Expected run time of the task.
+        """
+
+
+class LeastExpectedFinish(PlacementPolicy):
+    """Least expected start, link delay included, among those with credit.
+
+    Of a long list only a rotating window of MAX_CANDIDATES is looked at, so the
+    cost of a decision does not grow with the fleet.
+    """
+
+    def __init__(self) -> None:
+        """Starts the rotation."""
+        self._offset = 0
+
+    def choose(
+        self, candidates: list[UpstreamView], mean_run_s: float
+    ) -> UpstreamView | None:
+        """Returns the candidate with the least expected start."""
+        best: UpstreamView | None = None
+        best_rank = (0.0, 0.0)
+        self._offset += 1
+        seen = 0
+        count = len(candidates)
+        for step in range(count):
+            view = candidates[(self._offset + step) % count]
+            if view.credit <= 0:
+                continue
+            load = view.outstanding / max(1, view.granted_slots)
+            rank = (view.expected_wait_s(mean_run_s), load)
+            if best is None or rank < best_rank:
+                best, best_rank = view, rank
+            seen += 1
+            if seen >= MAX_CANDIDATES:
+                break
+        return best
+
+
+class RandomTwoChoices(PlacementPolicy):
+    """Baseline: the less loaded of two random upstreams, without regard to credit.
+
+    After M. Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing".
+
+    Args:
+        generator: Seeded source of the choices.
+        choices: Number of upstreams drawn.
+    """
+
+    def __init__(self, *, generator: random.Random, choices: int = 2) -> None:
+        """Stores the generator."""
+        self._generator = generator
+        self._choices = choices
+
+    def choose(
+        self, candidates: list[UpstreamView], mean_run_s: float
+    ) -> UpstreamView | None:
+        """Returns the drawn upstream with the fewest outstanding tasks."""
+        del mean_run_s
+        drawn = self._generator.choices(candidates, k=self._choices)
+        return min(drawn, key=lambda view: view.outstanding)
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/__init__.py
@@ -0,0 +1,26 @@
+"""HTTP/1.1 over curio: a server and a pooled client, both parsed by h11."""
+
+from hawthornbarrow.http._client import (
+    HttpClientError,
+    NotSentError,
+    PooledClient,
+    RefusedError,
+    ResetAfterSendError,
+    TruncatedError,
+)
+from hawthornbarrow.http._exchange import Request, Response, problem
+from hawthornbarrow.http._server import HttpLimits, HttpServer
+
+__all__ = [
+    "HttpClientError",
+    "HttpLimits",
+    "HttpServer",
+    "NotSentError",
+    "PooledClient",
+    "RefusedError",
+    "Request",
+    "ResetAfterSendError",
+    "Response",
+    "TruncatedError",
+    "problem",
+]
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_exchange.py
@@ -0,0 +1,77 @@
+"""Requests, responses and RFC 9457 problem details."""
+
+import dataclasses
+
+import msgspec
+
+PROBLEM_TYPE = "application/problem+json"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Request:
+    """One received request.
+
+    Attributes:
+        method: HTTP method, in capitals.
+        path: Path of the target, without the query.
+        headers: Header values by lower-case name.
+        body: The whole body.
+    """
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Response:
+    """One response with a whole body.
+
+    Attributes:
+        status: HTTP status code.
+        body: The whole body.
+        content_type: Media type of the body.
+        headers: Further header values by name.
+    """
+
+    status: int
+    body: bytes = b""
+    content_type: str = "application/json"
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+def problem(
+    status: int,
+    title: str,
+    *,
+    detail: str = "",
+    not_run: bool = False,
+    retry_after_s: float = 0.0,
+) -> Response:
+    """Returns a problem details response.
+
+    Args:
+        status: HTTP status code.
+        title: Short name of the kind of problem.
+        detail: What was got and what was expected.
+        not_run: Whether no task of the request has run or ever will.
+        retry_after_s: When to come back; zero for no advice.
+    """
+    document = {
+        "type": "about:blank",
+        "title": title,
+        "status": status,
+        "detail": detail,
+        "not_run": not_run,
+    }
+    headers = {}
+    if retry_after_s > 0:
+        headers["Retry-After"] = str(max(1, round(retry_after_s)))
+        document["retry_after_s"] = round(retry_after_s, 3)
+    return Response(
+        status=status,
+        body=msgspec.json.encode(document),
+        content_type=PROBLEM_TYPE,
+        headers=headers,
+    )
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
@@ -0,0 +1,215 @@
+"""HTTP/1.1 server: one curio task for each connection, limits on everything."""
+
+import collections.abc
+import dataclasses
+import socket
+
+import curio
+import h11
+
+from hawthornbarrow.http._exchange import Request, Response, problem
+
+_READ_BYTES = 64 * 1024
+
+Handler = collections.abc.Callable[[Request], collections.abc.Awaitable[Response]]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HttpLimits:
+    """What one caller may take of the server.
+
+    Attributes:
+        header_bytes: Largest request line and headers together.
+        body_bytes: Largest request body.
+        connections: Most connections open at once.
+        idle_s: Longest time that a connection may wait for its next request.
+        request_s: Longest time that one request may take to arrive.
+    """
+
+    header_bytes: int = 16 * 1024
+    body_bytes: int = 8 * 1024 * 1024
+    connections: int = 2048
+    idle_s: float = 60.0
+    request_s: float = 10.0
+
+
+class _BodyTooLargeError(Exception):
+    """The request body is over the limit."""
+
+
+class HttpServer:
+    """Serves one handler on one address.
+
+    Requests on one connection are answered in order. On shutdown the listener
+    closes, idle connections close, and requests that arrived are answered.
+
+    Args:
+        handler: Coroutine function from request to response.
+        limits: What one caller may take.
+    """
+
+    def __init__(self, *, handler: Handler, limits: HttpLimits | None = None) -> None:
+        """Starts without connections."""
+        self._handler = handler
+        self._limits = limits or HttpLimits()
+        self._open_connections = 0
+        self._busy_requests = 0
+        self._is_draining = False
+        self._bound_port = 0
+
+    @property
+    def bound_port(self) -> int:
+        """TCP port that the server is bound to, or zero."""
+        return self._bound_port
+
+    @property
+    def busy_requests(self) -> int:
+        """Requests received and not yet answered."""
+        return self._busy_requests
+
+    def drain(self) -> None:
+        """Closes each connection after its next answer."""
+        self._is_draining = True
+
+    async def serve(self, host: str, port: int) -> None:
+        """Accepts connections until cancelled."""
+        sock = curio.network.tcp_server_socket(
+            host, port, backlog=1024, reuse_address=True
+        )
+        self._bound_port = sock.getsockname()[1]
+        async with sock, curio.TaskGroup(wait=None) as group:
+            while True:
+                client, _ = await sock.accept()
+                await group.spawn(self._serve_connection, client)
+
+    async def _serve_connection(self, sock: curio.io.Socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._open_connections += 1
+        connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
+        try:
+            if self._open_connections > self._limits.connections:
+                busy = problem(
+                    503, "too many connections", not_run=True, retry_after_s=1.0
+                )
+                await _send(sock, connection, busy, close=True)
+                return
+            while await self._serve_request(sock, connection):
+                connection.start_next_cycle()
+        except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
+            return
+        finally:
+            self._open_connections -= 1
+            await sock.close()
+
+    async def _serve_request(
+        self, sock: curio.io.Socket, connection: h11.Connection
+    ) -> bool:
+        """Serves one request; returns whether another may follow."""
+        try:
+            request = await self._receive(sock, connection)
+        except h11.RemoteProtocolError as error:
+            await self._refuse(sock, connection, error.error_status_hint, str(error))
+            return False
+        except _BodyTooLargeError:
+            detail = f"body is larger than {self._limits.body_bytes} bytes"
+            await self._refuse(sock, connection, 413, detail)
+            return False
+        if request is None:
+            return False
+        self._busy_requests += 1
+        try:
+            response = await self._handler(request)
+            must_close = self._is_draining or connection.their_state is not h11.DONE
+            await _send(sock, connection, response, close=must_close)
+        finally:
+            self._busy_requests -= 1
+        return connection.our_state is h11.DONE and not must_close
+
+    async def _receive(
+        self, sock: curio.io.Socket, connection: h11.Connection
+    ) -> Request | None:
+        head = await self._next_head(sock, connection)
+        if head is None:
+            return None
+        body = bytearray()
+        async with curio.timeout_after(self._limits.request_s):
+            while True:
+                event = await _next_event(sock, connection)
+                if isinstance(event, h11.Data):
+                    body += event.data
+                    if len(body) > self._limits.body_bytes:
+                        raise _BodyTooLargeError
+                elif isinstance(event, h11.EndOfMessage):
+                    return _request(head, bytes(body))
+                else:
+                    return None
+
+    async def _next_head(
+        self, sock: curio.io.Socket, connection: h11.Connection
+    ) -> h11.Request | None:
+        if connection.trailing_data[0] == b"" and not self._is_draining:
+            first = await curio.ignore_after(
+                self._limits.idle_s, sock.recv, _READ_BYTES
+            )
+            if not first:
+                return None
+            connection.receive_data(first)
+        async with curio.timeout_after(self._limits.request_s):
+            event = await _next_event(sock, connection)
+        if not isinstance(event, h11.Request):
+            return None
+        if connection.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await sock.sendall(connection.send(go_on))
+        return event
+
+    async def _refuse(
+        self, sock: curio.io.Socket, connection: h11.Connection, status: int, text: str
+    ) -> None:
+        if connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            refusal = problem(status, "bad request", detail=text, not_run=True)
+            await _send(sock, connection, refusal, close=True)
+
+
+def _request(head: h11.Request, body: bytes) -> Request:
+    target = head.target.decode("ascii", "replace")
+    headers = {
+        name.decode("ascii"): value.decode("latin-1") for name, value in head.headers
+    }
+    return Request(
+        method=head.method.decode("ascii"),
+        path=target.partition("?")[0],
+        headers=headers,
+        body=body,
+    )
+
+
+async def _next_event(sock: curio.io.Socket, connection: h11.Connection) -> object:
+    while True:
+        event = connection.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        connection.receive_data(await sock.recv(_READ_BYTES))
+
+
+async def _send(
+    sock: curio.io.Socket,
+    connection: h11.Connection,
+    response: Response,
+    *,
+    close: bool,
+) -> None:
+    headers = [
+        ("Content-Length", str(len(response.body))),
+        ("Content-Type", response.content_type),
+        *response.headers.items(),
+    ]
+    if close:
+        headers.append(("Connection", "close"))
+    head = h11.Response(status_code=response.status, headers=headers)
+    data = connection.send(head)
+    data += connection.send(h11.Data(data=response.body))
+    data += connection.send(h11.EndOfMessage())
+    await sock.sendall(data)
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/jobs/_job.py
@@ -0,0 +1,236 @@
+"""Job: the record of one submission, which moves once to a closed state."""
+
+import collections
+import dataclasses
+import enum
+
+import msgspec
+
+from hawthornbarrow.jobs._spec import JobSpec
+from hawthornbarrow.jobs._timeline import Timeline
+from hawthornbarrow.upstreams import Resources
+
+
+class JobStatus(enum.StrEnum):
+    """State of a job.
+
+    A job is open while claiming, orphaned or running. All others are final.
+    """
+
+    CLAIMING = "claiming"
+    ORPHANED = "orphaned"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    UNKNOWN = "unknown"
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the job can change no more."""
+        return self not in _OPEN_STATUSES
+
+
+_OPEN_STATUSES = frozenset({JobStatus.CLAIMING, JobStatus.ORPHANED, JobStatus.RUNNING})
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Placement:
+    """Where an attempt of a task was sent.
+
+    Attributes:
+        agent: Name of the agent process.
+        upstream: Name of the upstream.
+        attempt: Number of the attempt.
+        cost_s: Slot time charged in advance.
+    """
+
+    agent: str
+    upstream: str
+    attempt: int
+    cost_s: float
+
+
+class Job:
+    """One submission and the state of its tasks.
+
+    Args:
+        job_id: Fleet-wide id, unique to the member and idempotency key.
+        member: Name of the member that submitted it.
+        key: Idempotency key.
+        epoch: Ownership epoch under which this entry holds the job.
+        task_count: Number of tasks.
+        repeatable: Whether a task may run again after an uncertain end.
+        submitted_at_s: Time at which the job was received.
+        deadline_at_s: Time after which the answer is worthless.
+        spec: The submitted document, or None while only its claim is known.
+    """
+
+    def __init__(
+        self,
+        *,
+        job_id: str,
+        member: str,
+        key: str,
+        epoch: int,
+        task_count: int,
+        repeatable: bool,
+        submitted_at_s: float,
+        deadline_at_s: float,
+        spec: JobSpec | None,
+    ) -> None:
+        """Starts with no task dispatched."""
+        self.job_id = job_id
+        self.member = member
+        self.key = key
+        self.epoch = epoch
+        self.task_count = task_count
+        self.repeatable = repeatable
+        self.submitted_at_s = submitted_at_s
+        self.deadline_at_s = deadline_at_s
+        self.spec = spec
+        self.is_recovered = False
+        self.closed_service = ""
+        self.timeline = Timeline(start_s=submitted_at_s)
+        self._status = JobStatus.CLAIMING
+        self._reason = ""
+        self._closed_at_s = 0.0
+        self._results: list[bytes | None] = [None] * task_count
+        self._attempts = [0] * task_count
+        self._placed: dict[int, Placement] = {}
+        self._waiting: collections.deque[int] = collections.deque()
+        self._unfinished = task_count
+        self._dispatched = 0
+        self._agents: set[str] = set()
+
+    @property
+    def status(self) -> JobStatus:
+        """Current state."""
+        return self._status
+
+    @property
+    def reason(self) -> str:
+        """Why the job did not complete, empty otherwise."""
+        return self._reason
+
+    @property
+    def closed_at_s(self) -> float:
+        """Time at which the job became final, zero before."""
+        return self._closed_at_s
+
+    @property
+    def service(self) -> str:
+        """Name of the service, empty while only the claim is known."""
+        return self.spec.service if self.spec else ""
+
+    @property
+    def lane(self) -> tuple[str, Resources]:
+        """Service and resources: jobs of one lane fit the same upstreams."""
+        resources = self.spec.resources if self.spec else Resources()
+        return (self.service, resources)
+
+    @property
+    def waiting_count(self) -> int:
+        """Tasks that wait for a slot."""
+        return len(self._waiting)
+
+    @property
+    def unfinished_count(self) -> int:
+        """Tasks without a result."""
+        return self._unfinished
+
+    @property
+    def placed(self) -> dict[int, Placement]:
+        """Current attempt of each task that is at an agent, by index."""
+        return self._placed
+
+    @property
+    def agents(self) -> set[str]:
+        """Agents that were ever sent a task of this job."""
+        return self._agents
+
+    @property
+    def never_dispatched(self) -> bool:
+        """Whether no task message has ever left this entry for the job."""
+        return self._dispatched == 0
+
+    def begin(self) -> None:
+        """Lets all tasks that are neither placed nor finished wait for slots."""
+        self._status = JobStatus.RUNNING
+        self._waiting = collections.deque(
+            index
+            for index in range(self.task_count)
+            if self._results[index] is None and index not in self._placed
+        )
+
+    def orphan(self) -> None:
+        """Marks the job as taken over without its document."""
+        self._status = JobStatus.ORPHANED
+
+    def adopt(self, index: int, placement: Placement) -> None:
+        """Records an attempt that an earlier owner had dispatched."""
+        self._placed[index] = placement
+        self._attempts[index] = max(self._attempts[index], placement.attempt)
+        self._note_dispatch(placement.agent)
+
+    def take(self) -> int:
+        """Removes and returns the next waiting task."""
+        return self._waiting.popleft()
+
+    def place(self, index: int, placement: Placement) -> None:
+        """Records that a task is sent to an agent."""
+        self._placed[index] = placement
+        self._attempts[index] = placement.attempt
+        self._note_dispatch(placement.agent)
+
+    def next_attempt(self, index: int) -> int:
+        """Returns the number of the task's next attempt."""
+        return self._attempts[index] + 1
+
+    def put_back(self, index: int) -> None:
+        """Lets a placed task wait again, ahead of the others."""
+        self._placed.pop(index, None)
+        if self._status is JobStatus.RUNNING:
+            self._waiting.appendleft(index)
+
+    def finish(self, index: int, body: bytes) -> bool:
+        """Records a result; returns whether it was the first for its task."""
+        self._placed.pop(index, None)
+        if self._results[index] is not None:
+            return False
+        self._results[index] = body
+        self._unfinished -= 1
+        return True
+
+    def close(self, status: JobStatus, reason: str, now_s: float) -> bool:
+        """Moves the job to a final state; returns False when it already is."""
+        if self._status.is_final:
+            return False
+        self._status = status
+        self._reason = reason
+        self._closed_at_s = now_s
+        self._waiting.clear()
+        self.timeline.add(now_s, status.value, reason)
+        return True
+
+    def answer_body(self) -> bytes:
+        """Returns the whole answer of a closed job as JSON."""
+        document: dict = {"key": self.key, "status": self._status.value}
+        if self._status is JobStatus.COMPLETED:
+            document["results"] = [
+                msgspec.Raw(body or b"null") for body in self._results
+            ]
+        else:
+            document["reason"] = self._reason
+            document["not_run"] = self.never_dispatched
+        return msgspec.json.encode(document)
+
+    def release_payloads(self) -> None:
+        """Drops the tasks and results of a closed job to free memory."""
+        self.closed_service = self.service
+        self.spec = None
+        self._results = []
+
+    def _note_dispatch(self, agent: str) -> None:
+        self._dispatched += 1
+        self._agents.add(agent)
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_commands.py
@@ -0,0 +1,158 @@
+"""Commands: what a ledger entry does to the ledger's state.
+
+Every command is idempotent, so a proposer that lost the answer proposes again.
+Times are wall-clock seconds of the proposer; the state only ever moves forward.
+"""
+
+import hashlib
+
+import msgspec
+
+_JOB_ID_BYTES = 16
+
+
+class _Command(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=True):
+    """Base of all commands.
+
+    Attributes:
+        partition: Ledger group that the command belongs to.
+    """
+
+    partition: int = 0
+
+
+class NoOperation(_Command, kw_only=True):
+    """Commits the entries of earlier terms when a leader starts."""
+
+
+class Claim(_Command, kw_only=True):
+    """An entry claims a job before the job's first task starts.
+
+    Attributes:
+        member: Name of the member.
+        key: Idempotency key, unique within the member.
+        digest: Digest of the submitted body.
+        owner: Name of the claiming entry.
+        incarnation: Incarnation of the claiming entry.
+        repeatable: Whether the job's tasks may run again.
+        task_count: Number of tasks.
+        body: The submitted body when the caller does not wait, else empty.
+        time_s: Wall-clock time of the claim.
+    """
+
+    member: str
+    key: str
+    digest: bytes
+    owner: str
+    incarnation: int
+    repeatable: bool
+    task_count: int
+    body: bytes
+    time_s: float
+
+
+class Complete(_Command, kw_only=True):
+    """The owner records the final state of a job.
+
+    Attributes:
+        job: Job id.
+        epoch: Ownership epoch of the owner; another epoch changes nothing.
+        status: Final status.
+        answer: The answer's body when small enough, else empty.
+        time_s: Wall-clock time of the end.
+    """
+
+    job: str
+    epoch: int
+    status: str
+    answer: bytes
+    time_s: float
+
+
+class RegisterEntry(_Command, kw_only=True):
+    """An entry joins, or returns as a new incarnation."""
+
+    name: str
+    incarnation: int
+    address: str
+
+
+class ExpireEntry(_Command, kw_only=True):
+    """The leader has not heard from an entry for its membership lease."""
+
+    name: str
+    incarnation: int
+
+
+class RegisterAgent(_Command, kw_only=True):
+    """An agent joins, or returns as a new incarnation without its memory."""
+
+    name: str
+    incarnation: int
+
+
+class RetireAgent(_Command, kw_only=True):
+    """An agent left after it had handed over all its results."""
+
+    name: str
+    incarnation: int
+
+
+class ApplyConfiguration(_Command, kw_only=True):
+    """An operator replaces the configuration.
+
+    Attributes:
+        request: The operator's request id; a resend gets the first outcome.
+        expect_version: Version that the operator saw; another one is a conflict.
+        document: The new configuration as JSON.
+        operator: Who applied it.
+        time_s: Wall-clock time of the request.
+    """
+
+    request: str
+    expect_version: int
+    document: bytes
+    operator: str
+    time_s: float
+
+
+class Forget(_Command, kw_only=True):
+    """Drops closed claims and operators' requests from before a time."""
+
+    before_s: float
+    time_s: float
+
+
+Command = (
+    NoOperation
+    | Claim
+    | Complete
+    | RegisterEntry
+    | ExpireEntry
+    | RegisterAgent
+    | RetireAgent
+    | ApplyConfiguration
+    | Forget
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Command)
+
+
+def encode_command(command: Command) -> bytes:
+    """Returns the command as MessagePack."""
+    return _ENCODER.encode(command)
+
+
+def decode_command(data: bytes) -> Command:
+    """Returns the command in the given bytes."""
+    return _DECODER.decode(data)
+
+
+def job_id_of(member: str, key: str) -> str:
+    """Returns the fleet-wide id of a member's job."""
+    digest = hashlib.blake2b(digest_size=_JOB_ID_BYTES)
+    digest.update(member.encode())
+    digest.update(b"\0")
+    digest.update(key.encode())
+    return digest.hexdigest()
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_identity.py
@@ -0,0 +1,74 @@
+"""Identity of a replica: its name and the incarnation of its disk.
+
+A replica whose disk was wiped draws a new incarnation at its next start, so it can
+not vote or count under the identity that other replicas know.
+"""
+
+import pathlib
+import secrets
+
+import msgspec
+
+from hawthornbarrow.ledger._files import read_checked, write_atomically
+from hawthornbarrow.ledger._messages import Members
+from hawthornbarrow.ledger._storage import FileStorage, Snapshot
+
+_IDENTITY_FILE = "identity"
+_FOUNDER_INCARNATION = "1"
+
+
+class ReplicaIdentity(msgspec.Struct, frozen=True, kw_only=True):
+    """Name of a replica and incarnation of its disk."""
+
+    name: str
+    incarnation: str
+
+    def __str__(self) -> str:
+        """Returns the identity as used in messages."""
+        return f"{self.name}.{self.incarnation}"
+
+
+def initialise_folder(folder: pathlib.Path, name: str, voters: list[str]) -> None:
+    """Makes a founding replica's folder.
+
+    Args:
+        folder: The replica's data folder; it must not hold an identity yet.
+        name: Name of this replica.
+        voters: Names of all founding replicas, this one included.
+
+    Raises:
+        FileExistsError: The folder belongs to a replica already.
+        ValueError: The name is not among the voters.
+    """
+    if name not in voters:
+        raise ValueError(f"{name} is not among the voters {', '.join(voters)}")
+    folder.mkdir(parents=True, exist_ok=True)
+    if (folder / _IDENTITY_FILE).exists():
+        raise FileExistsError(f"{folder} belongs to a replica already")
+    founders = tuple(f"{voter}.{_FOUNDER_INCARNATION}" for voter in sorted(voters))
+    storage = FileStorage(folder=folder)
+    storage.load()
+    storage.save_snapshot(
+        Snapshot(index=0, term=0, members=Members(voters=founders), data=b"")
+    )
+    storage.close()
+    identity = ReplicaIdentity(name=name, incarnation=_FOUNDER_INCARNATION)
+    write_atomically(folder / _IDENTITY_FILE, msgspec.json.encode(identity))
+
+
+def load_identity(folder: pathlib.Path, name: str) -> ReplicaIdentity:
+    """Returns the folder's identity; an empty folder gets a new incarnation.
+
+    Raises:
+        ValueError: The folder belongs to a replica of another name.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / _IDENTITY_FILE
+    if path.exists():
+        identity = msgspec.json.decode(read_checked(path), type=ReplicaIdentity)
+        if identity.name != name:
+            raise ValueError(f"{folder} belongs to {identity.name}, expected {name}")
+        return identity
+    identity = ReplicaIdentity(name=name, incarnation=secrets.token_hex(4))
+    write_atomically(path, msgspec.json.encode(identity))
+    return identity
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_state.py
@@ -0,0 +1,440 @@
+"""LedgerState: the deterministic state machine that applies commands."""
+
+import enum
+import hashlib
+import uuid
+
+import msgspec
+
+from hawthornbarrow.ledger._commands import (
+    ApplyConfiguration,
+    Claim,
+    Command,
+    Complete,
+    ExpireEntry,
+    Forget,
+    NoOperation,
+    RegisterAgent,
+    RegisterEntry,
+    RetireAgent,
+    job_id_of,
+)
+
+DEFAULT_HORIZON_S = 6 * 3600.0
+_UUID_VERSION_TIMED = 7
+
+
+class ClaimVerdict(enum.StrEnum):
+    """What became of a claim."""
+
+    GRANTED = "granted"
+    EXISTING = "existing"
+    MISMATCH = "mismatch"
+    EXPIRED = "expired"
+    NOT_MEMBER = "not_member"
+
+
+class ClaimRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A claimed job.
+
+    Attributes:
+        job: Job id.
+        member: Name of the member.
+        key: Idempotency key.
+        digest: Digest of the submitted body.
+        owner: Name of the owning entry.
+        incarnation: Incarnation of the owning entry.
+        epoch: Ownership epoch, from one.
+        index: Log index of the claim.
+        repeatable: Whether the job's tasks may run again.
+        task_count: Number of tasks.
+        body: The submitted body when the caller does not wait, else empty.
+        claimed_at_s: Wall-clock time of the claim.
+        status: Final status, empty while the job is open.
+        answer: The answer's body when it is small, else empty.
+        closed_at_s: Wall-clock time of the end, zero while open.
+    """
+
+    job: str
+    member: str
+    key: str
+    digest: bytes
+    owner: str
+    incarnation: int
+    epoch: int
+    index: int
+    repeatable: bool
+    task_count: int
+    body: bytes
+    claimed_at_s: float
+    status: str = ""
+    answer: bytes = b""
+    closed_at_s: float = 0.0
+
+
+class EntryRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A member of the fleet of entries."""
+
+    name: str
+    incarnation: int
+    address: str
+    is_alive: bool
+
+
+class AgentRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """An agent and the log index at which its incarnations joined."""
+
+    name: str
+    incarnation: int
+    first_index: int
+    index: int
+
+
+class ConfigurationRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """One accepted version of the configuration."""
+
+    version: int
+    document: bytes
+    operator: str
+    request: str
+    time_s: float
+
+
+class _RequestRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    version: int
+    winner: str
+    accepted: bool
+    time_s: float
+
+
+class Outcome(msgspec.Struct, frozen=True, kw_only=True):
+    """What a command did.
+
+    Attributes:
+        accepted: Whether the command had, or already has had, its effect.
+        verdict: For a claim, what became of it.
+        claim: For a claim or completion, the record afterwards.
+        version: For a configuration, the version in force afterwards.
+        winner: For a configuration conflict, who applied that version.
+        moved: Jobs that have another owner now.
+    """
+
+    accepted: bool
+    verdict: ClaimVerdict | None = None
+    claim: ClaimRecord | None = None
+    version: int = 0
+    winner: str = ""
+    moved: tuple[str, ...] = ()
+
+
+class _Image(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Snapshot of the whole state."""
+
+    claims: list[ClaimRecord]
+    entries: list[EntryRecord]
+    agents: list[AgentRecord]
+    versions: list[ConfigurationRecord]
+    requests: dict[str, _RequestRecord]
+    clock_s: float
+    applied: int
+
+
+class LedgerState:
+    """Claims, fleet membership and configuration.
+
+    Applying the same commands in the same order gives the same state on every
+    replica: nothing here reads a clock or draws a random number.
+
+    Args:
+        horizon_s: How long closed claims are kept.
+    """
+
+    def __init__(self, *, horizon_s: float = DEFAULT_HORIZON_S) -> None:
+        """Starts empty."""
+        self._horizon_s = horizon_s
+        self._claims: dict[str, ClaimRecord] = {}
+        self._open: dict[tuple[str, int], dict[str, None]] = {}
+        self._entries: dict[str, EntryRecord] = {}
+        self._agents: dict[str, AgentRecord] = {}
+        self._versions: list[ConfigurationRecord] = []
+        self._requests: dict[str, _RequestRecord] = {}
+        self._clock_s = 0.0
+        self._applied = 0
+
+    @property
+    def applied(self) -> int:
+        """Log index of the last applied command."""
+        return self._applied
+
+    @property
+    def claim_count(self) -> int:
+        """Number of claims kept."""
+        return len(self._claims)
+
+    @property
+    def entries(self) -> dict[str, EntryRecord]:
+        """Entries by name."""
+        return self._entries
+
+    @property
+    def agents(self) -> dict[str, AgentRecord]:
+        """Agents by name."""
+        return self._agents
+
+    @property
+    def versions(self) -> list[ConfigurationRecord]:
+        """Accepted configurations, oldest first."""
+        return self._versions
+
+    @property
+    def configuration(self) -> ConfigurationRecord | None:
+        """The configuration in force, or None before the first."""
+        return self._versions[-1] if self._versions else None
+
+    def claim(self, job: str) -> ClaimRecord | None:
+        """Returns the claim of a job, if there is one."""
+        return self._claims.get(job)
+
+    def open_claims_of(self, owner: str, incarnation: int) -> list[ClaimRecord]:
+        """Returns the open claims of one incarnation of an entry."""
+        jobs = self._open.get((owner, incarnation), {})
+        return [self._claims[job] for job in jobs]
+
+    def is_expired_key(self, key: str, now_s: float) -> bool:
+        """Tells whether a key is a UUIDv7 from before the horizon."""
+        created_s = _creation_time_s(key)
+        return created_s is not None and created_s < now_s - self._horizon_s
+
+    def apply(self, index: int, command: Command) -> Outcome:
+        """Applies the command at the given log index."""
+        self._applied = index
+        match command:
+            case Claim():
+                return self._claim(index, command)
+            case Complete():
+                return self._complete(command)
+            case RegisterEntry():
+                return self._register_entry(command)
+            case ExpireEntry():
+                return self._expire_entry(command)
+            case RegisterAgent():
+                return self._register_agent(index, command)
+            case RetireAgent():
+                return self._retire_agent(command)
+            case ApplyConfiguration():
+                return self._apply_configuration(command)
+            case Forget():
+                return self._forget(command)
+            case NoOperation():
+                return Outcome(accepted=True)
+
+    def encode(self) -> bytes:
+        """Returns a snapshot of the state."""
+        image = _Image(
+            claims=list(self._claims.values()),
+            entries=list(self._entries.values()),
+            agents=list(self._agents.values()),
+            versions=self._versions,
+            requests=self._requests,
+            clock_s=self._clock_s,
+            applied=self._applied,
+        )
+        return msgspec.msgpack.encode(image)
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the state by a snapshot."""
+        image = msgspec.msgpack.decode(data, type=_Image)
+        self._claims = {claim.job: claim for claim in image.claims}
+        self._open = {}
+        for claim in image.claims:
+            if not claim.status:
+                self._index_open(claim)
+        self._entries = {entry.name: entry for entry in image.entries}
+        self._agents = {agent.name: agent for agent in image.agents}
+        self._versions = list(image.versions)
+        self._requests = dict(image.requests)
+        self._clock_s = image.clock_s
+        self._applied = image.applied
+
+    def _claim(self, index: int, command: Claim) -> Outcome:
+        self._clock_s = max(self._clock_s, command.time_s)
+        job = job_id_of(command.member, command.key)
+        known = self._claims.get(job)
+        if known is not None:
+            is_same = known.digest == command.digest
+            verdict = ClaimVerdict.EXISTING if is_same else ClaimVerdict.MISMATCH
+            return Outcome(accepted=is_same, verdict=verdict, claim=known)
+        if self.is_expired_key(command.key, self._clock_s):
+            return Outcome(accepted=False, verdict=ClaimVerdict.EXPIRED)
+        if not self._is_alive(command.owner, command.incarnation):
+            return Outcome(accepted=False, verdict=ClaimVerdict.NOT_MEMBER)
+        record = ClaimRecord(
+            job=job,
+            member=command.member,
+            key=command.key,
+            digest=command.digest,
+            owner=command.owner,
+            incarnation=command.incarnation,
+            epoch=1,
+            index=index,
+            repeatable=command.repeatable,
+            task_count=command.task_count,
+            body=command.body,
+            claimed_at_s=command.time_s,
+        )
+        self._claims[job] = record
+        self._index_open(record)
+        return Outcome(accepted=True, verdict=ClaimVerdict.GRANTED, claim=record)
+
+    def _complete(self, command: Complete) -> Outcome:
+        self._clock_s = max(self._clock_s, command.time_s)
+        known = self._claims.get(command.job)
+        if known is None:
+            return Outcome(accepted=False)
+        if known.status:
+            return Outcome(accepted=known.status == command.status, claim=known)
+        if known.epoch != command.epoch:
+            return Outcome(accepted=False, claim=known)
+        record = msgspec.structs.replace(
+            known,
+            status=command.status,
+            answer=command.answer,
+            closed_at_s=command.time_s,
+            body=b"",
+        )
+        self._claims[command.job] = record
+        self._open.get((known.owner, known.incarnation), {}).pop(command.job, None)
+        return Outcome(accepted=True, claim=record)
+
+    def _register_entry(self, command: RegisterEntry) -> Outcome:
+        self._entries[command.name] = EntryRecord(
+            name=command.name,
+            incarnation=command.incarnation,
+            address=command.address,
+            is_alive=True,
+        )
+        return Outcome(accepted=True, moved=self._reassign_orphans())
+
+    def _expire_entry(self, command: ExpireEntry) -> Outcome:
+        known = self._entries.get(command.name)
+        if known is None or known.incarnation != command.incarnation:
+            return Outcome(accepted=False)
+        self._entries[command.name] = msgspec.structs.replace(known, is_alive=False)
+        return Outcome(accepted=True, moved=self._reassign_orphans())
+
+    def _register_agent(self, index: int, command: RegisterAgent) -> Outcome:
+        known = self._agents.get(command.name)
+        if known is not None and known.incarnation == command.incarnation:
+            return Outcome(accepted=True)
+        self._agents[command.name] = AgentRecord(
+            name=command.name,
+            incarnation=command.incarnation,
+            first_index=known.first_index if known else index,
+            index=index,
+        )
+        return Outcome(accepted=True)
+
+    def _retire_agent(self, command: RetireAgent) -> Outcome:
+        known = self._agents.get(command.name)
+        if known is None or known.incarnation != command.incarnation:
+            return Outcome(accepted=False)
+        del self._agents[command.name]
+        return Outcome(accepted=True)
+
+    def _apply_configuration(self, command: ApplyConfiguration) -> Outcome:
+        self._clock_s = max(self._clock_s, command.time_s)
+        earlier = self._requests.get(command.request)
+        if earlier is not None:
+            return Outcome(
+                accepted=earlier.accepted,
+                version=earlier.version,
+                winner=earlier.winner,
+            )
+        current = self.configuration
+        version = current.version if current else 0
+        accepted = command.expect_version == version
+        winner = current.operator if current else ""
+        if accepted:
+            version += 1
+            winner = command.operator
+            self._versions.append(
+                ConfigurationRecord(
+                    version=version,
+                    document=command.document,
+                    operator=command.operator,
+                    request=command.request,
+                    time_s=command.time_s,
+                )
+            )
+        self._requests[command.request] = _RequestRecord(
+            version=version, winner=winner, accepted=accepted, time_s=command.time_s
+        )
+        return Outcome(accepted=accepted, version=version, winner=winner)
+
+    def _forget(self, command: Forget) -> Outcome:
+        self._clock_s = max(self._clock_s, command.time_s)
+        before_s = min(command.before_s, self._clock_s - self._horizon_s)
+        old = [
+            job
+            for job, claim in self._claims.items()
+            if claim.status and claim.closed_at_s < before_s
+        ]
+        for job in old:
+            del self._claims[job]
+        self._requests = {
+            request: record
+            for request, record in self._requests.items()
+            if record.time_s >= before_s
+        }
+        return Outcome(accepted=True)
+
+    def _is_alive(self, name: str, incarnation: int) -> bool:
+        entry = self._entries.get(name)
+        if entry is None:
+            return False
+        return entry.is_alive and entry.incarnation == incarnation
+
+    def _index_open(self, claim: ClaimRecord) -> None:
+        owner = (claim.owner, claim.incarnation)
+        self._open.setdefault(owner, {})[claim.job] = None
+
+    def _reassign_orphans(self) -> tuple[str, ...]:
+        """Deals the open claims of dead owners out to the living.
+
+        The new owner is chosen by rendezvous hashing (D. Thaler and C. Ravishankar,
+        "Using Name-Based Mappings to Increase Hit Rates", 1998).
+        """
+        living = [entry for entry in self._entries.values() if entry.is_alive]
+        if not living:
+            return ()
+        moved = []
+        for owner in list(self._open):
+            if self._is_alive(*owner):
+                continue
+            for job in self._open.pop(owner):
+                heir = max(living, key=lambda entry: _rendezvous(job, entry.name))
+                record = msgspec.structs.replace(
+                    self._claims[job],
+                    owner=heir.name,
+                    incarnation=heir.incarnation,
+                    epoch=self._claims[job].epoch + 1,
+                )
+                self._claims[job] = record
+                self._index_open(record)
+                moved.append(job)
+        return tuple(moved)
+
+
+def _rendezvous(job: str, entry: str) -> bytes:
+    return hashlib.blake2b(f"{job}\0{entry}".encode(), digest_size=8).digest()
+
+
+def _creation_time_s(key: str) -> float | None:
+    """Returns the creation time in a UUIDv7 key, or None for other keys."""
+    try:
+        value = uuid.UUID(key)
+    except ValueError:
+        return None
+    if value.version != _UUID_VERSION_TIMED:
+        return None
+    return (value.int >> 80) / 1000
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_storage.py
@@ -0,0 +1,289 @@
+"""Durable storage of one replica: term and vote, log, snapshot.
+
+The log is one append-only file of records; each record holds all entries of one
+write, so that a write cut short by a crash leaves exactly one bad record at the end.
+"""
+
+import abc
+import os
+import pathlib
+import struct
+import zlib
+
+import msgspec
+
+from hawthornbarrow.ledger._files import (
+    CorruptFileError,
+    read_checked,
+    sync_folder,
+    write_atomically,
+)
+from hawthornbarrow.ledger._messages import LogEntry, Members
+
+_RECORD = struct.Struct("!II")
+_HEADER_CHECK = struct.Struct("!I")
+_HEADER_BYTES = _RECORD.size + _HEADER_CHECK.size
+_LOG_FILE = "log"
+_HARD_FILE = "term"
+_SNAPSHOT_FILE = "snapshot"
+
+
+class LedgerStorageError(Exception):
+    """The disk failed; nothing may be acknowledged from here on."""
+
+
+class CorruptLogError(LedgerStorageError):
+    """Stored data that was synced does not match its checksum."""
+
+
+class HardState(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Term of a replica and its vote in it, empty for none."""
+
+    term: int = 0
+    vote: str = ""
+
+
+class Snapshot(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """State of the ledger as of a log index.
+
+    Attributes:
+        index: Log index that the snapshot covers.
+        term: Term of the entry at that index.
+        members: Members as of that index.
+        data: The encoded state.
+    """
+
+    index: int
+    term: int
+    members: Members
+    data: bytes
+
+
+class StoredState(msgspec.Struct, frozen=True, kw_only=True):
+    """All that a storage held when it was opened."""
+
+    hard: HardState
+    snapshot: Snapshot
+    entries: list[LogEntry]
+
+
+class Storage(abc.ABC):
+    """Where a replica keeps what must survive it.
+
+    A method that returns has made its effect durable. After a LedgerStorageError
+    the storage must not be used again in this run.
+    """
+
+    @abc.abstractmethod
+    def load(self) -> StoredState:
+        """Returns what is stored."""
+
+    @abc.abstractmethod
+    def save_hard_state(self, hard: HardState) -> None:
+        """Stores term and vote."""
+
+    @abc.abstractmethod
+    def append(self, truncate_from: int, entries: list[LogEntry]) -> None:
+        """Drops entries from an index on (zero for none), then appends."""
+
+    @abc.abstractmethod
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Stores a snapshot and drops the entries that it covers."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Releases what the storage holds open."""
+
+
+class FileStorage(Storage):
+    """Storage in one folder.
+
+    Args:
+        folder: The replica's data folder.
+    """
+
+    def __init__(self, *, folder: pathlib.Path) -> None:
+        """Stores the folder; nothing is opened before `load`."""
+        self._folder = folder
+        self._descriptor = -1
+        self._entries: list[LogEntry] = []
+        self._snapshot_index = 0
+
+    def load(self) -> StoredState:
+        """Returns what is stored, cutting off a write that a crash tore.
+
+        Raises:
+            CorruptLogError: Data that was synced is damaged.
+            LedgerStorageError: The folder can not be read.
+        """
+        try:
+            hard = self._load(_HARD_FILE, HardState, HardState())
+            empty = Snapshot(index=0, term=0, members=Members(voters=()), data=b"")
+            snapshot = self._load(_SNAPSHOT_FILE, Snapshot, empty)
+            self._snapshot_index = snapshot.index
+            entries = self._load_log()
+        except CorruptFileError as error:
+            raise CorruptLogError(f"{error}; {_REPAIR_ADVICE}") from error
+        except OSError as error:
+            raise LedgerStorageError(str(error)) from error
+        self._entries = [entry for entry in entries if entry.index > snapshot.index]
+        self._check_contiguous()
+        return StoredState(hard=hard, snapshot=snapshot, entries=list(self._entries))
+
+    def save_hard_state(self, hard: HardState) -> None:
+        """Stores term and vote."""
+        try:
+            write_atomically(self._folder / _HARD_FILE, msgspec.msgpack.encode(hard))
+        except OSError as error:
+            raise LedgerStorageError(f"term and vote: {error}") from error
+
+    def append(self, truncate_from: int, entries: list[LogEntry]) -> None:
+        """Writes all entries with one sync."""
+        try:
+            if truncate_from:
+                self._entries = [
+                    entry for entry in self._entries if entry.index < truncate_from
+                ]
+                self._entries += entries
+                self._rewrite()
+                return
+            self._entries += entries
+            _write_all(self._descriptor, _encode_record(entries))
+            os.fdatasync(self._descriptor)
+        except OSError as error:
+            raise LedgerStorageError(f"log: {error}") from error
+
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Stores a snapshot, then rewrites the log without what it covers."""
+        try:
+            write_atomically(
+                self._folder / _SNAPSHOT_FILE, msgspec.msgpack.encode(snapshot)
+            )
+            follows = self._entries and (
+                self._entries[0].index <= snapshot.index + 1
+                and snapshot.index <= self._entries[-1].index
+            )
+            self._entries = [
+                entry
+                for entry in self._entries
+                if follows and entry.index > snapshot.index
+            ]
+            self._snapshot_index = snapshot.index
+            self._rewrite()
+        except OSError as error:
+            raise LedgerStorageError(f"snapshot: {error}") from error
+
+    def close(self) -> None:
+        """Closes the log file."""
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+            self._descriptor = -1
+
+    def _load(self, name: str, kind: type, default: object) -> object:
+        path = self._folder / name
+        if not path.exists():
+            return default
+        return msgspec.msgpack.decode(read_checked(path), type=kind)
+
+    def _load_log(self) -> list[LogEntry]:
+        path = self._folder / _LOG_FILE
+        flags = os.O_RDWR | os.O_CREAT | os.O_APPEND
+        self._descriptor = os.open(path, flags, 0o600)
+        raw = path.read_bytes()
+        entries: list[LogEntry] = []
+        offset = 0
+        while offset < len(raw):
+            record = _decode_record(raw, offset)
+            if record is None:
+                self._cut_tail(raw, offset)
+                break
+            records, offset = record
+            entries += records
+        sync_folder(self._folder)
+        return entries
+
+    def _cut_tail(self, raw: bytes, offset: int) -> None:
+        """Cuts a torn record at the end; refuses damage before the end."""
+        if not _reaches_end(raw, offset):
+            raise CorruptLogError(
+                f"{self._folder / _LOG_FILE}: damaged record at byte {offset} of "
+                f"{len(raw)}, with more data behind it; {_REPAIR_ADVICE}"
+            )
+        os.ftruncate(self._descriptor, offset)
+        os.fsync(self._descriptor)
+
+    def _check_contiguous(self) -> None:
+        expected = self._snapshot_index
+        for entry in self._entries:
+            expected += 1
+            if entry.index != expected:
+                raise CorruptLogError(
+                    f"{self._folder / _LOG_FILE}: entry {entry.index}, "
+                    f"expected {expected}; {_REPAIR_ADVICE}"
+                )
+
+    def _rewrite(self) -> None:
+        """Replaces the log file by one that holds just the current entries."""
+        aside = self._folder / (_LOG_FILE + ".new")
+        flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND
+        descriptor = os.open(aside, flags, 0o600)
+        if self._entries:
+            _write_all(descriptor, _encode_record(self._entries))
+        os.fsync(descriptor)
+        os.replace(aside, self._folder / _LOG_FILE)
+        sync_folder(self._folder)
+        self.close()
+        self._descriptor = descriptor
+
+
+_REPAIR_ADVICE = (
+    "keep the folder for inspection, start with an empty one and replace this "
+    "replica with `ledger replace`"
+)
+
+
+def _encode_record(entries: list[LogEntry]) -> bytes:
+    payload = msgspec.msgpack.encode(entries)
+    header = _RECORD.pack(len(payload), zlib.crc32(payload))
+    return header + _HEADER_CHECK.pack(zlib.crc32(header)) + payload
+
+
+def _decode_record(raw: bytes, offset: int) -> tuple[list[LogEntry], int] | None:
+    """Returns a record's entries and its end, or None when it is damaged."""
+    if not _has_valid_header(raw, offset):
+        return None
+    size, checksum = _RECORD.unpack_from(raw, offset)
+    start = offset + _HEADER_BYTES
+    payload = raw[start : start + size]
+    if len(payload) < size or zlib.crc32(payload) != checksum:
+        return None
+    return msgspec.msgpack.decode(payload, type=list[LogEntry]), start + size
+
+
+def _has_valid_header(raw: bytes, offset: int) -> bool:
+    if offset + _HEADER_BYTES > len(raw):
+        return False
+    header = raw[offset : offset + _RECORD.size]
+    (check,) = _HEADER_CHECK.unpack_from(raw, offset + _RECORD.size)
+    return zlib.crc32(header) == check
+
+
+def _reaches_end(raw: bytes, offset: int) -> bool:
+    """Tells whether a damaged record is the last write of the file.
+
+    The size in a header counts only when the header's own check holds; otherwise a
+    flipped bit in the middle could pass for a torn write and drop what follows.
+    """
+    if offset + _HEADER_BYTES > len(raw):
+        return True
+    if not _has_valid_header(raw, offset):
+        return not any(raw[offset:])
+    size, _ = _RECORD.unpack_from(raw, offset)
+    return offset + _HEADER_BYTES + size >= len(raw)
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        written = os.write(descriptor, view)
+        view = view[written:]
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
@@ -0,0 +1,291 @@
+"""LinkPort: the curio tasks that own a process's link sockets."""
+
+import dataclasses
+import random
+import secrets
+import time
+
+import curio
+from curio import socket as curio_socket
+
+from hawthornbarrow.links._codec import NONCE_BYTES, Codec, LinkError
+from hawthornbarrow.links._frames import Frame, Hello
+from hawthornbarrow.links._mailbox import Mailbox
+from hawthornbarrow.links._messages import Message
+from hawthornbarrow.links._session import LinkSession
+from hawthornbarrow.links._stream import BlockStream
+
+_POLL_INTERVAL_S = 0.1
+_GREETING_LIMIT_S = 2.0
+_REDIAL_MIN_S = 0.05
+_REDIAL_MAX_S = 1.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class LinkCounters:
+    """Counts of what crossed the links of one process."""
+
+    frames_sent: int = 0
+    frames_received: int = 0
+    heartbeats_sent: int = 0
+    bytes_sent: int = 0
+    messages_sent: int = 0
+    connections: int = 0
+    refused_connections: int = 0
+
+
+class _Connection:
+    """One live connection of a session."""
+
+    def __init__(self, *, stream: BlockStream, codec: Codec) -> None:
+        self.stream = stream
+        self.codec = codec
+        self.wake = curio.Event()
+        self.closed = False
+
+
+class LinkPort:
+    """All links of one process.
+
+    Events of every link are posted to one mailbox. `send` only queues; `flush`
+    puts what is queued on the wire, one frame for each link, so all messages of
+    one tick to one peer travel together.
+
+    Args:
+        process: Name of this process.
+        role: Kind of this process.
+        incarnation: Random number of this run of the process.
+        cluster_key: Secret shared by all processes of the deployment.
+        mailbox: Where link events are posted.
+    """
+
+    def __init__(
+        self,
+        *,
+        process: str,
+        role: str,
+        incarnation: int,
+        cluster_key: bytes,
+        mailbox: Mailbox,
+    ) -> None:
+        """Starts without links."""
+        self._process = process
+        self._role = role
+        self._incarnation = incarnation
+        self._cluster_key = cluster_key
+        self._mailbox = mailbox
+        self._sessions: dict[str, LinkSession] = {}
+        self._connections: dict[str, _Connection] = {}
+        self._dirty: set[str] = set()
+        self._random = random.Random(incarnation)
+        self._counters = LinkCounters()
+        self._bound_port = 0
+
+    @property
+    def counters(self) -> LinkCounters:
+        """Counts of frames, messages and connections."""
+        return self._counters
+
+    @property
+    def bound_port(self) -> int:
+        """TCP port that `listen` is bound to, or zero."""
+        return self._bound_port
+
+    def send(self, peer: str, message: Message) -> bool:
+        """Queues a message; returns False when the peer has never connected."""
+        session = self._sessions.get(peer)
+        if session is None:
+            return False
+        session.send(message)
+        self._counters.messages_sent += 1
+        self._dirty.add(peer)
+        return True
+
+    async def flush(self) -> None:
+        """Wakes the writers of all links that have something to send."""
+        dirty, self._dirty = self._dirty, set()
+        for peer in dirty:
+            connection = self._connections.get(peer)
+            if connection is not None:
+                await connection.wake.set()
+
+    async def settle(self, *, limit_s: float) -> None:
+        """Waits until the peers have acknowledged all messages, or for the limit."""
+        until_s = time.monotonic() + limit_s
+        while time.monotonic() < until_s:
+            await self.flush()
+            waiting = any(
+                session.is_up and session.unacknowledged
+                for session in self._sessions.values()
+            )
+            if not waiting:
+                return
+            await curio.sleep(_POLL_INTERVAL_S / 10)
+
+    async def listen(self, host: str, port: int) -> None:
+        """Accepts links until cancelled."""
+        sock = curio.network.tcp_server_socket(
+            host, port, backlog=512, reuse_address=True
+        )
+        self._bound_port = sock.getsockname()[1]
+        async with sock, curio.TaskGroup(wait=None) as group:
+            while True:
+                client, _ = await sock.accept()
+                await group.spawn(self._accept, client)
+
+    async def dial(self, host: str, port: int) -> None:
+        """Keeps one link to the given address alive until cancelled."""
+        peer: str | None = None
+        delay_s = _REDIAL_MIN_S
+        while True:
+            try:
+                peer = await self._dial_once(host, port, peer)
+                delay_s = _REDIAL_MIN_S
+            except (OSError, LinkError, curio.TaskTimeout):
+                delay_s = min(delay_s * 2, _REDIAL_MAX_S)
+            await curio.sleep(delay_s * self._random.uniform(0.5, 1.0))
+
+    async def _dial_once(self, host: str, port: int, peer: str | None) -> str | None:
+        async with curio.timeout_after(_GREETING_LIMIT_S):
+            sock = await curio.open_connection(host, port)
+        stream = BlockStream(sock=sock)
+        try:
+            own_nonce = secrets.token_bytes(NONCE_BYTES)
+            async with curio.timeout_after(_GREETING_LIMIT_S):
+                await stream.send_all([own_nonce])
+                peer_nonce = await stream.receive()
+            codec = self._codec(own_nonce, peer_nonce or b"", is_dialer=True)
+            session = self._sessions.get(peer) if peer else None
+            if session is None:
+                session = self._new_session()
+            await stream.send_all([codec.encode(session.connect(time.monotonic()))])
+            async with curio.timeout_after(_GREETING_LIMIT_S):
+                hello = await self._receive_hello(stream, codec)
+            return await self._run(stream, codec, session, hello)
+        finally:
+            await stream.close()
+
+    async def _accept(self, sock: curio.io.Socket) -> None:
+        _disable_delay(sock)
+        stream = BlockStream(sock=sock)
+        try:
+            async with curio.timeout_after(_GREETING_LIMIT_S):
+                own_nonce = secrets.token_bytes(NONCE_BYTES)
+                await stream.send_all([own_nonce])
+                peer_nonce = await stream.receive()
+                codec = self._codec(own_nonce, peer_nonce or b"", is_dialer=False)
+                hello = await self._receive_hello(stream, codec)
+            session = self._sessions.get(hello.process) or self._new_session()
+            await self._drop_connection(hello.process)
+            await stream.send_all([codec.encode(session.connect(time.monotonic()))])
+            await self._run(stream, codec, session, hello)
+        except (OSError, LinkError, curio.TaskTimeout):
+            self._counters.refused_connections += 1
+        finally:
+            await stream.close()
+
+    async def _run(
+        self, stream: BlockStream, codec: Codec, session: LinkSession, hello: Hello
+    ) -> str:
+        """Serves one greeted connection until it ends; returns the peer's name."""
+        peer = hello.process
+        _disable_delay(stream._sock)
+        self._sessions[peer] = session
+        connection = _Connection(stream=stream, codec=codec)
+        await self._drop_connection(peer)
+        self._connections[peer] = connection
+        self._counters.connections += 1
+        for event in session.receive(hello, time.monotonic()):
+            await self._mailbox.post(event)
+        writer = await curio.spawn(self._write, connection, session)
+        try:
+            await self._read(connection, session)
+        except (OSError, LinkError):
+            connection.closed = True
+        finally:
+            connection.closed = True
+            await writer.cancel()
+            if self._connections.get(peer) is connection:
+                del self._connections[peer]
+                for event in session.disconnect():
+                    await self._mailbox.post(event)
+        return peer
+
+    async def _read(self, connection: _Connection, session: LinkSession) -> None:
+        while not connection.closed:
+            block = await connection.stream.receive()
+            if block is None or connection.closed:
+                return
+            self._counters.frames_received += 1
+            frame = connection.codec.decode(block)
+            for event in session.receive(frame, time.monotonic()):
+                await self._mailbox.post(event)
+
+    async def _write(self, connection: _Connection, session: LinkSession) -> None:
+        while not connection.closed:
+            now_s = time.monotonic()
+            if session.is_silent(now_s):
+                break
+            frames = session.frames_due(now_s)
+            if frames:
+                await self._send_frames(connection, frames)
+            await curio.ignore_after(_POLL_INTERVAL_S, connection.wake.wait)
+            connection.wake.clear()
+        connection.closed = True
+        _shut_down(connection.stream)
+
+    async def _send_frames(self, connection: _Connection, frames: list[Frame]) -> None:
+        blocks = [connection.codec.encode(frame) for frame in frames]
+        self._counters.frames_sent += len(frames)
+        self._counters.heartbeats_sent += sum(not frame.messages for frame in frames)
+        self._counters.bytes_sent += sum(len(block) for block in blocks)
+        try:
+            await connection.stream.send_all(blocks)
+        except OSError:
+            connection.closed = True
+
+    async def _drop_connection(self, peer: str) -> None:
+        """Ends an older connection of the same peer, as a new one replaces it."""
+        connection = self._connections.pop(peer, None)
+        if connection is None:
+            return
+        connection.closed = True
+        _shut_down(connection.stream)
+        for event in self._sessions[peer].disconnect():
+            await self._mailbox.post(event)
+
+    async def _receive_hello(self, stream: BlockStream, codec: Codec) -> Hello:
+        block = await stream.receive()
+        if block is None:
+            raise LinkError("connection closed before the introduction")
+        frame = codec.decode(block)
+        if not isinstance(frame, Hello):
+            raise LinkError("first frame is not an introduction")
+        return frame
+
+    def _codec(self, own_nonce: bytes, peer_nonce: bytes, *, is_dialer: bool) -> Codec:
+        dialer_nonce = own_nonce if is_dialer else peer_nonce
+        acceptor_nonce = peer_nonce if is_dialer else own_nonce
+        return Codec(
+            cluster_key=self._cluster_key,
+            dialer_nonce=dialer_nonce,
+            acceptor_nonce=acceptor_nonce,
+            is_dialer=is_dialer,
+        )
+
+    def _new_session(self) -> LinkSession:
+        return LinkSession(
+            process=self._process, role=self._role, incarnation=self._incarnation
+        )
+
+
+def _disable_delay(sock: curio.io.Socket) -> None:
+    sock.setsockopt(curio_socket.IPPROTO_TCP, curio_socket.TCP_NODELAY, 1)
+
+
+def _shut_down(stream: BlockStream) -> None:
+    """Makes a blocked reader of the stream return at once."""
+    try:
+        stream._sock._socket.shutdown(curio_socket.SHUT_RDWR)
+    except OSError:
+        return
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/_metrics.py
@@ -0,0 +1,79 @@
+"""Metrics by OpenTelemetry, read by Prometheus at /metrics.
+
+Label values are bounded: members, services and upstreams come from the
+configuration and announcements; beyond MAX_LABEL_VALUES they count as "other".
+"""
+
+import prometheus_client
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+
+MAX_LABEL_VALUES = 200
+
+
+class Metrics:
+    """The instruments of one process.
+
+    Args:
+        process: Name of this process.
+    """
+
+    def __init__(self, *, process: str) -> None:
+        """Makes the instruments."""
+        self._registry = prometheus_client.CollectorRegistry()
+        reader = PrometheusMetricReader(registry=self._registry)
+        self._provider = MeterProvider(
+            metric_readers=[reader],
+            resource=Resource.create({"service.name": process}),
+        )
+        meter = self._provider.get_meter("hawthornbarrow")
+        self._labels: dict[str, set[str]] = {}
+        self._jobs = meter.create_counter("hawthornbarrow_jobs")
+        self._tasks = meter.create_counter("hawthornbarrow_tasks")
+        self._refusals = meter.create_counter("hawthornbarrow_refusals")
+        self._wasted = meter.create_counter("hawthornbarrow_wasted_messages")
+        self._response = meter.create_histogram(
+            "hawthornbarrow_job_response_seconds", unit="s"
+        )
+        self._gauge = meter.create_gauge("hawthornbarrow_state")
+
+    def count_job(
+        self, member: str, service: str, status: str, response_s: float
+    ) -> None:
+        """Counts a closed job."""
+        labels = {
+            "member": self._bounded("member", member),
+            "service": self._bounded("service", service),
+        }
+        self._jobs.add(1, {**labels, "status": status})
+        self._response.record(response_s, labels)
+
+    def count_tasks(self, outcome: str, count: int = 1) -> None:
+        """Counts ended attempts."""
+        self._tasks.add(count, {"outcome": outcome})
+
+    def count_refusal(self, reason: str) -> None:
+        """Counts a refused request."""
+        self._refusals.add(1, {"reason": reason})
+
+    def count_wasted(self, cause: str, count: int = 1) -> None:
+        """Counts messages that did not help any job."""
+        self._wasted.add(count, {"cause": cause})
+
+    def set_state(self, name: str, value: float) -> None:
+        """Sets a value that describes the process."""
+        self._gauge.set(value, {"name": name})
+
+    def render(self) -> bytes:
+        """Returns all metrics in Prometheus' text format."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def _bounded(self, label: str, value: str) -> str:
+        known = self._labels.setdefault(label, set())
+        if value in known:
+            return value
+        if len(known) >= MAX_LABEL_VALUES:
+            return "other"
+        known.add(value)
+        return value
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/upstreams/__init__.py
@@ -0,0 +1,17 @@
+"""Upstreams: what they announce and how calls to them may end."""
+
+from hawthornbarrow.upstreams._announcement import (
+    ANNOUNCEMENT_LEASE_S,
+    Announcement,
+    Resources,
+)
+from hawthornbarrow.upstreams._call_policy import CallEnd, CallVerdict, judge_call
+
+__all__ = [
+    "ANNOUNCEMENT_LEASE_S",
+    "Announcement",
+    "CallEnd",
+    "CallVerdict",
+    "Resources",
+    "judge_call",
+]
