--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments and load on the project's own decisions and processes."""
--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_core.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_core.py
@@ -231,7 +231,7 @@
             silent_s = now_s - entry.silent_since_s
             if not entry.is_up and silent_s >= self._timing.fence_s:
                 self._stop_work_of(name, now_s)
-        for name in list(self._dirty):
+        for name in sorted(self._dirty):
             slots = self._upstreams[name]
             if now_s - slots.split_at_s >= self._timing.split_interval_s:
                 self._split(slots, now_s)
@@ -307,7 +307,7 @@
                 reason = "fenced" if is_fenced else self._refusal(item, start)
                 self._take(peer, item, start, reason, now_s)
         self._on_demand(peer, batch.backlog, now_s)
-        for name in {item.upstream for item in batch.items}:
+        for name in sorted({item.upstream for item in batch.items}):
             slots = self._upstreams.get(name)
             if slots is not None:
                 self._start_waiting(slots, now_s)
@@ -387,10 +387,7 @@
         if holding is None or holding.owner != peer:
             return
         for slots in self._upstreams.values():
-            kept = [task for task in slots.queue if task.job != job]
-            holding.active -= len(slots.queue) - len(kept)
-            slots.queue.clear()
-            slots.queue.extend(kept)
+            self._drop_waiting(slots, holding, job)
             for task in slots.running.values():
                 if task.job == job:
                     self._stop(task)
@@ -431,14 +428,12 @@
         holding.epoch = job.epoch
         running = []
         for slots in self._upstreams.values():
-            kept = [task for task in slots.queue if task.job != job.job]
-            holding.active -= len(slots.queue) - len(kept)
-            slots.queue.clear()
-            slots.queue.extend(kept)
+            self._drop_waiting(slots, holding, job.job)
             for task in slots.running.values():
                 if task.job == job.job:
                     running.append((task.index, task.attempt))
             self._start_waiting(slots, now_s)
+        holding.attempts = dict(running)
         return JobHoldings(
             job=job.job, running=running, finished=list(holding.finished.values())
         )
@@ -462,6 +457,15 @@
                 if owner == entry and task.repeatable:
                     self._stop(task)
 
+    def _drop_waiting(
+        self, slots: UpstreamSlots, holding: JobHolding, job: str
+    ) -> None:
+        """Drops the tasks of a job that have not started; nobody is told."""
+        kept = [task for task in slots.queue if task.job != job]
+        holding.active -= len(slots.queue) - len(kept)
+        slots.queue.clear()
+        slots.queue.extend(kept)
+
     def _stop(self, task: HeldTask) -> None:
         self._effects.append(
             StopCall(job=task.job, index=task.index, attempt=task.attempt)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
@@ -80,6 +80,9 @@
 REGISTER_RETRY_S = 1.0
 USAGE_INTERVAL_S = 1.0
 _RETRY_SOON_S = 1.0
+_EARLIER_UNKNOWN = (
+    "this submission starts nothing, but an earlier one with the same key may have run"
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -155,8 +158,9 @@
             generator=generator,
         )
         self._peers: set[str] = set()
-        self._closing: dict[str, set[str]] = {}
+        self._closing: dict[str, list[str]] = {}
         self._in_touch = False
+        self._held: list[Job] = []
         self.closed_jobs: list[Job] = []
 
     @property
@@ -315,15 +319,17 @@
 
     def _refusal_of_new_work(self) -> Answer | None:
         """Returns why no new job may be taken now, or None."""
-        if self._is_draining:
-            return _unavailable("shutting_down", "this entry is shutting down")
         if not self._in_touch:
-            detail = "no quorum of the ledger within the configuration lease"
-            return _unavailable("no_quorum", detail)
+            detail = f"no quorum of the ledger; {_EARLIER_UNKNOWN}"
+            return _unavailable("no_quorum", detail, not_run=False)
         if not self._version:
-            return _unavailable("no_configuration", "no configuration is in force yet")
+            detail = f"no configuration is in force yet; {_EARLIER_UNKNOWN}"
+            return _unavailable("no_configuration", detail, not_run=False)
         if not self._is_registered():
-            return _unavailable("not_a_member", "the entry is joining the fleet")
+            detail = f"the entry is joining the fleet; {_EARLIER_UNKNOWN}"
+            return _unavailable("not_a_member", detail, not_run=False)
+        if self._is_draining:
+            return _unavailable("shutting_down", "this entry is shutting down")
         return None
 
     def _is_registered(self) -> bool:
@@ -497,7 +503,9 @@
         elif self._owns(claim):
             self._start_unopened(target, claim, digest, body, wait=wait, now_s=now_s)
         elif not self._in_touch:
-            self._answer(target, _unavailable("no_quorum", "owner unknown", False))
+            self._answer(
+                target, _unavailable("no_quorum", "owner unknown", not_run=False)
+            )
         else:
             kind = ForwardKind.SUBMIT if wait else ForwardKind.SUBMIT_ASYNC
             self._forward(target, kind, claim, body, now_s)
@@ -547,7 +555,7 @@
         elif isinstance(command, RegisterAgent):
             self._on_agent_registered()
         elif isinstance(command, Complete):
-            self._on_complete(command)
+            self._on_complete(command, accepted=applied.outcome.accepted)
         elif isinstance(command, RegisterEntry | ExpireEntry):
             self._on_membership(command, applied.outcome.moved, now_s)
 
@@ -576,7 +584,12 @@
         elif claim is not None:
             self._hand_over(job, claim, now_s)
 
-    def _on_complete(self, command: Complete) -> None:
+    def _on_complete(self, command: Complete, *, accepted: bool) -> None:
+        job = self._desk.jobs.get(command.job)
+        if job is None or command.epoch != job.epoch or not job.status.is_final:
+            return
+        if not accepted:
+            self._desk.remove(command.job)
         for agent in self._closing.pop(command.job, ()):
             self._send(agent, JobsClosed(jobs=[command.job]))
 
@@ -677,7 +690,7 @@
         if not jobs:
             return
         recovery = self._takeover.begin(jobs, self._state, fenced, now_s)
-        for agent in list(recovery.pending):
+        for agent in sorted(recovery.pending):
             view = self._fleet.agents.get(agent)
             if view is not None and view.is_up:
                 self._send(agent, recovery.request())
@@ -695,6 +708,7 @@
             spec=None,
         )
         job.orphan()
+        job.may_have_run = True
         job.timeline.add(now_s, "inherited", f"epoch {claim.epoch} at {self.name}")
         self._desk.add(job, claim.digest, b"")
         if claim.body:
@@ -745,8 +759,10 @@
             if has_lost_memory(record, claim.index):
                 lost.add(name)
         job.is_recovered = True
+        job.may_have_run = bool(lost)
         detail = f"{len(job.placed)} running, {job.unfinished_count} unfinished"
         job.timeline.add(now_s, "recovered", f"{detail}, lost agents {sorted(lost)}")
+        job.hold_until_s = now_s + self._outcomes.hold_s(job, lost)
         uncertain = job.unfinished_count - len(job.placed)
         failure = self._outcomes.failure_of(job)
         if failure is not None:
@@ -760,7 +776,10 @@
             self._begin(job, now_s)
 
     def _begin(self, job: Job, now_s: float) -> None:
-        """Lets the tasks of a job wait for slots."""
+        """Lets the tasks of a job wait for slots, unless earlier runs may go on."""
+        if now_s < job.hold_until_s:
+            self._held.append(job)
+            return
         job.begin()
         job.timeline.add(now_s, "claimed", f"epoch {job.epoch}")
         self._dispatcher.enqueue(job)
@@ -824,7 +843,9 @@
             self._fleet.agent_down(peer)
         for target in self._forwarder.peer_down(peer):
             detail = f"the link to the job's owner {peer} failed; resubmit"
-            self._answer(target, _unavailable("owner_unreachable", detail, False))
+            self._answer(
+                target, _unavailable("owner_unreachable", detail, not_run=False)
+            )
 
     def _receive(self, peer: str, message: Message, now_s: float) -> None:
         match message:
@@ -876,7 +897,7 @@
         claim = self._state.claim(job_id_of(message.member, message.key))
         if claim is None or (not claim.status and not self._owns(claim)):
             detail = "the job's owner is changing; resubmit"
-            self._answer(target, _unavailable("owner_changing", detail, False))
+            self._answer(target, _unavailable("owner_changing", detail, not_run=False))
             return
         self.submit(
             target,
@@ -900,7 +921,9 @@
         del now_s
         if target.peer or not self._forwarder.can_reach(claim.owner):
             detail = f"the job's owner {claim.owner} can not be reached; resubmit"
-            self._answer(target, _unavailable("owner_unreachable", detail, False))
+            self._answer(
+                target, _unavailable("owner_unreachable", detail, not_run=False)
+            )
             return
         request = self._forwarder.add(claim.owner, target)
         self._send(
@@ -930,8 +953,9 @@
         self._expire_jobs(now_s)
         self._expire_agents(now_s)
         self._finish_recoveries(now_s)
+        self._release_held(now_s)
         self._exchange_usage(now_s)
-        self._desk.forget_old(now_s)
+        self._desk.forget_old(now_s, pinned=self._closing)
         if in_touch and self._is_registered():
             for agent, batch in self._dispatcher.dispatch(self._incarnation, now_s):
                 self._note_dispatch(agent, batch.items, now_s)
@@ -961,12 +985,21 @@
             )
         )
 
+    def _release_held(self, now_s: float) -> None:
+        """Begins the recovered jobs whose earlier runs have ended by now."""
+        due = [job for job in self._held if now_s >= job.hold_until_s]
+        self._held = [job for job in self._held if now_s < job.hold_until_s]
+        for job in due:
+            if self._desk.jobs.get(job.job_id) is job and not job.status.is_final:
+                self._begin(job, now_s)
+
     def _expire_jobs(self, now_s: float) -> None:
         for job in self._desk.open_jobs:
             if job.status is JobStatus.CLAIMING:
                 if now_s - job.submitted_at_s >= CLAIM_LIMIT_S:
-                    detail = "the claim was not committed in time"
-                    self._drop(job, _unavailable("no_quorum", detail))
+                    detail = f"the claim was not committed; {_EARLIER_UNKNOWN}"
+                    answer = _unavailable("no_quorum", detail, not_run=False)
+                    self._drop(job, answer)
             elif now_s >= job.deadline_at_s:
                 self._close(job, JobStatus.FAILED, "deadline", now_s)
 
@@ -990,7 +1023,7 @@
         self._usage_at_s = now_s
         usage = self._dispatcher.take_usage()
         if usage:
-            for peer in self._peers:
+            for peer in sorted(self._peers):
                 self._send(peer, UsageReport(usage=usage))
 
     # --- ends ----------------------------------------------------------------
@@ -1001,7 +1034,7 @@
         if not job.close(status, reason, now_s):
             return
         self._uncount(job)
-        placed = {placement.agent for placement in job.placed.values()}
+        placed = sorted({placement.agent for placement in job.placed.values()})
         self._outcomes.release_all(job)
         for agent in placed:
             self._send(agent, CancelJobs(jobs=[job.job_id]))
@@ -1009,7 +1042,7 @@
         self._desk.close(job, answer)
         for target in self._desk.take_waiters(job.job_id):
             self._answer(target, answer)
-        self._closing[job.job_id] = set(job.agents)
+        self._closing[job.job_id] = sorted(job.agents)
         is_small = len(answer.body) <= SMALL_ANSWER_BYTES
         self._effects.append(
             Propose(
@@ -1073,18 +1106,18 @@
     return Answer(status=202, body=msgspec.json.encode(document))
 
 
-def _unavailable(reason: str, detail: str, not_run: bool = True) -> Answer:
+def _unavailable(reason: str, detail: str, *, not_run: bool = True) -> Answer:
     return refuse(503, reason, detail, not_run=not_run, retry_after_s=_RETRY_SOON_S)
 
 
 def _mismatch() -> Answer:
     detail = "the idempotency key was used before with another body"
-    return refuse(422, "key_reused", detail, not_run=True)
+    return refuse(422, "key_reused", detail, not_run=False)
 
 
 def _expired() -> Answer:
     detail = "the key is a UUIDv7 from before the horizon of the ledger"
-    return refuse(422, "key_expired", detail, not_run=True)
+    return refuse(422, "key_expired", detail, not_run=False)
 
 
 def _not_found() -> Answer:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_desk.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_desk.py
@@ -1,5 +1,6 @@
 """JobDesk: the job records of one entry and who waits for them."""
 
+import collections.abc
 import hashlib
 
 from hawthornbarrow.jobs import Job, JobStatus
@@ -81,10 +82,18 @@
         """Returns the answer of a closed job, if it is still kept."""
         return self._answers.get(job_id)
 
-    def forget_old(self, now_s: float) -> None:
-        """Drops closed jobs that are old, or all beyond the memory bound."""
+    def forget_old(
+        self, now_s: float, *, pinned: collections.abc.Container[str]
+    ) -> None:
+        """Drops closed jobs that are old, or all beyond the memory bound.
+
+        Args:
+            now_s: Current time.
+            pinned: Jobs whose end the ledger does not know yet; forgetting one
+                would let a resubmission run it again.
+        """
         for job_id, job in list(self.jobs.items()):
-            if not job.status.is_final:
+            if not job.status.is_final or job_id in pinned:
                 continue
             is_old = now_s - job.closed_at_s > ANSWER_KEPT_S
             if not is_old and self._answer_bytes <= MAX_CLOSED_BYTES:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_outcomes.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_outcomes.py
@@ -67,6 +67,7 @@
         self._fleet = fleet
         self._generator = generator
         self._services: dict[str, Service] = {}
+        self._may_run_on: set[str] = set()
         self._recovered: dict[str, JobEnd] = {}
         self.wasted: collections.Counter[str] = collections.Counter()
 
@@ -112,6 +113,10 @@
         job.adopt(result.index, placement)
         job.placed.pop(result.index)
         if job.repeatable:
+            if result.outcome is TaskOutcome.UNKNOWN and not self._stops(
+                result.upstream
+            ):
+                self._may_run_on.add(job.job_id)
             return
         is_known = result.outcome is TaskOutcome.FAILED
         status = JobStatus.FAILED if is_known else JobStatus.UNKNOWN
@@ -122,6 +127,21 @@
         """Returns and forgets the end that recovered results bring."""
         return self._recovered.pop(job.job_id, None)
 
+    def hold_s(self, job: Job, lost: set[str]) -> float:
+        """Returns how long a recovered job must wait before tasks run again.
+
+        A task that an earlier owner saw end uncertainly, or that a lost agent had,
+        may still be running until the limit of its run time.
+        """
+        may_run_on = job.job_id in self._may_run_on
+        self._may_run_on.discard(job.job_id)
+        if lost and not all(map(self._stops, self._fleet.upstreams)):
+            may_run_on = True
+        if not may_run_on:
+            return 0.0
+        limits = [service.run_limit_s for service in self._services.values()]
+        return max(limits, default=Service().run_limit_s)
+
     def give_up_agent(
         self, job: Job, agent: str, reason: str, now_s: float
     ) -> JobEnd | None:
@@ -182,14 +202,17 @@
             return JobEnd(status=JobStatus.UNKNOWN, reason=detail)
         if not self._may_retry(job, index):
             return JobEnd(status=JobStatus.FAILED, reason=detail)
-        view = self._fleet.upstreams.get(upstream)
-        stops = view is not None and view.announcement.stops_on_disconnect
         delay_s = self._backoff_s(job, index)
-        if not stops:
+        if not self._stops(upstream):
             delay_s += self._run_limit_s(job)
         self._again(job, index, now_s + delay_s, now_s)
         return None
 
+    def _stops(self, upstream: str) -> bool:
+        """Tells whether an upstream stops a task whose connection closes."""
+        view = self._fleet.upstreams.get(upstream)
+        return view is not None and view.announcement.stops_on_disconnect
+
     def _may_retry(self, job: Job, index: int) -> bool:
         if not job.repeatable:
             return False
--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_fleet.py
@@ -0,0 +1,486 @@
+"""Entries and agents without I/O, over fakes of ledger, links and upstreams.
+
+The ledger fake is one committed log that each entry applies at its own pace; an
+isolated entry neither proposes nor applies. The oracle knows every start and end of
+a task on an upstream and every answer that a caller got.
+"""
+
+import collections
+import dataclasses
+import itertools
+import random
+
+import msgspec
+from hawthornbarrow.configuration import (
+    Configuration,
+    Member,
+    Service,
+    encode_configuration,
+)
+from hawthornbarrow.ledger import (
+    Applied,
+    ApplyConfiguration,
+    ExpireEntry,
+    LedgerState,
+    job_id_of,
+)
+from hawthornbarrow.links import PeerDown, PeerUp, Received
+from hawthornbarrow.upstreams import Announcement, CallEnd
+from hawthornbarrow_agent import AgentCore
+from hawthornbarrow_agent import SendMessage as AgentSend
+from hawthornbarrow_agent import StartCall as AgentStart
+
+from hawthornbarrow_entry import (
+    EntryCore,
+    EntryIdentity,
+    Propose,
+    Reply,
+    ReplyTarget,
+)
+
+SERVICE = "echo"
+RUN_LIMIT_S = 8.0
+EXPIRY_S = 1.2
+
+
+class ViolationError(AssertionError):
+    """A promise was broken."""
+
+
+@dataclasses.dataclass
+class Run:
+    """One start of a task on an upstream."""
+
+    job: str
+    index: int
+    attempt: int
+    agent: str
+    payload: bytes
+    started_s: float
+    ends_s: float | None = None
+
+
+@dataclasses.dataclass
+class Request:
+    """One request of a caller, and its answer."""
+
+    key: str
+    entry: str
+    starts_before: int
+    answer: object = None
+    lost: bool = False
+
+
+class FleetEntry:
+    """An entry's core with its view of the ledger."""
+
+    def __init__(self, name, incarnation, seed, log):
+        self.name = name
+        self.incarnation = incarnation
+        self.state = LedgerState()
+        self.cursor = 0
+        self.isolated_since = None
+        self.held = []
+        self.core = EntryCore(
+            identity=EntryIdentity(name=name, incarnation=incarnation, address=name),
+            state=self.state,
+            generator=random.Random(seed),
+        )
+
+
+class Fleet:
+    """The fleet, its faults and its oracle."""
+
+    def __init__(self, entries=3, agents=2, seed=0, stops=True, slots=2):
+        self.now_s = 0.0
+        self.random = random.Random(seed)
+        self.log = []
+        self.stops = stops
+        self.slots = slots
+        self.numbers = itertools.count(1)
+        self.entries = {}
+        self.agents = {}
+        self.agent_incarnations = {}
+        self.queues = collections.defaultdict(collections.deque)
+        self.linked = set()
+        self.cut = set()
+        self.runs = []
+        self.requests = {}
+        self.jobs = {}
+        self.log.append(self._configuration())
+        for number in range(entries):
+            self.start_entry(f"e{number}")
+        for number in range(agents):
+            self.start_agent(f"a{number}")
+        self.quiesce(1.0)
+
+    def _configuration(self):
+        configuration = Configuration(
+            members={"m": Member(token_hashes=[]), "n": Member(token_hashes=[])},
+            services={SERVICE: Service(run_limit_s=RUN_LIMIT_S, deadline_s=60.0)},
+        )
+        return ApplyConfiguration(
+            request="first",
+            expect_version=0,
+            document=encode_configuration(configuration),
+            operator="o",
+            time_s=0.0,
+        )
+
+    # --- processes and links ---
+
+    def start_entry(self, name):
+        entry = FleetEntry(name, next(self.numbers), self.random.random(), self.log)
+        self.entries[name] = entry
+
+    def crash_entry(self, name):
+        del self.entries[name]
+        for request in self.requests.values():
+            if request.entry == name and request.answer is None:
+                request.lost = True
+        self._drop_links(name)
+
+    def start_agent(self, name):
+        self.agents[name] = AgentCore()
+        self.agent_incarnations[name] = next(self.numbers)
+
+    def crash_agent(self, name):
+        del self.agents[name]
+        for run in self.runs:
+            if run.agent == name and run.ends_s is None:
+                end_s = self.now_s if self.stops else run.started_s + RUN_LIMIT_S
+                run.ends_s = max(self.now_s, end_s)
+        self._drop_links(name)
+
+    def _drop_links(self, name):
+        for pair in sorted(pair for pair in self.linked if name in pair):
+            self._unlink(pair)
+        for pair in [pair for pair in self.queues if name in pair]:
+            del self.queues[pair]
+
+    def _unlink(self, pair):
+        self.linked.discard(pair)
+        sender, receiver = pair
+        self._event(receiver, PeerDown(peer=sender))
+
+    def _connect(self):
+        """Connects what can be; an entry links to agents and other entries."""
+        for entry in list(self.entries):
+            for peer in [*self.agents, *self.entries]:
+                if peer == entry or frozenset((entry, peer)) in self.cut:
+                    continue
+                for pair in ((entry, peer), (peer, entry)):
+                    if pair not in self.linked:
+                        self._link(pair)
+
+    def _link(self, pair):
+        sender, receiver = pair
+        incarnation = self.incarnation(sender)
+        self.linked.add(pair)
+        event = PeerUp(
+            peer=sender,
+            role="agent" if sender in self.agents else "entry",
+            incarnation=incarnation,
+            restarted=False,
+        )
+        self._event(receiver, event)
+
+    def incarnation(self, name):
+        if name in self.entries:
+            return self.entries[name].incarnation
+        return self.agent_incarnations[name]
+
+    def cut_link(self, a, b):
+        self.cut.add(frozenset((a, b)))
+        for pair in ((a, b), (b, a)):
+            if pair in self.linked:
+                self._unlink(pair)
+
+    def heal(self):
+        self.cut.clear()
+        for entry in self.entries.values():
+            entry.isolated_since = None
+
+    def isolate(self, name):
+        entry = self.entries[name]
+        if entry.isolated_since is None:
+            entry.isolated_since = self.now_s
+
+    # --- time and messages ---
+
+    def _event(self, receiver, event):
+        if receiver in self.entries:
+            self.entries[receiver].core.on_link_event(event, self.now_s)
+        elif receiver in self.agents:
+            self.agents[receiver].on_link_event(event, self.now_s)
+        self._settle(receiver)
+
+    def deliver(self, pick):
+        ready = [p for p, q in self.queues.items() if q and p in self.linked]
+        if not ready:
+            return False
+        sender, receiver = sorted(ready)[pick % len(ready)]
+        message = self.queues[sender, receiver].popleft()
+        self._event(receiver, Received(peer=sender, message=message))
+        return True
+
+    def apply_one(self, pick):
+        behind = [
+            e
+            for e in self.entries.values()
+            if e.isolated_since is None and e.cursor < len(self.log)
+        ]
+        if not behind:
+            return False
+        entry = sorted(behind, key=lambda e: e.name)[pick % len(behind)]
+        command = self.log[entry.cursor]
+        entry.cursor += 1
+        outcome = entry.state.apply(entry.cursor, command)
+        applied = Applied(
+            index=entry.cursor, command=command, outcome=outcome, number=0
+        )
+        entry.core.on_applied(applied, self.now_s)
+        self._settle(entry.name)
+        return True
+
+    def tick(self, dt_s):
+        self.now_s += dt_s
+        self._connect()
+        for agent in list(self.agents):
+            self.agents[agent].announce(self._announcement(agent), self.now_s)
+            self.agents[agent].tick(self.now_s)
+            self._settle(agent)
+        self._expire()
+        for name, entry in list(self.entries.items()):
+            if entry.isolated_since is None:
+                self.log += entry.held
+                entry.held = []
+            entry.core.tick(
+                self.now_s, time_s=self.now_s, in_touch=self._in_touch(entry)
+            )
+            self._settle(name)
+
+    def _in_touch(self, entry):
+        since = entry.isolated_since
+        return since is None or self.now_s - since < 1.0
+
+    def _expire(self):
+        """Expires entries that are gone or isolated, as the ledger's leader does."""
+        state = LedgerState()
+        for index, command in enumerate(self.log):
+            state.apply(index + 1, command)
+        for record in state.entries.values():
+            entry = self.entries.get(record.name)
+            silent = entry is None
+            if entry is not None and entry.isolated_since is not None:
+                silent = self.now_s - entry.isolated_since > EXPIRY_S
+            if silent and record.is_alive:
+                command = ExpireEntry(name=record.name, incarnation=record.incarnation)
+                self.log.append(command)
+
+    def _announcement(self, agent):
+        return Announcement(
+            name=f"u-{agent}",
+            address="127.0.0.1:1",
+            services=[SERVICE],
+            slots=self.slots,
+            connections=8,
+            stops_on_disconnect=self.stops,
+        )
+
+    def _settle(self, name):
+        if name in self.entries:
+            entry = self.entries[name]
+            for effect in entry.core.take_effects():
+                if isinstance(effect, Propose):
+                    if entry.isolated_since is None:
+                        self.log.append(effect.command)
+                    else:
+                        entry.held.append(effect.command)
+                elif isinstance(effect, Reply):
+                    self._answered(name, effect)
+                else:
+                    self._queue(name, effect)
+        elif name in self.agents:
+            for effect in self.agents[name].take_effects():
+                if isinstance(effect, AgentSend):
+                    self._queue(name, effect)
+                elif isinstance(effect, AgentStart):
+                    self._start(name, effect)
+                else:
+                    self._stop(name, effect)
+
+    def _queue(self, sender, effect):
+        if effect.peer in self.entries or effect.peer in self.agents:
+            self.queues[sender, effect.peer].append(effect.message)
+
+    # --- upstreams ---
+
+    def _start(self, agent, call):
+        run = Run(
+            job=call.job,
+            index=call.index,
+            attempt=call.attempt,
+            agent=agent,
+            payload=call.payload,
+            started_s=self.now_s,
+        )
+        earlier = [r for r in self.runs if (r.job, r.index) == (run.job, run.index)]
+        job = self.jobs[run.job]
+        if earlier and not job["repeatable"]:
+            raise ViolationError(f"task {run.index} of {job['key']} started twice")
+        for other in earlier:
+            if other.ends_s is None or other.ends_s > self.now_s:
+                raise ViolationError(
+                    f"task {run.index} of {job['key']} runs twice at once"
+                )
+        self.runs.append(run)
+
+    def _stop(self, agent, effect):
+        for run in self.running():
+            if (run.agent, run.job, run.index) == (agent, effect.job, effect.index):
+                self.finish_run(run, CallEnd.STOPPED)
+                return
+
+    def running(self):
+        return [run for run in self.runs if run.ends_s is None]
+
+    def finish(self, pick, end=CallEnd.ANSWERED):
+        runs = self.running()
+        if runs:
+            self.finish_run(runs[pick % len(runs)], end)
+
+    def finish_run(self, run, end):
+        run.ends_s = self.now_s
+        if end in (CallEnd.TIMED_OUT, CallEnd.RESET_AFTER_SENT) and not self.stops:
+            run.ends_s = max(self.now_s, run.started_s + RUN_LIMIT_S)
+        self.agents[run.agent].call_ended(
+            upstream=f"u-{run.agent}",
+            job=run.job,
+            index=run.index,
+            end=end,
+            run_s=self.now_s - run.started_s,
+            body=run.payload if end is CallEnd.ANSWERED else b"",
+            now_s=self.now_s,
+        )
+        self._settle(run.agent)
+
+    # --- callers ---
+
+    def body(self, key, tasks, repeatable):
+        return msgspec.json.encode(
+            {
+                "service": SERVICE,
+                "tasks": [f"{key}/{index}" for index in range(tasks)],
+                "repeatable": repeatable,
+            }
+        )
+
+    def submit(self, entry, key, tasks=3, repeatable=False, wait=True, member="m"):
+        job_id = job_id_of(member, key)
+        body = self.body(key, tasks, repeatable)
+        self.jobs.setdefault(
+            job_id,
+            {"key": key, "repeatable": repeatable, "tasks": tasks, "not_run_at": None},
+        )
+        self.jobs[job_id]["not_run_at"] = None
+        return self._ask(
+            entry,
+            key,
+            job_id,
+            lambda core, target: core.submit(
+                target,
+                member=member,
+                key=key,
+                body=body,
+                wait=wait,
+                now_s=self.now_s,
+                time_s=self.now_s,
+            ),
+        )
+
+    def cancel(self, entry, key, member="m"):
+        return self._ask(
+            entry,
+            key,
+            job_id_of(member, key),
+            lambda core, target: core.cancel(
+                target, member=member, key=key, now_s=self.now_s
+            ),
+        )
+
+    def _ask(self, entry, key, job_id, call):
+        number = next(self.numbers)
+        starts = sum(run.job == job_id for run in self.runs)
+        self.requests[number] = Request(key=job_id, entry=entry, starts_before=starts)
+        call(self.entries[entry].core, ReplyTarget(peer="", request=number))
+        self._settle(entry)
+        return number
+
+    def _answered(self, entry, reply):
+        request = self.requests[reply.request]
+        if request.answer is not None:
+            raise ViolationError("a caller was answered twice")
+        request.answer = reply.answer
+        job = self.jobs.get(request.key)
+        document = msgspec.json.decode(reply.answer.body)
+        if job is None:
+            return
+        if reply.answer.status == 200 and document["status"] == "completed":
+            expected = [f"{job['key']}/{index}" for index in range(job["tasks"])]
+            if document["results"] != expected:
+                raise ViolationError(
+                    f"answer of {job['key']} is not its own: {document}"
+                )
+        if document.get("not_run"):
+            starts = sum(run.job == request.key for run in self.runs)
+            if starts:
+                raise ViolationError(f"{job['key']} was run but the answer says not")
+            job["not_run_at"] = len(self.runs)
+
+    # --- ends ---
+
+    def quiesce(self, duration_s, finish=True):
+        """Lets the fleet run without new faults."""
+        until_s = self.now_s + duration_s
+        while self.now_s < until_s:
+            self.tick(0.05)
+            for _ in range(5000):
+                moved = self.apply_one(0) | self.deliver(0)
+                if not moved:
+                    break
+            if finish:
+                for run in self.running():
+                    self.finish_run(run, CallEnd.ANSWERED)
+
+    def recover(self, entries=3, agents=2):
+        """Ends all faults and lets every job come to its end."""
+        self.heal()
+        for number in range(entries):
+            if f"e{number}" not in self.entries:
+                self.start_entry(f"e{number}")
+        for number in range(agents):
+            if f"a{number}" not in self.agents:
+                self.start_agent(f"a{number}")
+        self.quiesce(RUN_LIMIT_S + 8.0)
+
+    def check_all_answered(self):
+        """After recovery each caller has its answer, or gets it by resubmitting."""
+        for number, request in self.requests.items():
+            if request.answer is None and not request.lost:
+                raise ViolationError(f"request {number} was never answered")
+        for job_id, job in list(self.jobs.items()):
+            number = self.submit("e0", job["key"], job["tasks"], job["repeatable"])
+            self.quiesce(RUN_LIMIT_S + 8.0)
+            answer = self.requests[number].answer
+            if answer is None:
+                raise ViolationError(f"{job['key']} has no end: {job_id}")
+            if answer.status in (503, 202, 422):
+                raise ViolationError(f"{job['key']} got {answer.status}: {answer.body}")
+
+    def check_not_run(self):
+        """A job that was answered as not run has not started since."""
+        for job_id, job in self.jobs.items():
+            at = job["not_run_at"]
+            if at is not None and any(run.job == job_id for run in self.runs[at:]):
+                raise ViolationError(f"{job['key']} started after it was said not to")
--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_ownership.py
@@ -0,0 +1,166 @@
+import unittest
+
+import msgspec
+from hawthornbarrow.upstreams import CallEnd
+
+from hawthornbarrow_entry.tests._fleet import Fleet
+
+
+def status(fleet, number):
+    answer = fleet.requests[number].answer
+    return answer and msgspec.json.decode(answer.body).get("status")
+
+
+class SubmissionTest(unittest.TestCase):
+    def test_a_job_is_answered_whole(self):
+        fleet = Fleet()
+        number = fleet.submit("e0", "k", tasks=10)
+        fleet.quiesce(2.0)
+        self.assertEqual(status(fleet, number), "completed")
+        self.assertEqual(len(fleet.runs), 10)
+
+    def test_a_resubmission_elsewhere_joins_the_running_job(self):
+        fleet = Fleet()
+        first = fleet.submit("e0", "k", tasks=10)
+        fleet.quiesce(0.1, finish=False)
+        second = fleet.submit("e1", "k", tasks=10)
+        third = fleet.submit("e0", "k", tasks=10)
+        fleet.quiesce(2.0)
+        fourth = fleet.submit("e2", "k", tasks=10)
+        fleet.quiesce(0.5)
+        for number in (first, second, third, fourth):
+            self.assertEqual(status(fleet, number), "completed")
+        self.assertEqual(len(fleet.runs), 10)
+
+    def test_racing_submissions_of_one_key_are_one_job(self):
+        fleet = Fleet()
+        numbers = [fleet.submit(f"e{n}", "k", tasks=4) for n in range(3)]
+        fleet.quiesce(2.0)
+        for number in numbers:
+            self.assertEqual(status(fleet, number), "completed")
+        self.assertEqual(len(fleet.runs), 4)
+
+    def test_another_body_under_the_same_key_is_refused(self):
+        fleet = Fleet()
+        fleet.submit("e0", "k", tasks=4)
+        fleet.quiesce(0.5)
+        other = fleet.submit("e1", "k", tasks=5)
+        fleet.quiesce(0.5)
+        self.assertEqual(fleet.requests[other].answer.status, 422)
+
+    def test_an_isolated_entry_refuses_and_starts_nothing(self):
+        fleet = Fleet()
+        fleet.isolate("e0")
+        fleet.quiesce(1.1)
+        number = fleet.submit("e0", "k")
+        document = msgspec.json.decode(fleet.requests[number].answer.body)
+        self.assertEqual(document["status"], 503)
+        fleet.recover()
+        self.assertEqual(fleet.runs, [])
+
+    def test_an_isolated_entry_does_not_say_that_an_earlier_submission_has_not_run(
+        self,
+    ):
+        fleet = Fleet()
+        fleet.isolate("e0")
+        fleet.submit("e1", "k")
+        fleet.quiesce(1.1)
+        number = fleet.submit("e0", "k")
+        document = msgspec.json.decode(fleet.requests[number].answer.body)
+        self.assertFalse(document["not_run"])
+
+
+class OwnerDeathTest(unittest.TestCase):
+    def running_job(self, repeatable, stops=True):
+        fleet = Fleet(stops=stops)
+        fleet.submit("e0", "k", tasks=8, repeatable=repeatable)
+        fleet.quiesce(0.3, finish=False)
+        fleet.finish(0)
+        fleet.finish(1)
+        self.assertGreater(len(fleet.runs), 4)
+        return fleet
+
+    def test_the_new_owner_completes_the_job_without_a_second_start(self):
+        fleet = self.running_job(repeatable=False)
+        fleet.crash_entry("e0")
+        fleet.quiesce(1.0, finish=False)
+        number = fleet.submit("e1", "k", tasks=8)
+        fleet.quiesce(3.0)
+        self.assertEqual(status(fleet, number), "completed")
+        self.assertEqual(len(fleet.runs), 8)
+
+    def test_an_agent_restarted_after_the_claim_makes_the_job_unknown(self):
+        fleet = self.running_job(repeatable=False)
+        fleet.crash_entry("e0")
+        fleet.crash_agent("a0")
+        fleet.start_agent("a0")
+        number = fleet.submit("e1", "k", tasks=8)
+        fleet.quiesce(9.0)
+        if fleet.requests[number].answer.status == 503:
+            number = fleet.submit("e1", "k", tasks=8)
+            fleet.quiesce(9.0)
+        self.assertEqual(status(fleet, number), "unknown")
+
+    def test_a_returned_owner_is_fenced(self):
+        fleet = self.running_job(repeatable=True)
+        fleet.isolate("e0")
+        fleet.quiesce(3.0, finish=False)
+        fleet.heal()
+        fleet.recover()
+        fleet.check_all_answered()
+
+
+class AgentDeathTest(unittest.TestCase):
+    def test_not_repeatable_tasks_of_a_lost_agent_end_unknown(self):
+        fleet = Fleet()
+        number = fleet.submit("e0", "k", tasks=4)
+        fleet.quiesce(0.2, finish=False)
+        fleet.crash_agent("a0")
+        fleet.quiesce(8.0)
+        self.assertEqual(status(fleet, number), "unknown")
+
+    def test_repeatable_tasks_of_a_lost_agent_run_again(self):
+        for stops in (True, False):
+            fleet = Fleet(stops=stops)
+            number = fleet.submit("e0", "k", tasks=4, repeatable=True)
+            fleet.quiesce(0.2, finish=False)
+            fleet.crash_agent("a0")
+            fleet.quiesce(20.0)
+            self.assertEqual(status(fleet, number), "completed")
+
+    def test_a_link_cut_for_a_moment_changes_nothing(self):
+        fleet = Fleet()
+        number = fleet.submit("e0", "k", tasks=4)
+        fleet.quiesce(0.2, finish=False)
+        fleet.cut_link("e0", "a0")
+        fleet.quiesce(1.0)
+        fleet.heal()
+        fleet.quiesce(2.0)
+        self.assertEqual(status(fleet, number), "completed")
+        self.assertEqual(len(fleet.runs), 4)
+
+    def test_an_uncertain_end_is_final_unless_repeatable(self):
+        for repeatable, expected in ((False, "unknown"), (True, "completed")):
+            fleet = Fleet()
+            number = fleet.submit("e0", "k", tasks=2, repeatable=repeatable)
+            fleet.quiesce(0.2, finish=False)
+            fleet.finish(0, CallEnd.RESET_AFTER_SENT)
+            fleet.quiesce(4.0)
+            self.assertEqual(status(fleet, number), expected)
+
+
+class CancellationTest(unittest.TestCase):
+    def test_cancelled_work_that_has_not_started_never_starts(self):
+        fleet = Fleet()
+        fleet.submit("e0", "k", tasks=50, repeatable=True)
+        fleet.quiesce(0.2, finish=False)
+        started = len(fleet.runs)
+        number = fleet.cancel("e1", "k")
+        fleet.quiesce(0.1, finish=False)
+        fleet.quiesce(2.0)
+        self.assertEqual(status(fleet, number), "cancelled")
+        self.assertEqual(len(fleet.runs), started)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/hawthornbarrow/src/hawthornbarrow/dispatch/_slots.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/dispatch/_slots.py
@@ -22,9 +22,9 @@
 class SlotSplitter:
     """Splits the slots of one upstream among entries by their demand.
 
-    Every entry keeps at least one slot while there are enough, so a burst at an
-    idle entry starts without asking first. The rest goes to the entries by max-min
-    fairness over what they hold and what waits at them.
+    All slots go to the entries with work, by max-min fairness over what they hold
+    and what waits at them. An entry without work keeps the credit for one task, so
+    a burst there starts without asking first; the agent's line takes the overlap.
 
     Args:
         slots: Slots of the upstream.
@@ -45,31 +45,36 @@
             demand: Tasks held for or waiting at each entry, by entry name.
             mean_run_s: Learned run time of the upstream's tasks.
         """
-        if not demand:
-            return {}
-        names = sorted(demand, key=lambda name: (demand[name], name))
-        shares = dict.fromkeys(names, 0)
-        left = self._slots
-        for position, name in enumerate(names):
-            fair = left // (len(names) - position)
-            is_last = position == len(names) - 1
-            wanted = left if is_last else max(1, demand[name])
-            shares[name] = min(wanted, fair if not is_last else left)
-            left -= shares[name]
-        if not any(demand.values()):
-            shares = self._equal(names)
+        busy = {name: tasks for name, tasks in demand.items() if tasks > 0}
+        shares = _max_min(busy, self._slots) if busy else self._equal(sorted(demand))
         ahead = self._ahead_s / max(mean_run_s, 0.001)
-        return {
-            name: SplitShare(slots=share, limit=self._limit(share, ahead))
-            for name, share in shares.items()
-        }
+        split = {}
+        for name in demand:
+            share = shares.get(name, 0)
+            split[name] = SplitShare(slots=share, limit=self._limit(share, ahead))
+        return split
 
     def _equal(self, names: list[str]) -> dict[str, int]:
-        base, extra = divmod(self._slots, len(names))
+        base, extra = divmod(self._slots, max(1, len(names)))
         return {name: base + (index < extra) for index, name in enumerate(names)}
 
     def _limit(self, share: int, ahead: float) -> int:
-        return max(1, share) + max(self._ahead_min, math.ceil(share * ahead))
+        if not share:
+            return 1
+        return share + max(self._ahead_min, math.ceil(share * ahead))
+
+
+def _max_min(demand: dict[str, int], slots: int) -> dict[str, int]:
+    """Gives small demands whole and splits the rest evenly; no slot stays unused."""
+    shares = {}
+    left = slots
+    names = sorted(demand, key=lambda name: (demand[name], name))
+    for position, name in enumerate(names):
+        is_last = position == len(names) - 1
+        fair = -(-left // (len(names) - position))
+        shares[name] = left if is_last else min(demand[name], fair)
+        left -= shares[name]
+    return shares
 
 
 class UpstreamView:
--- a/packages/hawthornbarrow/src/hawthornbarrow/jobs/_job.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/jobs/_job.py
@@ -90,6 +90,8 @@
         self.deadline_at_s = deadline_at_s
         self.spec = spec
         self.is_recovered = False
+        self.may_have_run = False
+        self.hold_until_s = 0.0
         self.closed_service = ""
         self.timeline = Timeline(start_s=submitted_at_s)
         self._status = JobStatus.CLAIMING
@@ -151,8 +153,8 @@
 
     @property
     def never_dispatched(self) -> bool:
-        """Whether no task message has ever left this entry for the job."""
-        return self._dispatched == 0
+        """Whether no task message for the job has ever left any entry."""
+        return self._dispatched == 0 and not self.may_have_run
 
     def begin(self) -> None:
         """Lets all tasks that are neither placed nor finished wait for slots."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
@@ -475,12 +475,14 @@
             return
         if is_due and 0 < progress.match < progress.next - 1:
             progress.next = progress.match + 1
-        progress.sent_at_s = now_s
-        if progress.next <= self._log.base_index:
-            if is_due:
-                self._send_snapshot(name, progress)
+        needs_snapshot = progress.next <= self._log.base_index
+        if needs_snapshot and not is_due:
             return
-        self._send_entries(name, progress)
+        progress.sent_at_s = now_s
+        if needs_snapshot:
+            self._send_snapshot(name, progress)
+        else:
+            self._send_entries(name, progress)
 
     def _send_entries(self, name: str, progress: Progress) -> None:
         previous = progress.next - 1
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/_cluster.py
@@ -0,0 +1,241 @@
+"""A cluster of replicas over lossy memory: fakes of disk and network, and the oracle.
+
+The oracle is a dictionary from log index to the command that any replica ever
+applied there; a second command at the same index is a violation.
+"""
+
+import random
+
+from hawthornbarrow.ledger import (
+    HardState,
+    LedgerState,
+    LogEntry,
+    Members,
+    RaftReplica,
+    RaftSettings,
+    Ready,
+    Role,
+    Snapshot,
+    Storage,
+    StoredState,
+    decode_command,
+    encode_command,
+)
+
+
+class ViolationError(AssertionError):
+    """An invariant was broken."""
+
+
+class MemoryStorage(Storage):
+    """What a disk holds after its syncs; survives the replica that wrote it."""
+
+    def __init__(self, members: Members) -> None:
+        self.hard = HardState()
+        self.snapshot = Snapshot(index=0, term=0, members=members, data=b"")
+        self.entries: list[LogEntry] = []
+
+    def load(self) -> StoredState:
+        return StoredState(
+            hard=self.hard, snapshot=self.snapshot, entries=list(self.entries)
+        )
+
+    def save_hard_state(self, hard: HardState) -> None:
+        self.hard = hard
+
+    def append(self, truncate_from: int, entries: list[LogEntry]) -> None:
+        if truncate_from:
+            self.entries = [e for e in self.entries if e.index < truncate_from]
+        self.entries = [*self.entries, *entries]
+
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        last = self.entries[-1].index if self.entries else self.snapshot.index
+        covers_all = snapshot.index > last
+        self.entries = [
+            e for e in self.entries if e.index > snapshot.index and not covers_all
+        ]
+        self.snapshot = snapshot
+
+    def close(self) -> None:
+        pass
+
+
+class Node:
+    """One running replica."""
+
+    def __init__(self, name: str, storage: Storage, seed: int, now_s: float) -> None:
+        self.name = name
+        self.storage = storage
+        self.state = LedgerState()
+        stored = storage.load()
+        if stored.snapshot.data:
+            self.state.restore(stored.snapshot.data)
+        self.raft = RaftReplica(
+            replica=name,
+            stored=stored,
+            settings=RaftSettings(),
+            generator=random.Random(seed),
+            now_s=now_s,
+        )
+
+
+class Cluster:
+    """Replicas, their disks, the messages between them, and the oracle."""
+
+    def __init__(self, size: int, seed: int, skip_sync: bool = False) -> None:
+        self.names = [f"r{n}.1" for n in range(size)]
+        self.members = Members(voters=tuple(self.names))
+        self.disks = {name: MemoryStorage(self.members) for name in self.names}
+        self.now_s = 0.0
+        self.seed = seed
+        self.skip_sync = skip_sync
+        self.nodes: dict[str, Node] = {}
+        self.messages: list[tuple[str, str, object]] = []
+        self.cut: set[tuple[str, str]] = set()
+        self.applied: dict[int, bytes] = {}
+        self.leaders: dict[int, str] = {}
+        self.next_number = 1
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        self.seed += 1
+        self.nodes[name] = Node(name, self.disks[name], self.seed, self.now_s)
+
+    def crash(self, name: str, *, before_sync: bool = False) -> None:
+        """Stops a replica; before_sync loses what its last step had to store."""
+        node = self.nodes.pop(name)
+        if not before_sync:
+            self._persist(node, node.raft.take_ready())
+
+    def wipe(self, name: str) -> str:
+        """Loses a disk; returns the identity under which the machine comes back."""
+        self.nodes.pop(name, None)
+        del self.disks[name]
+        base, _, generation = name.partition(".")
+        fresh = f"{base}.{int(generation) + 1}"
+        self.disks[fresh] = MemoryStorage(Members(voters=()))
+        self.start(fresh)
+        return fresh
+
+    def tick(self, dt_s: float) -> None:
+        self.now_s += dt_s
+        for node in list(self.nodes.values()):
+            node.raft.tick(self.now_s)
+            self.settle(node)
+
+    def propose(self, name: str, command: object) -> bool:
+        node = self.nodes.get(name)
+        if node is None:
+            return False
+        accepted = node.raft.propose(
+            proposer=name, number=self.next_number, command=encode_command(command)
+        )
+        self.next_number += 1
+        node.raft.flush(self.now_s)
+        self.settle(node)
+        return accepted
+
+    def replace(self, old: str, new: str) -> str:
+        leader = self.leader()
+        if leader is None:
+            return "no leader"
+        reason = leader.raft.replace(old, new, self.now_s)
+        leader.raft.flush(self.now_s)
+        self.settle(leader)
+        return reason
+
+    def snapshot(self, name: str) -> None:
+        node = self.nodes.get(name)
+        if node is None or node.state.applied <= node.raft.log.base_index:
+            return
+        snapshot = node.raft.snapshot_at(node.state.encode())
+        node.storage.save_snapshot(snapshot)
+        node.raft.compact(snapshot)
+
+    def deliver(self, position: int, *, duplicate: bool = False) -> None:
+        if not self.messages:
+            return
+        position %= len(self.messages)
+        sender, receiver, message = self.messages[position]
+        if not duplicate:
+            del self.messages[position]
+        node = self.nodes.get(receiver)
+        if node is None or (sender, receiver) in self.cut:
+            return
+        node.raft.receive(sender, message, self.now_s)
+        node.raft.flush(self.now_s)
+        self.settle(node)
+
+    def run(self, duration_s: float, step_s: float = 0.05) -> None:
+        """Lets a cluster without faults run, delivering all messages in order."""
+        until_s = self.now_s + duration_s
+        while self.now_s < until_s:
+            self.tick(step_s)
+            for _ in range(2000):
+                if not self.messages:
+                    break
+                self.deliver(0)
+
+    def leader(self) -> Node | None:
+        leaders = [n for n in self.nodes.values() if n.raft.role is Role.LEADER]
+        return max(leaders, key=lambda n: n.raft.term, default=None)
+
+    def settle(self, node: Node) -> None:
+        """Does what a replica asks for, as its driver would."""
+        for _ in range(100):
+            ready = node.raft.take_ready()
+            self._send(node, ready.immediate)
+            self._persist(node, ready)
+            node.raft.persisted()
+            self._send(node, ready.after_sync)
+            if ready.installed is not None:
+                node.state.restore(ready.installed.data)
+            for entry in ready.committed:
+                self._apply(node, entry)
+            self._check_leader(node)
+            if not ready.must_sync and not ready.committed:
+                return
+        raise ViolationError(f"{node.name} never settles")
+
+    def _persist(self, node: Node, ready: Ready) -> None:
+        if ready.hard_state is not None:
+            node.storage.save_hard_state(ready.hard_state)
+        if ready.snapshot is not None:
+            node.storage.save_snapshot(ready.snapshot)
+        if (ready.truncate_from or ready.entries) and not self.skip_sync:
+            node.storage.append(ready.truncate_from, ready.entries)
+
+    def _send(self, node: Node, messages: list[tuple[str, object]]) -> None:
+        for receiver, message in messages:
+            if (node.name, receiver) not in self.cut:
+                self.messages.append((node.name, receiver, message))
+
+    def _apply(self, node: Node, entry: LogEntry) -> None:
+        known = self.applied.setdefault(entry.index, entry.command)
+        if known != entry.command:
+            raise ViolationError(f"two commands were applied at index {entry.index}")
+        if entry.command:
+            node.state.apply(entry.index, decode_command(entry.command))
+
+    def _check_leader(self, node: Node) -> None:
+        if node.raft.role is not Role.LEADER:
+            return
+        known = self.leaders.setdefault(node.raft.term, node.name)
+        if known != node.name:
+            raise ViolationError(f"{known} and {node.name} lead term {node.raft.term}")
+
+    def check_nothing_lost(self) -> None:
+        """After faults have ended: every applied command is on every replica."""
+        last = max(self.applied, default=0)
+        images = set()
+        voters = self.leader().raft.log.members.voters
+        for name in voters:
+            node = self.nodes[name]
+            if node.raft.commit < last:
+                raise ViolationError(
+                    f"{name} has {node.raft.commit}, applied was {last}"
+                )
+            images.add(node.state.encode())
+        if len(images) != 1:
+            raise ViolationError("replicas differ in their states")
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_raft.py
@@ -0,0 +1,170 @@
+import unittest
+
+from hawthornbarrow.ledger import ApplyConfiguration, Claim, RegisterEntry, Role
+from hawthornbarrow.ledger.tests._cluster import Cluster
+
+
+def claim(key: str) -> Claim:
+    return Claim(
+        member="m",
+        key=key,
+        digest=b"d",
+        owner="e",
+        incarnation=1,
+        repeatable=False,
+        task_count=1,
+        body=b"",
+        time_s=1.0,
+    )
+
+
+def configuration(request: str, expect: int, operator: str) -> ApplyConfiguration:
+    return ApplyConfiguration(
+        request=request,
+        expect_version=expect,
+        document=b"{}",
+        operator=operator,
+        time_s=1.0,
+    )
+
+
+def started(size: int = 3, seed: int = 7) -> Cluster:
+    cluster = Cluster(size, seed)
+    cluster.run(2.0)
+    entry = RegisterEntry(name="e", incarnation=1, address="")
+    cluster.propose(cluster.leader().name, entry)
+    cluster.run(0.5)
+    return cluster
+
+
+class ElectionTest(unittest.TestCase):
+    def test_one_leader_is_elected(self):
+        for size in (1, 3, 5):
+            cluster = started(size)
+            roles = [node.raft.role for node in cluster.nodes.values()]
+            self.assertEqual(roles.count(Role.LEADER), 1)
+
+    def test_isolated_leader_steps_down_and_the_rest_goes_on(self):
+        cluster = started()
+        old = cluster.leader()
+        for other in cluster.names:
+            cluster.cut |= {(old.name, other), (other, old.name)}
+        cluster.run(2.0)
+        self.assertIsNot(old.raft.role, Role.LEADER)
+        self.assertFalse(old.raft.is_in_touch(cluster.now_s, 1.0))
+        self.assertTrue(cluster.propose(cluster.leader().name, claim("k")))
+        cluster.cut.clear()
+        term = cluster.leader().raft.term
+        cluster.run(2.0)
+        self.assertEqual(cluster.leader().raft.term, term, "return disturbs nobody")
+        cluster.check_nothing_lost()
+
+
+class ReplicationTest(unittest.TestCase):
+    def test_restart_after_hundreds_of_changes_catches_up_by_snapshot(self):
+        cluster = started()
+        leader = cluster.leader()
+        late = next(name for name in cluster.names if name != leader.name)
+        cluster.crash(late)
+        for number in range(400):
+            cluster.propose(leader.name, configuration(f"q{number}", number, "op"))
+            cluster.run(0.05)
+        cluster.snapshot(leader.name)
+        self.assertGreater(leader.raft.log.base_index, 400)
+        cluster.start(late)
+        cluster.run(3.0)
+        self.assertEqual(cluster.nodes[late].state.configuration.version, 400)
+        cluster.check_nothing_lost()
+
+    def test_restart_of_all_keeps_what_was_applied(self):
+        cluster = started()
+        for number in range(20):
+            cluster.propose(cluster.leader().name, claim(f"k{number}"))
+            cluster.run(0.1)
+        for name in cluster.names:
+            cluster.crash(name, before_sync=True)
+        for name in cluster.names:
+            cluster.start(name)
+        cluster.run(3.0)
+        cluster.check_nothing_lost()
+        self.assertEqual(cluster.leader().state.claim_count, 20)
+
+
+class ReplacementTest(unittest.TestCase):
+    def lost_and_replaced(self):
+        cluster = started()
+        lost = next(n for n in cluster.names if n != cluster.leader().name)
+        cluster.propose(cluster.leader().name, claim("before"))
+        cluster.run(0.5)
+        fresh = cluster.wipe(lost)
+        cluster.run(2.0)
+        return cluster, lost, fresh
+
+    def test_second_loss_right_after_the_repair_loses_nothing(self):
+        cluster, lost, fresh = self.lost_and_replaced()
+        self.assertEqual(cluster.replace(lost, fresh), "")
+        cluster.run(2.0)
+        members = cluster.leader().raft.log.members
+        self.assertIn(fresh, members.voters)
+        self.assertNotIn(lost, members.voters)
+        second = next(n for n in members.voters if n != fresh)
+        cluster.wipe(second)
+        cluster.run(3.0)
+        self.assertEqual(cluster.leader().state.claim_count, 1)
+        self.assertTrue(cluster.propose(cluster.leader().name, claim("after")))
+
+    def test_a_wiped_disk_neither_votes_nor_counts(self):
+        cluster, lost, fresh = self.lost_and_replaced()
+        leader = cluster.leader().name
+        other = next(n for n in cluster.names if n not in (leader, lost))
+        cluster.crash(other)
+        cluster.run(3.0)
+        self.assertIsNone(cluster.leader(), "one of three is no quorum")
+        self.assertIs(cluster.nodes[fresh].raft.role, Role.FOLLOWER)
+
+    def test_a_learner_that_lags_is_not_counted(self):
+        cluster, lost, fresh = self.lost_and_replaced()
+        leader = cluster.leader().name
+        cluster.cut |= {(leader, fresh), (fresh, leader)}
+        self.assertEqual(cluster.replace(lost, fresh), "")
+        cluster.run(2.0)
+        self.assertNotIn(fresh, cluster.leader().raft.log.members.voters)
+
+    def test_a_new_replica_catches_up_by_snapshot_at_short_ticks(self):
+        cluster, lost, fresh = self.lost_and_replaced()
+        cluster.snapshot(cluster.leader().name)
+        self.assertEqual(cluster.replace(lost, fresh), "")
+        cluster.run(2.0, step_s=0.02)
+        self.assertIn(fresh, cluster.leader().raft.log.members.voters)
+
+    def test_unsafe_requests_are_refused_with_the_reason(self):
+        cluster = started()
+        leader = cluster.leader().name
+        other = next(n for n in cluster.names if n != leader)
+        self.assertIn("alive", cluster.replace(other, "x.1"))
+        self.assertIn("not a voter", cluster.replace("y.1", "x.1"))
+        self.assertIn("voter already", cluster.replace(other, leader))
+
+
+class OperatorsTest(unittest.TestCase):
+    def test_racing_operators_have_one_winner_and_resends_get_the_first_outcome(self):
+        cluster = started()
+        for round_number in range(5):
+            version = round_number
+            leader = cluster.leader()
+            for operator in range(50):
+                request = f"{round_number}-{operator}"
+                command = configuration(request, version, f"op{operator}")
+                cluster.propose(leader.name, command)
+                cluster.propose(leader.name, command)
+            cluster.run(0.5)
+            self.assertEqual(leader.state.configuration.version, version + 1)
+        histories = {
+            tuple((v.version, v.operator) for v in node.state.versions)
+            for node in cluster.nodes.values()
+        }
+        self.assertEqual(len(histories), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
