--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
@@ -161,6 +161,7 @@
         self._closing: dict[str, list[str]] = {}
         self._in_touch = False
         self._held: list[Job] = []
+        self._cancels: dict[str, list[ReplyTarget]] = {}
         self.closed_jobs: list[Job] = []
 
     @property
@@ -295,7 +296,11 @@
         job_id = job_id_of(member, key)
         job = self._desk.jobs.get(job_id)
         claim = self._state.claim(job_id)
-        if job is not None:
+        if job is not None and job.status is JobStatus.CLAIMING:
+            # Another entry may win the claim and start the job, so the end of the
+            # claim decides whom to ask.
+            self._cancels.setdefault(job_id, []).append(target)
+        elif job is not None:
             self._close(job, JobStatus.CANCELLED, "cancelled by the caller", now_s)
             self._answer(target, self._state_of(job))
         elif claim is None:
@@ -552,6 +557,7 @@
         assert applied.outcome is not None
         if isinstance(command, Claim):
             self._on_claim(command, applied, now_s)
+            self._resume_cancels(command.member, command.key, now_s)
         elif isinstance(command, RegisterAgent):
             self._on_agent_registered()
         elif isinstance(command, Complete):
@@ -584,6 +590,11 @@
         elif claim is not None:
             self._hand_over(job, claim, now_s)
 
+    def _resume_cancels(self, member: str, key: str, now_s: float) -> None:
+        """Carries out cancellations that waited for the end of a claim."""
+        for target in self._cancels.pop(job_id_of(member, key), ()):
+            self.cancel(target, member=member, key=key, now_s=now_s)
+
     def _on_complete(self, command: Complete, *, accepted: bool) -> None:
         job = self._desk.jobs.get(command.job)
         if job is None or command.epoch != job.epoch or not job.status.is_final:
@@ -603,8 +614,10 @@
             if job.status is JobStatus.CLAIMING and self._owns(claim):
                 job.epoch = claim.epoch
                 self._begin(job, now_s)
+                self._resume_cancels(job.member, job.key, now_s)
             elif not self._owns(claim) or claim.epoch != job.epoch:
                 self._hand_over(job, claim, now_s)
+                self._resume_cancels(job.member, job.key, now_s)
         held = self._state.open_claims_of(self.name, self._incarnation)
         moved = tuple(claim.job for claim in held if claim.epoch > 1)
         self._inherit(moved, [], now_s)
@@ -1061,7 +1074,8 @@
     def _drop(self, job: Job, answer: Answer) -> None:
         """Refuses a job of which no task was ever sent; nothing is recorded."""
         self._uncount(job)
-        for target in self._desk.remove(job.job_id):
+        waiters = self._desk.remove(job.job_id) + self._cancels.pop(job.job_id, [])
+        for target in waiters:
             self._answer(target, answer)
 
     def _uncount(self, job: Job) -> None:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_deployment.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_deployment.py
@@ -165,6 +165,13 @@
         finally:
             await client.close()
 
+    async def agent_status(self, agent):
+        client = PooledClient(host=HOST, port=self.agent_ports[agent], connections=1)
+        try:
+            return (await client.request("GET", "/v1/status", {}, b"")).body
+        finally:
+            await client.close()
+
     def call(self, entry, method, path, body=b"", token=OPERATOR):
         return curio.run(self.request, entry, method, path, body, None, token)
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_ownership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_ownership.py
@@ -150,6 +150,16 @@
 
 
 class CancellationTest(unittest.TestCase):
+    def test_a_cancel_waits_for_the_claim_that_another_entry_may_win(self):
+        fleet = Fleet()
+        fleet.submit("e0", "k")
+        fleet.submit("e1", "k")
+        number = fleet.cancel("e1", "k")
+        self.assertIsNone(fleet.requests[number].answer)
+        fleet.quiesce(1.0)
+        fleet.check_not_run()
+        self.assertIsNotNone(fleet.requests[number].answer)
+
     def test_cancelled_work_that_has_not_started_never_starts(self):
         fleet = Fleet()
         fleet.submit("e0", "k", tasks=50, repeatable=True)
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/tests/_machine.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/tests/_machine.py
@@ -103,11 +103,13 @@
     def teardown(self):
         if not hasattr(self, "sessions"):
             return
+        steps = self.steps
         self.reconnect()
         for _ in range(200):
             for side in "ab":
                 self.flush(side, 10)
                 self.deliver(side, 5)
+        type(self).steps = steps
         for side in "ab":
             sent = self.sent[self.other(side)]
             received = self.received[side]
