--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_core.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_core.py
@@ -399,7 +399,8 @@
         self._closed[job] = (epoch, now_s)
 
     def _forget_closed(self, now_s: float) -> None:
-        for job, (_, closed_at_s) in list(self._closed.items()):
+        while self._closed:
+            job, (_, closed_at_s) = next(iter(self._closed.items()))
             if now_s - closed_at_s < _CLOSED_MEMORY_S:
                 return
             del self._closed[job]
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
@@ -753,7 +753,10 @@
                 job.adopt(index, placement)
             for result in holding.finished:
                 self._outcomes.take_recovered(job, agent, result)
-        if record is None:
+        view = self._fleet.agents.get(agent)
+        if record is None or view is None or view.incarnation != record.incarnation:
+            # The answer comes from an incarnation that joined after the claim but
+            # is not in the ledger yet; it can not speak for the one before.
             recovery.lost.add(agent)
         self._finish_recoveries(now_s)
 
@@ -835,10 +838,6 @@
         self._fleet.agents[event.peer] = AgentView(
             name=event.peer, incarnation=event.incarnation
         )
-        record = self._state.agents.get(event.peer)
-        if record is None or record.incarnation != event.incarnation:
-            command = RegisterAgent(name=event.peer, incarnation=event.incarnation)
-            self._effects.append(Propose(command=command))
 
     def _on_agent_registered(self) -> None:
         for view in self._fleet.agents.values():
@@ -963,6 +962,7 @@
         self._time_s = time_s
         self._in_touch = in_touch
         self._register_if_needed(now_s)
+        self._register_agents(now_s)
         self._expire_jobs(now_s)
         self._expire_agents(now_s)
         self._finish_recoveries(now_s)
@@ -1016,6 +1016,19 @@
             elif now_s >= job.deadline_at_s:
                 self._close(job, JobStatus.FAILED, "deadline", now_s)
 
+    def _register_agents(self, now_s: float) -> None:
+        """Proposes the linked agents' incarnations until the ledger has them.
+
+        A late proposal of an isolated entry can put an old incarnation back, so one
+        proposal when the link comes up is not enough.
+        """
+        for view in self._fleet.agents.values():
+            is_due = now_s - view.proposed_at_s >= REGISTER_RETRY_S
+            if view.is_up and not view.is_registered and is_due:
+                view.proposed_at_s = now_s
+                command = RegisterAgent(name=view.name, incarnation=view.incarnation)
+                self._effects.append(Propose(command=command))
+
     def _expire_agents(self, now_s: float) -> None:
         for view in self._fleet.agents.values():
             if view.is_up or view.is_lost:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_desk.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_desk.py
@@ -1,5 +1,6 @@
 """JobDesk: the job records of one entry and who waits for them."""
 
+import collections
 import collections.abc
 import hashlib
 
@@ -21,17 +22,19 @@
         self._bodies: dict[str, bytes] = {}
         self._waiters: dict[str, list[ReplyTarget]] = {}
         self._answers: dict[str, Answer] = {}
-        self._open_tasks = 0
+        self._open: dict[str, Job] = {}
+        self._closed: collections.deque[Job] = collections.deque()
         self._answer_bytes = 0
 
     @property
     def open_jobs(self) -> list[Job]:
         """Jobs that are not final."""
-        return [job for job in self.jobs.values() if not job.status.is_final]
+        return list(self._open.values())
 
     def add(self, job: Job, digest: bytes, body: bytes) -> None:
         """Adds a record."""
         self.jobs[job.job_id] = job
+        self._open[job.job_id] = job
         self._digests[job.job_id] = digest
         if body:
             self._bodies[job.job_id] = body
@@ -39,6 +42,7 @@
     def remove(self, job_id: str) -> list[ReplyTarget]:
         """Forgets a record; returns who still waited for it."""
         self.jobs.pop(job_id, None)
+        self._open.pop(job_id, None)
         self._digests.pop(job_id, None)
         self._bodies.pop(job_id, None)
         answer = self._answers.pop(job_id, None)
@@ -74,6 +78,8 @@
 
     def close(self, job: Job, answer: Answer) -> None:
         """Keeps the answer of a job that has become final."""
+        self._open.pop(job.job_id, None)
+        self._closed.append(job)
         self._answers[job.job_id] = answer
         self._answer_bytes += len(answer.body)
         self._bodies.pop(job.job_id, None)
@@ -92,13 +98,16 @@
             pinned: Jobs whose end the ledger does not know yet; forgetting one
                 would let a resubmission run it again.
         """
-        for job_id, job in list(self.jobs.items()):
-            if not job.status.is_final or job_id in pinned:
-                continue
+        while self._closed:
+            job = self._closed[0]
             is_old = now_s - job.closed_at_s > ANSWER_KEPT_S
             if not is_old and self._answer_bytes <= MAX_CLOSED_BYTES:
-                continue
-            self.remove(job_id)
+                return
+            if job.job_id in pinned:
+                return
+            self._closed.popleft()
+            if self.jobs.get(job.job_id) is job:
+                self.remove(job.job_id)
 
 
 def digest_of(body: bytes) -> bytes:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_dispatcher.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_dispatcher.py
@@ -53,6 +53,7 @@
         self._delayed: list[tuple[float, int, Job, int]] = []
         self._serial = itertools.count()
         self._waiting: collections.Counter[str] = collections.Counter()
+        self._is_demand_changed = False
         self._told: dict[str, dict[str, int]] = {}
         self._told_at_s: dict[str, float] = {}
         self._configuration = Configuration()
@@ -77,12 +78,12 @@
 
     def enqueue(self, job: Job) -> None:
         """Lets all waiting tasks of a job wait for slots."""
-        self._waiting[job.service] += job.waiting_count
+        self._count_waiting(job, job.waiting_count)
         self._queue.push(job)
 
     def dequeue(self, job: Job) -> None:
         """Uncounts the waiting tasks of a job that is about to close."""
-        self._waiting[job.service] -= job.waiting_count
+        self._count_waiting(job, -job.waiting_count)
 
     def put_back(self, job: Job, index: int, at_s: float, now_s: float) -> None:
         """Lets one task wait again, from a later time on."""
@@ -92,7 +93,7 @@
             return
         if job.status is JobStatus.RUNNING:
             job.put_back(index)
-            self._waiting[job.service] += 1
+            self._count_waiting(job, 1)
             self._queue.push(job)
 
     def release(self, job: Job, placement: Placement, measured_s: float) -> None:
@@ -149,19 +150,23 @@
 
     def demands(self, now_s: float) -> list[tuple[str, SlotDemand]]:
         """Returns the demand messages that agents need beside the batches."""
-        demands = []
+        demands: list[tuple[str, SlotDemand]] = []
+        if not self._is_demand_changed:
+            return demands
+        self._is_demand_changed = False
         for agent in self._fleet.agents.values():
             if not agent.is_up or not agent.is_registered:
                 continue
             if now_s - self._told_at_s.get(agent.name, -1.0) < _DEMAND_INTERVAL_S:
-                continue
-            if self._is_changed(agent.name):
+                self._is_demand_changed = True
+            elif self._is_changed(agent.name):
                 backlog = self._tell(agent.name, now_s)
                 demands.append((agent.name, SlotDemand(backlog=backlog)))
         return demands
 
     def forget_agent(self, agent: str) -> None:
         """Drops what an agent was told, as its link is new."""
+        self._is_demand_changed = True
         self._told.pop(agent, None)
 
     def _choose(self, job: Job, now_s: float) -> UpstreamView | None:
@@ -183,7 +188,7 @@
         assert job.spec is not None
         cost_s = self._mean_s(job)
         index = job.take()
-        self._waiting[job.service] -= 1
+        self._count_waiting(job, -1)
         placement = Placement(
             agent=view.agent,
             upstream=view.name,
@@ -231,6 +236,10 @@
             _, _, job, index = heapq.heappop(self._delayed)
             self.put_back(job, index, now_s, now_s)
 
+    def _count_waiting(self, job: Job, count: int) -> None:
+        self._waiting[job.service] += count
+        self._is_demand_changed = True
+
     def _backlog(self, agent: str) -> dict[str, int]:
         return {
             view.name: sum(self._waiting[name] for name in view.announcement.services)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_fleet.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_fleet.py
@@ -1,6 +1,7 @@
 """FleetView: what an entry knows of agents and their upstreams."""
 
 import dataclasses
+import math
 
 from hawthornbarrow.dispatch import UpstreamHealth, UpstreamView
 from hawthornbarrow.links import SlotGrant
@@ -16,6 +17,7 @@
         incarnation: Incarnation of its process.
         is_up: Whether its link is up.
         is_registered: Whether the ledger knows this incarnation.
+        proposed_at_s: When its incarnation was last proposed.
         down_since_s: When its link went down.
         is_lost: Whether its tasks have been given up.
     """
@@ -24,6 +26,7 @@
     incarnation: int
     is_up: bool = True
     is_registered: bool = False
+    proposed_at_s: float = -math.inf
     down_since_s: float = 0.0
     is_lost: bool = False
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_ownership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_ownership.py
@@ -101,6 +101,22 @@
             fleet.quiesce(9.0)
         self.assertEqual(status(fleet, number), "unknown")
 
+    def test_a_restarted_agent_that_is_not_registered_does_not_count_as_asked(self):
+        fleet = self.running_job(repeatable=False)
+        fleet.crash_agent("a0")
+        fleet.crash_entry("e0")
+        fleet.isolate("e2")
+        fleet.start_agent("a0")
+        fleet.tick(0.05)
+        for _ in range(200):
+            fleet.deliver(0)
+        number = fleet.submit("e1", "k", tasks=8)
+        fleet.recover()
+        if fleet.requests[number].answer.status == 503:
+            number = fleet.submit("e1", "k", tasks=8)
+            fleet.quiesce(9.0)
+        self.assertEqual(status(fleet, number), "unknown")
+
     def test_a_returned_owner_is_fenced(self):
         fleet = self.running_job(repeatable=True)
         fleet.isolate("e0")
