--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_core.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_core.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from hawthornbarrow.dispatch import EntryDemand, SlotSplitter, SplitShare
+from hawthornbarrow.dispatch import SlotSplitter
 from hawthornbarrow.links import (
     CancelJobs,
     ConfigurationUpdate,
@@ -60,7 +60,7 @@
 
     result_hold_s: float = 0.025
     ahead_s: float = 0.04
-    split_interval_s: float = 0.002
+    split_interval_s: float = 0.02
     fence_s: float = FENCE_S
 
 
@@ -68,7 +68,7 @@
 class _EntryLink:
     is_up: bool = True
     silent_since_s: float = 0.0
-    backlog: dict[str, tuple[int, ...]] = dataclasses.field(default_factory=dict)
+    backlog: dict[str, int] = dataclasses.field(default_factory=dict)
     results: list[TaskResult] = dataclasses.field(default_factory=list)
     due_at_s: float = 0.0
 
@@ -220,8 +220,6 @@
             outcome = TaskOutcome.UNKNOWN
         self._start_waiting(slots, now_s)
         self._end(task, upstream, outcome, run_s, body, reason, now_s)
-        if len(slots.running) < slots.announcement.slots:
-            self._split_soon(slots, now_s)
         self._flush_due(now_s)
 
     def tick(self, now_s: float) -> None:
@@ -287,18 +285,20 @@
             case _:
                 self._count_wasted("unexpected")
 
-    def _on_demand(
-        self, peer: str, backlog: dict[str, tuple[int, ...]], now_s: float
-    ) -> None:
+    def _on_demand(self, peer: str, backlog: dict[str, int], now_s: float) -> None:
         entry = self._entries.get(peer)
         if entry is None:
             return
         for upstream, waiting in backlog.items():
-            before = entry.backlog.get(upstream, ())
+            before = entry.backlog.get(upstream, 0)
             entry.backlog[upstream] = waiting
             slots = self._upstreams.get(upstream)
-            if slots is not None and before != waiting:
-                self._split_soon(slots, now_s)
+            if slots is None or before == waiting:
+                continue
+            if not before:
+                self._split(slots, now_s)
+            else:
+                self._dirty.add(upstream)
 
     def _on_dispatch(self, peer: str, batch: DispatchBatch, now_s: float) -> None:
         is_fenced = (peer, batch.incarnation) in self._fenced
@@ -509,17 +509,17 @@
         slots.split_at_s = now_s
         slots.split_mean_s = slots.mean_run_s
         demand = {
-            peer: EntryDemand(
-                held=slots.held_for(peer), waiting=entry.backlog.get(name, ())
-            )
+            peer: entry.backlog.get(name, 0) + slots.held_for(peer)
             for peer, entry in self._entries.items()
             if entry.is_up
         }
         shares = slots.splitter.split(demand, slots.mean_run_s)
         for peer, share in shares.items():
             before = slots.shares.get(peer)
-            if before is not None and not self._is_worth_telling(peer, before, share):
-                continue
+            if before is not None and before.slots == share.slots:
+                change = abs(share.limit - before.limit)
+                if change <= _LIMIT_CHANGE * before.limit:
+                    continue
             slots.generation += 1
             slots.shares[peer] = share
             grant = SlotGrant(
@@ -530,28 +530,6 @@
             )
             self._send(peer, grant)
 
-    def _is_worth_telling(
-        self, peer: str, before: SplitShare, share: SplitShare
-    ) -> bool:
-        """Tells whether a grant changes what its entry can or must do.
-
-        An entry without waiting tasks can make no use of a larger share at once,
-        and a smaller one only matters while others wait.
-        """
-        if share.limit == before.limit:
-            return False
-        waits = any(any(waiting) for waiting in self._entries[peer].backlog.values())
-        if share.limit > before.limit and waits:
-            return True
-        return abs(share.limit - before.limit) > _LIMIT_CHANGE * before.limit
-
-    def _split_soon(self, slots: UpstreamSlots, now_s: float) -> None:
-        """Splits at once, or after the interval when a split was just made."""
-        if now_s - slots.split_at_s >= self._timing.split_interval_s:
-            self._split(slots, now_s)
-        else:
-            self._dirty.add(slots.announcement.name)
-
     def _learn(self, slots: UpstreamSlots, run_s: float) -> None:
         """Updates the mean run time; a clear change resizes the queues ahead."""
         slots.completed += 1
@@ -604,7 +582,7 @@
         entry = self._entries.get(owner)
         if entry is None or self._upstreams[upstream].queue:
             return False
-        return any(entry.backlog.get(upstream, ()))
+        return entry.backlog.get(upstream, 0) > 0
 
     def _report(
         self, peer: str, result: TaskResult, now_s: float, *, is_urgent: bool
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_dispatcher.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_dispatcher.py
@@ -18,10 +18,10 @@
 from hawthornbarrow.jobs import Job, JobStatus, Placement
 from hawthornbarrow.links import DispatchBatch, DispatchItem, SlotDemand, TaskStart
 
-from hawthornbarrow_entry._backlog import BacklogBook, is_clear_change
 from hawthornbarrow_entry._fleet import FleetView
 
-_DEMAND_INTERVAL_S = 0.005
+_DEMAND_CHANGE = 2.0
+_DEMAND_INTERVAL_S = 0.02
 
 
 class Dispatcher:
@@ -52,9 +52,9 @@
         self._placement = placement
         self._delayed: list[tuple[float, int, Job, int]] = []
         self._serial = itertools.count()
-        self._backlog_book = BacklogBook(estimator=estimator)
+        self._waiting: collections.Counter[str] = collections.Counter()
         self._is_demand_changed = False
-        self._told: dict[str, dict[str, tuple[int, ...]]] = {}
+        self._told: dict[str, dict[str, int]] = {}
         self._told_at_s: dict[str, float] = {}
         self._configuration = Configuration()
         self._usage: collections.Counter[str] = collections.Counter()
@@ -78,13 +78,12 @@
 
     def enqueue(self, job: Job) -> None:
         """Lets all waiting tasks of a job wait for slots."""
-        self._note_waiting(job)
+        self._count_waiting(job, job.waiting_count)
         self._queue.push(job)
 
     def dequeue(self, job: Job) -> None:
         """Uncounts the waiting tasks of a job that is about to close."""
-        self._backlog_book.remove(job)
-        self._is_demand_changed = True
+        self._count_waiting(job, -job.waiting_count)
 
     def put_back(self, job: Job, index: int, at_s: float, now_s: float) -> None:
         """Lets one task wait again, from a later time on."""
@@ -94,7 +93,7 @@
             return
         if job.status is JobStatus.RUNNING:
             job.put_back(index)
-            self._note_waiting(job)
+            self._count_waiting(job, 1)
             self._queue.push(job)
 
     def release(self, job: Job, placement: Placement, measured_s: float) -> None:
@@ -189,7 +188,7 @@
         assert job.spec is not None
         cost_s = self._mean_s(job)
         index = job.take()
-        self._note_waiting(job)
+        self._count_waiting(job, -1)
         placement = Placement(
             agent=view.agent,
             upstream=view.name,
@@ -237,13 +236,13 @@
             _, _, job, index = heapq.heappop(self._delayed)
             self.put_back(job, index, now_s, now_s)
 
-    def _note_waiting(self, job: Job) -> None:
-        self._backlog_book.note(job)
+    def _count_waiting(self, job: Job, count: int) -> None:
+        self._waiting[job.service] += count
         self._is_demand_changed = True
 
-    def _backlog(self, agent: str) -> dict[str, tuple[int, ...]]:
+    def _backlog(self, agent: str) -> dict[str, int]:
         return {
-            view.name: self._backlog_book.waiting(view.announcement.services)
+            view.name: sum(self._waiting[name] for name in view.announcement.services)
             for view in self._fleet.upstreams.values()
             if view.agent == agent and view.is_open
         }
@@ -251,11 +250,14 @@
     def _is_changed(self, agent: str) -> bool:
         told = self._told.get(agent, {})
         for upstream, waiting in self._backlog(agent).items():
-            if is_clear_change(told.get(upstream, ()), waiting):
+            before = told.get(upstream, 0)
+            if bool(before) != bool(waiting):
+                return True
+            if waiting > before * _DEMAND_CHANGE or before > waiting * _DEMAND_CHANGE:
                 return True
         return False
 
-    def _tell(self, agent: str, now_s: float) -> dict[str, tuple[int, ...]]:
+    def _tell(self, agent: str, now_s: float) -> dict[str, int]:
         backlog = self._backlog(agent)
         self._told[agent] = backlog
         self._told_at_s[agent] = now_s
--- a/packages/hawthornbarrow/src/hawthornbarrow/dispatch/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/dispatch/__init__.py
@@ -22,19 +22,9 @@
     RandomTwoChoices,
 )
 from hawthornbarrow.dispatch._retry import RetryBudget
-from hawthornbarrow.dispatch._slots import (
-    WORK_CLASSES,
-    EntryDemand,
-    SlotSplitter,
-    SplitShare,
-    UpstreamView,
-    work_class,
-)
+from hawthornbarrow.dispatch._slots import SlotSplitter, SplitShare, UpstreamView
 
 __all__ = [
-    "WORK_CLASSES",
-    "EntryDemand",
-    "work_class",
     "DEFAULT_RUN_S",
     "Admission",
     "AdmissionLimits",
--- a/packages/hawthornbarrow/src/hawthornbarrow/dispatch/_slots.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/dispatch/_slots.py
@@ -5,33 +5,6 @@
 
 from hawthornbarrow.upstreams import Announcement
 
-WORK_CLASSES = 8
-_SMALLEST_CLASS_S = 0.5
-
-
-def work_class(remaining_s: float) -> int:
-    """Returns the class of a job's remaining work, from zero for the least.
-
-    Classes double in width: up to 0.5 s, 1 s, 2 s and so on; the last is open.
-    """
-    if remaining_s <= _SMALLEST_CLASS_S:
-        return 0
-    exponent = math.ceil(math.log2(remaining_s / _SMALLEST_CLASS_S))
-    return min(exponent, WORK_CLASSES - 1)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class EntryDemand:
-    """What an entry holds of an upstream and wants of it.
-
-    Attributes:
-        held: Tasks of the entry that the agent has, running or in line.
-        waiting: Tasks that wait at the entry, by class of remaining work.
-    """
-
-    held: int
-    waiting: tuple[int, ...] = ()
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SplitShare:
@@ -49,75 +22,59 @@
 class SlotSplitter:
     """Splits the slots of one upstream among entries by their demand.
 
-    An entry keeps the slots that it fills. Free slots go to the waiting tasks of
-    jobs with the least remaining work, whichever entry has them, so the order that
-    each entry keeps among its jobs holds across entries too. What nobody waits for
-    is split evenly, so a burst at an idle entry starts without asking first.
+    All slots go to the entries with work, by max-min fairness over what they hold
+    and what waits at them. An entry without work keeps the credit for one task, so
+    a burst there starts without asking first; the agent's line takes the overlap.
 
     Args:
         slots: Slots of the upstream.
         ahead_s: Work that an entry may queue ahead of its slots, in seconds.
+        ahead_min: Least number of tasks queued ahead of the slots.
     """
 
-    def __init__(self, *, slots: int, ahead_s: float) -> None:
+    def __init__(self, *, slots: int, ahead_s: float, ahead_min: int = 1) -> None:
         """Stores the parameters."""
         self._slots = slots
         self._ahead_s = ahead_s
+        self._ahead_min = ahead_min
 
-    def split(
-        self, demand: dict[str, EntryDemand], mean_run_s: float
-    ) -> dict[str, SplitShare]:
+    def split(self, demand: dict[str, int], mean_run_s: float) -> dict[str, SplitShare]:
         """Returns the share of each entry.
 
         Args:
-            demand: Demand of each entry, by its name.
+            demand: Tasks held for or waiting at each entry, by entry name.
             mean_run_s: Learned run time of the upstream's tasks.
         """
-        names = sorted(demand)
-        held = sum(entry.held for entry in demand.values())
-        free = max(0, self._slots - held)
-        granted = dict.fromkeys(names, 0)
-        for level in range(WORK_CLASSES):
-            free = _give(granted, names, demand, level, free)
-        for position, name in enumerate(names):
-            granted[name] += _even_part(free, len(names), position)
+        busy = {name: tasks for name, tasks in demand.items() if tasks > 0}
+        shares = _max_min(busy, self._slots) if busy else self._equal(sorted(demand))
         ahead = self._ahead_s / max(mean_run_s, 0.001)
-        return {name: self._share(demand[name], granted[name], ahead) for name in names}
-
-    def _share(self, demand: EntryDemand, granted: int, ahead: float) -> SplitShare:
-        slots = min(self._slots, demand.held + granted)
-        limit = max(demand.held + granted, slots + round(slots * ahead))
-        return SplitShare(slots=slots, limit=max(1, limit))
-
-
-def _give(
-    granted: dict[str, int],
-    names: list[str],
-    demand: dict[str, EntryDemand],
-    level: int,
-    free: int,
-) -> int:
-    """Gives free slots to one class, one each in turn; returns what is left."""
-    wanted = {
-        name: demand[name].waiting[level]
-        for name in names
-        if len(demand[name].waiting) > level and demand[name].waiting[level]
-    }
-    while free and wanted:
-        for name in list(wanted):
-            if not free:
-                break
-            granted[name] += 1
-            wanted[name] -= 1
-            free -= 1
-            if not wanted[name]:
-                del wanted[name]
-    return free
-
-
-def _even_part(total: int, parts: int, position: int) -> int:
-    base, extra = divmod(total, parts)
-    return base + (position < extra)
+        split = {}
+        for name in demand:
+            share = shares.get(name, 0)
+            split[name] = SplitShare(slots=share, limit=self._limit(share, ahead))
+        return split
+
+    def _equal(self, names: list[str]) -> dict[str, int]:
+        base, extra = divmod(self._slots, max(1, len(names)))
+        return {name: base + (index < extra) for index, name in enumerate(names)}
+
+    def _limit(self, share: int, ahead: float) -> int:
+        if not share:
+            return 1
+        return share + max(self._ahead_min, math.ceil(share * ahead))
+
+
+def _max_min(demand: dict[str, int], slots: int) -> dict[str, int]:
+    """Gives small demands whole and splits the rest evenly; no slot stays unused."""
+    shares = {}
+    left = slots
+    names = sorted(demand, key=lambda name: (demand[name], name))
+    for position, name in enumerate(names):
+        is_last = position == len(names) - 1
+        fair = -(-left // (len(names) - position))
+        shares[name] = left if is_last else min(demand[name], fair)
+        left -= shares[name]
+    return shares
 
 
 class UpstreamView:
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_messages.py
@@ -75,19 +75,18 @@
     Attributes:
         incarnation: Membership incarnation of the sending entry.
         items: The tasks, by job and upstream.
-        backlog: Tasks that still wait at the entry, by upstream and class of
-            their jobs' remaining work.
+        backlog: Tasks that still wait at the entry, by upstream.
     """
 
     incarnation: int
     items: list[DispatchItem]
-    backlog: dict[str, tuple[int, ...]]
+    backlog: dict[str, int]
 
 
 class SlotDemand(_Wire, kw_only=True):
-    """Tasks waiting at an entry, by upstream and class of remaining work."""
+    """Number of tasks waiting at an entry, by upstream name."""
 
-    backlog: dict[str, tuple[int, ...]]
+    backlog: dict[str, int]
 
 
 class SlotGrant(_Wire, kw_only=True):
