Dispatch new jobs at the ledger leader's entry

Cause: several entries that split the slots order only their own jobs. Change: an entry hands a new job to the entry whose replica leads the ledger, while it can be reached; any entry still serves alone. The fleet fuzz changes the home too.

--- a/benchmarks/virtual_fleet.py
+++ b/benchmarks/virtual_fleet.py
@@ -46,6 +46,7 @@
         ahead_s: Work queued ahead of slots.
         claim_s: Time from proposing a claim to its commit; zero for none.
         exchanges_usage: Whether entries tell each other what members used.
+        has_home: Whether one entry dispatches all jobs.
     """
 
     name: str
@@ -54,6 +55,7 @@
     ahead_s: float = 0.04
     claim_s: float = 0.008
     exchanges_usage: bool = True
+    has_home: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -108,6 +110,7 @@
         self._ended: dict[int, JobEnd] = {}
         self._running: dict[tuple[str, int, int], str] = {}
         self._wakes: dict[str, float] = {}
+        self._home = "e0" if policy.has_home else ""
         self._offset_s = 0.0
         self.messages: collections.Counter[str] = collections.Counter()
         self.starts: collections.Counter[str] = collections.Counter()
@@ -246,7 +249,9 @@
         return self._entries.get(name) or self._agents[name]
 
     def _tick_entry(self, name: str) -> None:
-        self._entries[name].tick(self._now_s, time_s=self._now_s, in_touch=True)
+        self._entries[name].tick(
+            self._now_s, time_s=self._now_s, in_touch=True, home=self._home
+        )
         self._settle(name, ticks=False)
         self._at(self._now_s + _TICK_S, lambda: self._tick_entry(name))
 
@@ -261,7 +266,9 @@
         core = self._core(name)
         if isinstance(core, EntryCore):
             if ticks:
-                core.tick(self._now_s, time_s=self._now_s, in_touch=True)
+                core.tick(
+                    self._now_s, time_s=self._now_s, in_touch=True, home=self._home
+                )
             self._settle_entry(name, core)
             return
         frames: dict[str, list] = {}
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
@@ -160,6 +160,7 @@
         self._peers: set[str] = set()
         self._closing: dict[str, list[str]] = {}
         self._in_touch = False
+        self._home = ""
         self._held: list[Job] = []
         self._cancels: dict[str, list[ReplyTarget]] = {}
         self.closed_jobs: list[Job] = []
@@ -257,6 +258,9 @@
                 target, claim, digest=digest, body=body, wait=wait, now_s=now_s
             )
             return
+        if self._has_other_home(target):
+            self._forward_home(target, member, key, body, wait=wait)
+            return
         refusal = self._refusal_of_new_work()
         if refusal is not None:
             self._answer(target, refusal)
@@ -337,6 +341,31 @@
             return _unavailable("shutting_down", "this entry is shutting down")
         return None
 
+    def _has_other_home(self, target: ReplyTarget) -> bool:
+        """Tells whether a new job should be dispatched by another entry.
+
+        One entry with all jobs before it orders them better and sends fewer
+        messages than several that split the slots; the ledger's leader commits
+        claims soonest. Any entry serves as well when that one can not be reached.
+        """
+        home = self._home
+        if not home or home == self.name or target.peer or not self._in_touch:
+            return False
+        record = self._state.entries.get(home)
+        if record is None or not record.is_alive:
+            return False
+        return self._forwarder.can_reach(home)
+
+    def _forward_home(
+        self, target: ReplyTarget, member: str, key: str, body: bytes, *, wait: bool
+    ) -> None:
+        request = self._forwarder.add(self._home, target)
+        kind = ForwardKind.NEW if wait else ForwardKind.NEW_ASYNC
+        message = ForwardRequest(
+            request=request, kind=kind, member=member, key=key, body=body
+        )
+        self._send(self._home, message)
+
     def _is_registered(self) -> bool:
         record = self._state.entries.get(self.name)
         if record is None or not record.is_alive:
@@ -907,6 +936,18 @@
     ) -> None:
         """Takes a submission that another entry believes is owned here."""
         claim = self._state.claim(job_id_of(message.member, message.key))
+        is_new = message.kind in (ForwardKind.NEW, ForwardKind.NEW_ASYNC)
+        if is_new and claim is None:
+            self.submit(
+                target,
+                member=message.member,
+                key=message.key,
+                body=message.body,
+                wait=message.kind == ForwardKind.NEW,
+                now_s=now_s,
+                time_s=self._time_s,
+            )
+            return
         if claim is None or (not claim.status and not self._owns(claim)):
             detail = "the job's owner is changing; resubmit"
             self._answer(target, _unavailable("owner_changing", detail, not_run=False))
@@ -916,7 +957,7 @@
             member=message.member,
             key=message.key,
             body=message.body,
-            wait=message.kind == ForwardKind.SUBMIT,
+            wait=message.kind in (ForwardKind.SUBMIT, ForwardKind.NEW),
             now_s=now_s,
             time_s=claim.claimed_at_s,
         )
@@ -951,14 +992,18 @@
 
     # --- time ----------------------------------------------------------------
 
-    def tick(self, now_s: float, *, time_s: float, in_touch: bool) -> None:
+    def tick(
+        self, now_s: float, *, time_s: float, in_touch: bool, home: str = ""
+    ) -> None:
         """Lets time pass, then dispatches what there is credit for.
 
         Args:
             now_s: Current time.
             time_s: Wall-clock time.
             in_touch: Whether a quorum of the ledger was heard within the lease.
+            home: Entry that dispatches new jobs; empty for whoever takes them.
         """
+        self._home = home
         self._time_s = time_s
         self._in_touch = in_touch
         self._register_if_needed(now_s)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_forwarding.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_forwarding.py
@@ -7,8 +7,14 @@
 
 
 class ForwardKind(enum.StrEnum):
-    """What a forwarded request asks for."""
+    """What a forwarded request asks for.
 
+    A new submission goes to the entry that dispatches; a plain one to the owner of
+    a claim that exists.
+    """
+
+    NEW = "new"
+    NEW_ASYNC = "new_async"
     SUBMIT = "submit"
     SUBMIT_ASYNC = "submit_async"
     FETCH = "fetch"
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
@@ -183,7 +183,12 @@
             for event in events:
                 await self._take(event, now_s)
             in_touch = self._ledger.is_in_touch(now_s)
-            self._core.tick(now_s, time_s=time.time(), in_touch=in_touch)
+            self._core.tick(
+                now_s,
+                time_s=time.time(),
+                in_touch=in_touch,
+                home=self._ledger.leader_name,
+            )
             await self._carry_out()
             self._account(now_s)
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_fleet.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_fleet.py
@@ -96,6 +96,7 @@
         self.random = random.Random(seed)
         self.log = []
         self.stops = stops
+        self.home = ""
         self.slots = slots
         self.numbers = itertools.count(1)
         self.entries = {}
@@ -256,7 +257,10 @@
                 self.log += entry.held
                 entry.held = []
             entry.core.tick(
-                self.now_s, time_s=self.now_s, in_touch=self._in_touch(entry)
+                self.now_s,
+                time_s=self.now_s,
+                in_touch=self._in_touch(entry),
+                home=self.home,
             )
             self._settle(name)
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_machine.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_machine.py
@@ -108,6 +108,11 @@
         self.count()
         self.fleet.isolate(self.entry(pick))
 
+    @rule(home=st.sampled_from(["", "e0", "e1", "e2"]))
+    def change_home(self, home):
+        self.count()
+        self.fleet.home = home
+
     @rule()
     def heal(self):
         self.count()
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_ownership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_ownership.py
@@ -77,6 +77,7 @@
         fleet.quiesce(0.3, finish=False)
         fleet.finish(0)
         fleet.finish(1)
+        fleet.quiesce(0.1, finish=False)
         self.assertGreater(len(fleet.runs), 4)
         return fleet
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/dispatch/_slots.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/dispatch/_slots.py
@@ -1,7 +1,6 @@
 """Slot leases: how an agent splits its slots, and what an entry knows of them."""
 
 import dataclasses
-import math
 
 from hawthornbarrow.upstreams import Announcement
 
@@ -29,14 +28,12 @@
     Args:
         slots: Slots of the upstream.
         ahead_s: Work that an entry may queue ahead of its slots, in seconds.
-        ahead_min: Least number of tasks queued ahead of the slots.
     """
 
-    def __init__(self, *, slots: int, ahead_s: float, ahead_min: int = 1) -> None:
+    def __init__(self, *, slots: int, ahead_s: float) -> None:
         """Stores the parameters."""
         self._slots = slots
         self._ahead_s = ahead_s
-        self._ahead_min = ahead_min
 
     def split(self, demand: dict[str, int], mean_run_s: float) -> dict[str, SplitShare]:
         """Returns the share of each entry.
@@ -61,7 +58,7 @@
     def _limit(self, share: int, ahead: float) -> int:
         if not share:
             return 1
-        return share + max(self._ahead_min, math.ceil(share * ahead))
+        return share + round(share * ahead)
 
 
 def _max_min(demand: dict[str, int], slots: int) -> dict[str, int]:
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_ledger.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_ledger.py
@@ -62,6 +62,11 @@
     def status(self) -> LedgerStatus:
         """What an operator sees."""
 
+    @property
+    @abc.abstractmethod
+    def leader_name(self) -> str:
+        """Name of the entry whose replica leads, empty when unknown."""
+
     @abc.abstractmethod
     def is_in_touch(self, now_s: float) -> bool:
         """Tells whether a quorum was in touch within the configuration lease."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
@@ -131,6 +131,11 @@
             stopped=self._stopped,
         )
 
+    @property
+    def leader_name(self) -> str:
+        """Name of the entry whose replica leads, empty when unknown."""
+        return (self._raft.leader or "").partition(".")[0]
+
     def is_in_touch(self, now_s: float) -> bool:
         """Tells whether a quorum was in touch within the configuration lease."""
         if self._stopped:
