--- a/benchmarks/results.py
+++ b/benchmarks/results.py
@@ -30,6 +30,7 @@
     ends: list[JobEnd]
     messages: dict[str, int]
     wasted: dict[str, int]
+    starts: dict[str, int] = dataclasses.field(default_factory=dict)
     unanswered: int = 0
 
     @property
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
@@ -109,7 +109,7 @@
         identity: Who this entry is.
         state: The ledger's local state; only read here.
         generator: Seeded source of jitter.
-        order: Order of the jobs of one member; least remaining work by default.
+        order: Order of the jobs of one member.
         placement: Choice of upstreams; least expected finish by default.
     """
 
@@ -119,7 +119,7 @@
         identity: EntryIdentity,
         state: LedgerState,
         generator: random.Random,
-        order: JobOrder | None = None,
+        order: type[JobOrder] = LeastRemainingWork,
         placement: PlacementPolicy | None = None,
     ) -> None:
         """Starts without jobs, agents and configuration."""
@@ -142,7 +142,7 @@
             fleet=self._fleet,
             health=self._health,
             estimator=self._estimator,
-            order=order or LeastRemainingWork(estimator=self._estimator),
+            order=order(estimator=self._estimator),
             placement=placement or LeastExpectedFinish(),
         )
         self._admission = Admission(limits=AdmissionLimits(), generator=generator)
@@ -631,7 +631,7 @@
         if not accepted:
             self._desk.remove(command.job)
         for agent in self._closing.pop(command.job, ()):
-            self._send(agent, JobsClosed(jobs=[command.job]))
+            self._send(agent, JobsClosed(jobs=[command.job]), is_urgent=False)
 
     def _on_snapshot(self, now_s: float) -> None:
         """Compares all records with a state that has jumped forward."""
@@ -1095,7 +1095,7 @@
         usage = self._dispatcher.take_usage()
         if usage:
             for peer in sorted(self._peers):
-                self._send(peer, UsageReport(usage=usage))
+                self._send(peer, UsageReport(usage=usage), is_urgent=False)
 
     # --- ends ----------------------------------------------------------------
 
@@ -1169,8 +1169,10 @@
             ),
         )
 
-    def _send(self, peer: str, message: Message) -> None:
-        self._effects.append(SendMessage(peer=peer, message=message))
+    def _send(self, peer: str, message: Message, *, is_urgent: bool = True) -> None:
+        self._effects.append(
+            SendMessage(peer=peer, message=message, is_urgent=is_urgent)
+        )
 
 
 def _pending(key: str, status: str) -> Answer:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_dispatcher.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_dispatcher.py
@@ -7,6 +7,7 @@
 
 from hawthornbarrow.configuration import Configuration
 from hawthornbarrow.dispatch import (
+    DEFAULT_RUN_S,
     FairQueue,
     JobOrder,
     Lane,
@@ -53,6 +54,7 @@
         self._delayed: list[tuple[float, int, Job, int]] = []
         self._serial = itertools.count()
         self._waiting: collections.Counter[str] = collections.Counter()
+        self._waiting_jobs: set[str] = set()
         self._is_demand_changed = False
         self._told: dict[str, dict[str, int]] = {}
         self._told_at_s: dict[str, float] = {}
@@ -84,6 +86,7 @@
     def dequeue(self, job: Job) -> None:
         """Uncounts the waiting tasks of a job that is about to close."""
         self._count_waiting(job, -job.waiting_count)
+        self._waiting_jobs.discard(job.job_id)
 
     def put_back(self, job: Job, index: int, at_s: float, now_s: float) -> None:
         """Lets one task wait again, from a later time on."""
@@ -122,6 +125,7 @@
             One batch for each agent that gets tasks.
         """
         self._wake_delayed(now_s)
+        self._set_depth()
         items: dict[str, dict[tuple[str, str], DispatchItem]] = {}
         services = self._fleet.services_with_credit()
         blocked: set[Lane] = set()
@@ -169,6 +173,13 @@
         self._is_demand_changed = True
         self._told.pop(agent, None)
 
+    def _set_depth(self) -> None:
+        """Keeps lines at agents short while more than one job waits."""
+        is_contended = len(self._waiting_jobs) > 1
+        ahead_s = self._configuration.tuning.contended_ahead_ms / 1000
+        for view in self._fleet.upstreams.values():
+            view.contended_ahead = ahead_s / DEFAULT_RUN_S if is_contended else None
+
     def _choose(self, job: Job, now_s: float) -> UpstreamView | None:
         assert job.spec is not None
         candidates = self._fleet.candidates(
@@ -238,6 +249,10 @@
 
     def _count_waiting(self, job: Job, count: int) -> None:
         self._waiting[job.service] += count
+        if job.waiting_count:
+            self._waiting_jobs.add(job.job_id)
+        else:
+            self._waiting_jobs.discard(job.job_id)
         self._is_demand_changed = True
 
     def _backlog(self, agent: str) -> dict[str, int]:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_effects.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_effects.py
@@ -45,10 +45,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SendMessage:
-    """Send a message to a peer process."""
+    """Send a message to a peer process.
+
+    Attributes:
+        peer: Name of the peer.
+        message: The message.
+        is_urgent: Whether it must leave now; others ride on the next frame.
+    """
 
     peer: str
     message: Message
+    is_urgent: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
@@ -214,7 +214,7 @@
             elif isinstance(effect, Propose):
                 await self._ledger.propose(effect.command)
             else:
-                self._port.send(effect.peer, effect.message)
+                self._port.send(effect.peer, effect.message, is_urgent=effect.is_urgent)
         await self._port.flush()
 
     def _account(self, now_s: float) -> None:
--- a/packages/hawthornbarrow/src/hawthornbarrow/configuration/_model.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/configuration/_model.py
@@ -21,10 +21,12 @@
     Attributes:
         result_hold_ms: Longest time that an agent holds a result for a batch.
         ahead_ms: Work that an entry may queue ahead of its slots.
+        contended_ahead_ms: The same while more than one job waits there.
     """
 
     result_hold_ms: Annotated[float, msgspec.Meta(ge=0, le=1000)] = 25.0
     ahead_ms: Annotated[float, msgspec.Meta(ge=0, le=5000)] = 40.0
+    contended_ahead_ms: Annotated[float, msgspec.Meta(ge=0, le=5000)] = 0.0
 
 
 class Limits(_Section, kw_only=True):
--- a/packages/hawthornbarrow/src/hawthornbarrow/dispatch/_ordering.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/dispatch/_ordering.py
@@ -3,15 +3,25 @@
 import abc
 import math
 
-from hawthornbarrow.dispatch._estimates import RunTimeEstimator
+from hawthornbarrow.dispatch._estimates import RunTimeClass, RunTimeEstimator
 from hawthornbarrow.jobs import Job
 
 _SLACK_FACTOR = 2.0
 _PARALLEL_SLOTS = 8
+_CREDIT_TASKS_PER_S = 20.0
+_CLASS_OFFSET_S = 1e6
 
 
 class JobOrder(abc.ABC):
-    """Decides which job of a member gets the next slot."""
+    """Decides which job of a member gets the next slot.
+
+    Args:
+        estimator: Source of the learned run times.
+    """
+
+    def __init__(self, *, estimator: RunTimeEstimator) -> None:
+        """Stores the estimator."""
+        self._estimator = estimator
 
     @abc.abstractmethod
     def key(self, job: Job) -> float:
@@ -35,18 +45,11 @@
     """Baseline: remaining count, less a credit for each second waited.
 
     As all credits grow alike, the key is the count plus a term in arrival time.
-
-    Args:
-        tasks_per_second: Credit for one second of waiting.
     """
 
-    def __init__(self, *, tasks_per_second: float = 20.0) -> None:
-        """Stores the credit."""
-        self._tasks_per_second = tasks_per_second
-
     def key(self, job: Job) -> float:
         """Returns the remaining count less the credit."""
-        return job.unfinished_count + self._tasks_per_second * job.submitted_at_s
+        return job.unfinished_count + _CREDIT_TASKS_PER_S * job.submitted_at_s
 
 
 class DeclaredWork(JobOrder):
@@ -63,15 +66,8 @@
 
     A large job passes the others once its slack is used up: when the time to its
     deadline is twice what its remaining work needs on a few slots.
-
-    Args:
-        estimator: Source of the learned means.
     """
 
-    def __init__(self, *, estimator: RunTimeEstimator) -> None:
-        """Stores the estimator."""
-        self._estimator = estimator
-
     def key(self, job: Job) -> float:
         """Returns the expected remaining work in seconds."""
         return self._remaining_s(job)
@@ -96,7 +92,6 @@
 
     def key(self, job: Job) -> float:
         """Returns the remaining work, offset by the run-time class."""
-        rank = list(type(self._estimator.run_time_class("", ""))).index(
-            self._estimator.run_time_class(job.member, job.service)
-        )
-        return rank * 1e6 + super().key(job)
+        run_time_class = self._estimator.run_time_class(job.member, job.service)
+        rank = list(RunTimeClass).index(run_time_class)
+        return rank * _CLASS_OFFSET_S + super().key(job)
--- a/packages/hawthornbarrow/src/hawthornbarrow/dispatch/_slots.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/dispatch/_slots.py
@@ -95,6 +95,7 @@
         self.generation = 0
         self.outstanding = 0
         self.is_open = True
+        self.contended_ahead: float | None = None
 
     @property
     def name(self) -> str:
@@ -103,8 +104,18 @@
 
     @property
     def credit(self) -> int:
-        """Tasks that may be sent there now."""
-        return max(0, self.limit - self.outstanding) if self.is_open else 0
+        """Tasks that may be sent there now.
+
+        While several jobs wait, a task that stands in line at an agent can no longer
+        give way to one of a smaller job, so the line is kept short then.
+        """
+        if not self.is_open:
+            return 0
+        limit = self.limit
+        if self.contended_ahead is not None:
+            slots = self.granted_slots
+            limit = min(limit, max(1, slots + round(slots * self.contended_ahead)))
+        return max(0, limit - self.outstanding)
 
     def grant(self, *, slots: int, limit: int, generation: int) -> None:
         """Takes a grant unless a later one has arrived before."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
@@ -91,14 +91,18 @@
         """TCP port that `listen` is bound to, or zero."""
         return self._bound_port
 
-    def send(self, peer: str, message: Message) -> bool:
-        """Queues a message; returns False when the peer has never connected."""
+    def send(self, peer: str, message: Message, *, is_urgent: bool = True) -> bool:
+        """Queues a message; returns False when the peer has never connected.
+
+        One that is not urgent leaves with the next frame, or at the next poll.
+        """
         session = self._sessions.get(peer)
         if session is None:
             return False
         session.send(message)
         self._counters.messages_sent += 1
-        self._dirty.add(peer)
+        if is_urgent:
+            self._dirty.add(peer)
         return True
 
     async def flush(self) -> None:
