Start members far over their share behind the others

Change: a member whose decayed use is over three times its share starts behind by a bounded handicap. Heartbeats every second with a silence limit of three.

--- a/packages/hawthornbarrow/src/hawthornbarrow/dispatch/_fair_queue.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/dispatch/_fair_queue.py
@@ -2,7 +2,10 @@
 
 The algorithm is that of P. Goyal, H. Vin and H. Cheng, "Start-time Fair Queueing"
 (SIGCOMM 1996). A start is charged with the expected run time at once and corrected
-by the measured one when the task ends.
+by the measured one when the task ends. Start-time fair queueing forgets how
+much a member used before, so a member with an endless backlog would take half of the
+slots from each burst of a small one; such a member starts behind the others by a
+bounded handicap.
 """
 
 import heapq
@@ -15,6 +18,10 @@
 
 Lane = tuple[str, Resources]
 
+HEAVY_FACTOR = 3.0
+HEAVY_HANDICAP_S = 30.0
+_USAGE_HALF_LIFE_S = 20.0
+_JUDGE_INTERVAL_S = 0.5
 _KEY_TOLERANCE = 1.05
 
 
@@ -76,6 +83,7 @@
     def __init__(self, *, weight: float) -> None:
         self.weight = weight
         self.finish_tag = 0.0
+        self.usage_s = 0.0
         self.running = 0
         self.slot_quota = math.inf
         self.heaps: dict[Lane, _JobHeap] = {}
@@ -93,6 +101,8 @@
         self._order = order
         self._members: dict[str, _MemberQueue] = {}
         self._virtual_time = 0.0
+        self._heavy: set[str] = set()
+        self._judged_at_s = 0.0
 
     def set_member(
         self, member: str, *, weight: float, slot_quota: float = math.inf
@@ -125,10 +135,13 @@
         """
         best: Job | None = None
         best_tag = math.inf
-        for queue in self._members.values():
+        self._judge_usage(now_s)
+        for member, queue in self._members.items():
             if queue.running >= queue.slot_quota:
                 continue
-            tag = max(self._virtual_time, queue.finish_tag)
+            tag = self._start_tag(queue)
+            if member in self._heavy:
+                tag += HEAVY_HANDICAP_S / queue.weight
             if tag >= best_tag:
                 continue
             job = self._head(queue, services, blocked, now_s)
@@ -139,10 +152,11 @@
     def charge_start(self, job: Job, cost_s: float) -> None:
         """Charges the start of one task of the job that was picked."""
         queue = self._members[job.member]
-        start_tag = max(self._virtual_time, queue.finish_tag)
-        self._virtual_time = start_tag
+        start_tag = self._start_tag(queue)
+        self._virtual_time = max(self._virtual_time, start_tag)
         queue.finish_tag = start_tag + cost_s / queue.weight
         queue.running += 1
+        queue.usage_s += cost_s
         queue.heaps[job.lane].refresh(job)
 
     def charge_end(self, member: str, *, charged_s: float, measured_s: float) -> None:
@@ -155,6 +169,27 @@
         """Charges slot time that the member used through another entry."""
         queue = self._member(member)
         queue.finish_tag += used_s / queue.weight
+        queue.usage_s += used_s
+
+    def _start_tag(self, queue: _MemberQueue) -> float:
+        return max(self._virtual_time, queue.finish_tag)
+
+    def _judge_usage(self, now_s: float) -> None:
+        """Finds the members whose recent use is far over their share."""
+        elapsed_s = now_s - self._judged_at_s
+        if elapsed_s < _JUDGE_INTERVAL_S:
+            return
+        self._judged_at_s = now_s
+        decay = 0.5 ** (elapsed_s / _USAGE_HALF_LIFE_S)
+        for queue in self._members.values():
+            queue.usage_s *= decay
+        total_s = sum(queue.usage_s for queue in self._members.values())
+        weights = sum(queue.weight for queue in self._members.values())
+        self._heavy = {
+            member
+            for member, queue in self._members.items()
+            if queue.usage_s > HEAVY_FACTOR * total_s * queue.weight / weights
+        }
 
     def _head(
         self,
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_session.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_session.py
@@ -6,8 +6,8 @@
 from hawthornbarrow.links._frames import Frame, Hello
 from hawthornbarrow.links._messages import Message
 
-HEARTBEAT_INTERVAL_S = 0.5
-SILENCE_LIMIT_S = 2.0
+HEARTBEAT_INTERVAL_S = 1.0
+SILENCE_LIMIT_S = 3.0
 _MAX_FRAME_MESSAGES = 256
 
 
