Split the entry's core by subject

Cause: one file of 1,100 lines held callers, claims, takeovers and ends of jobs; the cancellation wave of 10,000 jobs never ended, as every event looked at all open jobs. Ruled out: mixins; they would share all state without saying so.

--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_intake.py
@@ -0,0 +1,384 @@
+"""Intake: submissions, look-ups and cancellations of callers."""
+
+from hawthornbarrow.jobs import (
+    Job,
+    JobSpec,
+    JobSpecError,
+    JobStatus,
+    parse_job_spec,
+)
+from hawthornbarrow.ledger import Claim, ClaimRecord, job_id_of
+from hawthornbarrow.links import ForwardRequest
+
+from hawthornbarrow_entry._answers import (
+    EARLIER_UNKNOWN,
+    key_expired,
+    key_reused,
+    not_found,
+    pending,
+    unavailable,
+)
+from hawthornbarrow_entry._context import EntryContext
+from hawthornbarrow_entry._desk import digest_of
+from hawthornbarrow_entry._effects import Answer, ReplyTarget, refuse
+from hawthornbarrow_entry._forwarding import ForwardKind
+from hawthornbarrow_entry._lifecycle import JobLifecycle
+from hawthornbarrow_entry._ownership import Ownership
+
+
+class Intake:
+    """Takes the requests of callers and of other entries on their behalf.
+
+    Args:
+        context: What the parts of the entry share.
+        lifecycle: Moves the job records.
+        ownership: Follows the ledger on who owns which job.
+    """
+
+    def __init__(
+        self, *, context: EntryContext, lifecycle: JobLifecycle, ownership: Ownership
+    ) -> None:
+        """Stores the parts."""
+        self._context = context
+        self._lifecycle = lifecycle
+        self._ownership = ownership
+
+    def submit(
+        self,
+        target: ReplyTarget,
+        *,
+        member: str,
+        key: str,
+        body: bytes,
+        wait: bool,
+        now_s: float,
+        time_s: float,
+    ) -> None:
+        """Takes a submission or resubmission.
+
+        Args:
+            target: Who waits for the answer.
+            member: Name of the authenticated member.
+            key: Idempotency key.
+            body: The submitted document.
+            wait: Whether to answer with the whole result, not at once with 202.
+            now_s: Current time.
+            time_s: Wall-clock time.
+        """
+        job_id = job_id_of(member, key)
+        digest = digest_of(body)
+        job = self._context.desk.jobs.get(job_id)
+        claim = self._context.state.claim(job_id)
+        if job is not None:
+            if not self._context.desk.matches(job_id, digest):
+                self._context.answer(target, key_reused())
+                return
+            self._join(job, target, body=body, wait=wait, now_s=now_s)
+            return
+        if claim is not None:
+            self._resubmit(
+                target, claim, digest=digest, body=body, wait=wait, now_s=now_s
+            )
+            return
+        if self._has_other_home(target):
+            self._forward_home(target, member, key, body, wait=wait)
+            return
+        refusal = self.refusal_of_new_work()
+        if refusal is not None:
+            self._context.answer(target, refusal)
+            return
+        if self._context.state.is_expired_key(key, time_s):
+            self._context.answer(target, key_expired())
+            return
+        spec = self._admit(target, member, body, now_s)
+        if spec is not None:
+            self._lifecycle.open_job(
+                target, member, key, digest, body, spec, wait=wait, now_s=now_s
+            )
+            self._propose_claim(job_id, body=b"" if wait else body, time_s=time_s)
+
+    def fetch(
+        self, target: ReplyTarget, *, member: str, key: str, now_s: float
+    ) -> None:
+        """Answers with the state or the end of a job."""
+        job_id = job_id_of(member, key)
+        job = self._context.desk.jobs.get(job_id)
+        claim = self._context.state.claim(job_id)
+        if job is not None:
+            self._context.answer(target, self._lifecycle.state_of(job))
+        elif claim is None:
+            self._context.answer(target, not_found())
+        elif claim.status:
+            self._context.answer(target, self._lifecycle.closed_answer(claim))
+        elif self._context.owns(claim):
+            self._context.answer(target, pending(key, "orphaned"))
+        else:
+            self._lifecycle.forward(target, ForwardKind.FETCH, claim, b"", now_s)
+
+    def cancel(
+        self, target: ReplyTarget, *, member: str, key: str, now_s: float
+    ) -> None:
+        """Closes a job as cancelled, unless it has ended before."""
+        job_id = job_id_of(member, key)
+        job = self._context.desk.jobs.get(job_id)
+        claim = self._context.state.claim(job_id)
+        if job is not None and job.status is JobStatus.CLAIMING:
+            # Another entry may win the claim and start the job, so the end of the
+            # claim decides whom to ask.
+            self._lifecycle.cancels.setdefault(job_id, []).append(target)
+        elif job is not None:
+            self._lifecycle.close(
+                job, JobStatus.CANCELLED, "cancelled by the caller", now_s
+            )
+            self._context.answer(target, self._lifecycle.state_of(job))
+        elif claim is None:
+            self._context.answer(target, not_found())
+        elif claim.status:
+            self._context.answer(target, self._lifecycle.closed_answer(claim))
+        elif self._context.owns(claim):
+            self._context.answer(target, pending(key, "orphaned"))
+        else:
+            self._lifecycle.forward(target, ForwardKind.CANCEL, claim, b"", now_s)
+
+    def resume_cancels(self, member: str, key: str, now_s: float) -> None:
+        """Carries out cancellations that waited for the end of a claim."""
+        for target in self._lifecycle.cancels.pop(job_id_of(member, key), ()):
+            self.cancel(target, member=member, key=key, now_s=now_s)
+
+    def on_forward(self, peer: str, message: ForwardRequest, now_s: float) -> None:
+        """Takes a request that another entry forwarded."""
+        target = ReplyTarget(peer=peer, request=message.request)
+        member, key = message.member, message.key
+        if message.kind == ForwardKind.FETCH:
+            self.fetch(target, member=member, key=key, now_s=now_s)
+        elif message.kind == ForwardKind.CANCEL:
+            self.cancel(target, member=member, key=key, now_s=now_s)
+        else:
+            self._submit_forwarded(target, message, now_s)
+
+    def refusal_of_new_work(self) -> Answer | None:
+        """Returns why no new job may be taken now, or None."""
+        if not self._context.in_touch:
+            detail = f"no quorum of the ledger; {EARLIER_UNKNOWN}"
+            return unavailable("no_quorum", detail, not_run=False)
+        if not self._context.version:
+            detail = f"no configuration is in force yet; {EARLIER_UNKNOWN}"
+            return unavailable("no_configuration", detail, not_run=False)
+        if not self._context.is_registered():
+            detail = f"the entry is joining the fleet; {EARLIER_UNKNOWN}"
+            return unavailable("not_a_member", detail, not_run=False)
+        if self._context.is_draining:
+            return unavailable("shutting_down", "this entry is shutting down")
+        return None
+
+    def _has_other_home(self, target: ReplyTarget) -> bool:
+        """Tells whether a new job should be dispatched by another entry.
+
+        One entry with all jobs before it orders them better and sends fewer
+        messages than several that split the slots; the ledger's leader commits
+        claims soonest. Any entry serves as well when that one can not be reached.
+        """
+        home = self._context.home
+        if (
+            not home
+            or home == self._context.name
+            or target.peer
+            or not self._context.in_touch
+        ):
+            return False
+        record = self._context.state.entries.get(home)
+        if record is None or not record.is_alive:
+            return False
+        return self._context.forwarder.can_reach(home)
+
+    def _forward_home(
+        self, target: ReplyTarget, member: str, key: str, body: bytes, *, wait: bool
+    ) -> None:
+        request = self._context.forwarder.add(self._context.home, target)
+        kind = ForwardKind.NEW if wait else ForwardKind.NEW_ASYNC
+        message = ForwardRequest(
+            request=request, kind=kind, member=member, key=key, body=body
+        )
+        self._context.send(self._context.home, message)
+
+    def _admit(
+        self, target: ReplyTarget, member: str, body: bytes, now_s: float
+    ) -> JobSpec | None:
+        """Returns the job of a submission, or answers why it is refused."""
+        del now_s
+        limits = self._context.configuration.limits
+        try:
+            spec = parse_job_spec(body, max_tasks=limits.tasks_per_job)
+        except JobSpecError as error:
+            answer = refuse(400, "invalid_job", str(error), not_run=True)
+            self._context.answer(target, answer)
+            return None
+        refusal = self._refusal_of_service(member, spec)
+        if refusal is None:
+            refusal = self._refusal_of_load(member, spec)
+        if refusal is not None:
+            self._context.answer(target, refusal)
+            return None
+        return spec
+
+    def _refusal_of_service(self, member: str, spec: JobSpec) -> Answer | None:
+        service = self._context.configuration.services.get(spec.service)
+        if service is None:
+            detail = f"service {spec.service!r} is not configured"
+            return refuse(422, "can_never_run", detail, not_run=True)
+        if service.members and member not in service.members:
+            detail = f"service {spec.service!r} is not open to this member"
+            return refuse(403, "not_allowed", detail, not_run=True)
+        if not self._context.fleet.knows_service(spec.service):
+            return None
+        if not self._context.fleet.ever_fits(spec.service, spec.resources):
+            detail = (
+                f"no upstream of {spec.service!r} has {spec.resources.cores} cores, "
+                f"{spec.resources.memory_mb} MB and "
+                f"{spec.resources.accelerators} accelerators for a task"
+            )
+            return refuse(422, "can_never_run", detail, not_run=True)
+        return None
+
+    def _refusal_of_load(self, member: str, spec: JobSpec) -> Answer | None:
+        weights = {
+            name: settings.weight
+            for name, settings in self._context.configuration.members.items()
+        }
+        own = weights.get(member, 1.0)
+        share = own / max(own, sum(weights.values()))
+        refusal = self._context.admission.judge(
+            member,
+            tasks=len(spec.tasks),
+            work_s=self._lifecycle.work_s(member, spec),
+            deadline_s=self._lifecycle.deadline_s(spec),
+            slots=max(1, self._context.fleet.capacity(spec.service)),
+            weight_share=share,
+        )
+        if refusal is None:
+            return None
+        return refuse(
+            refusal.status,
+            refusal.reason,
+            refusal.detail,
+            not_run=True,
+            retry_after_s=refusal.retry_after_s,
+        )
+
+    def _propose_claim(self, job_id: str, *, body: bytes, time_s: float) -> None:
+        job = self._context.desk.jobs[job_id]
+        self._context.propose(
+            Claim(
+                member=job.member,
+                key=job.key,
+                digest=digest_of(self._context.desk.body(job_id)),
+                owner=self._context.name,
+                incarnation=self._context.incarnation,
+                repeatable=job.repeatable,
+                task_count=job.task_count,
+                body=body,
+                time_s=time_s,
+            )
+        )
+
+    def _join(
+        self, job: Job, target: ReplyTarget, *, body: bytes, wait: bool, now_s: float
+    ) -> None:
+        """Lets a resubmission share the job that is recorded here."""
+        if job.status is JobStatus.ORPHANED and job.spec is None:
+            self._ownership.attach(job, body, now_s)
+        if job.status.is_final:
+            self._context.answer(target, self._lifecycle.state_of(job))
+        elif wait:
+            job.timeline.add(now_s, "joined", "a resubmission waits for this job")
+            self._context.desk.wait(job.job_id, target)
+        else:
+            self._context.answer(target, pending(job.key, job.status.value))
+
+    def _resubmit(
+        self,
+        target: ReplyTarget,
+        claim: ClaimRecord,
+        *,
+        digest: bytes,
+        body: bytes,
+        wait: bool,
+        now_s: float,
+    ) -> None:
+        """Answers a resubmission of a job that is not recorded here."""
+        if claim.digest != digest:
+            self._context.answer(target, key_reused())
+        elif claim.status:
+            self._context.answer(target, self._lifecycle.closed_answer(claim))
+        elif self._context.owns(claim):
+            self._start_unopened(target, claim, digest, body, wait=wait, now_s=now_s)
+        elif not self._context.in_touch:
+            self._context.answer(
+                target, unavailable("no_quorum", "owner unknown", not_run=False)
+            )
+        else:
+            kind = ForwardKind.SUBMIT if wait else ForwardKind.SUBMIT_ASYNC
+            self._lifecycle.forward(target, kind, claim, body, now_s)
+
+    def _start_unopened(
+        self,
+        target: ReplyTarget,
+        claim: ClaimRecord,
+        digest: bytes,
+        body: bytes,
+        *,
+        wait: bool,
+        now_s: float,
+    ) -> None:
+        """Starts a job that was claimed but given up before its first task."""
+        try:
+            spec = parse_job_spec(body, max_tasks=claim.task_count)
+        except JobSpecError as error:
+            answer = refuse(400, "invalid_job", str(error), not_run=True)
+            self._context.answer(target, answer)
+            return
+        job = self._lifecycle.open_job(
+            target,
+            claim.member,
+            claim.key,
+            digest,
+            body,
+            spec,
+            wait=wait,
+            now_s=now_s,
+            epoch=claim.epoch,
+        )
+        self._lifecycle.begin(job, now_s)
+
+    def _submit_forwarded(
+        self, target: ReplyTarget, message: ForwardRequest, now_s: float
+    ) -> None:
+        """Takes a submission that another entry believes is owned here."""
+        claim = self._context.state.claim(job_id_of(message.member, message.key))
+        is_new = message.kind in (ForwardKind.NEW, ForwardKind.NEW_ASYNC)
+        if is_new and claim is None:
+            self.submit(
+                target,
+                member=message.member,
+                key=message.key,
+                body=message.body,
+                wait=message.kind == ForwardKind.NEW,
+                now_s=now_s,
+                time_s=self._context.time_s,
+            )
+            return
+        if claim is None or (not claim.status and not self._context.owns(claim)):
+            detail = "the job's owner is changing; resubmit"
+            self._context.answer(
+                target, unavailable("owner_changing", detail, not_run=False)
+            )
+            return
+        self.submit(
+            target,
+            member=message.member,
+            key=message.key,
+            body=message.body,
+            wait=message.kind in (ForwardKind.SUBMIT, ForwardKind.NEW),
+            now_s=now_s,
+            time_s=claim.claimed_at_s,
+        )
--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_lifecycle.py
@@ -0,0 +1,216 @@
+"""JobLifecycle: how a job record opens, begins, and reaches its one end."""
+
+from hawthornbarrow.jobs import Job, JobSpec, JobStatus
+from hawthornbarrow.ledger import ClaimRecord, Complete, job_id_of
+from hawthornbarrow.links import CancelJobs, ForwardRequest
+
+from hawthornbarrow_entry._answers import (
+    EARLIER_UNKNOWN,
+    not_found,
+    pending,
+    unavailable,
+)
+from hawthornbarrow_entry._context import EntryContext
+from hawthornbarrow_entry._desk import status_code_of
+from hawthornbarrow_entry._effects import Answer, ReplyTarget, refuse
+from hawthornbarrow_entry._forwarding import ForwardKind
+
+CLAIM_LIMIT_S = 3.0
+EXPIRY_INTERVAL_S = 0.05
+SMALL_ANSWER_BYTES = 4096
+
+
+class JobLifecycle:
+    """Moves job records of one entry.
+
+    Args:
+        context: What the parts of the entry share.
+    """
+
+    def __init__(self, *, context: EntryContext) -> None:
+        """Starts without jobs."""
+        self._context = context
+        self._admitted: dict[str, float] = {}
+        self._held: list[Job] = []
+        self._expired_at_s = 0.0
+        self.cancels: dict[str, list[ReplyTarget]] = {}
+        self.closed_jobs: list[Job] = []
+
+    def open_job(
+        self,
+        target: ReplyTarget,
+        member: str,
+        key: str,
+        digest: bytes,
+        body: bytes,
+        spec: JobSpec,
+        *,
+        wait: bool,
+        now_s: float,
+        epoch: int = 1,
+    ) -> Job:
+        """Records a new job and answers a caller that does not wait."""
+        job = Job(
+            job_id=job_id_of(member, key),
+            member=member,
+            key=key,
+            epoch=epoch,
+            task_count=len(spec.tasks),
+            repeatable=spec.repeatable,
+            submitted_at_s=now_s,
+            deadline_at_s=now_s + self.deadline_s(spec),
+            spec=spec,
+        )
+        job.timeline.add(
+            now_s, "received", f"{job.task_count} tasks at {self._context.name}"
+        )
+        self._context.desk.add(job, digest, body)
+        self.admit(job, spec)
+        if wait:
+            self._context.desk.wait(job.job_id, target)
+        else:
+            self._context.answer(target, pending(key, job.status.value))
+        return job
+
+    def admit(self, job: Job, spec: JobSpec) -> None:
+        """Counts the work of a job against the bounds."""
+        work_s = self.work_s(job.member, spec)
+        self._admitted[job.job_id] = work_s
+        self._context.admission.add(job.member, job.task_count, work_s)
+
+    def begin(self, job: Job, now_s: float) -> None:
+        """Lets the tasks of a job wait for slots, unless earlier runs may go on."""
+        if now_s < job.hold_until_s:
+            self._held.append(job)
+            return
+        job.begin()
+        job.timeline.add(now_s, "claimed", f"epoch {job.epoch}")
+        self._context.dispatcher.enqueue(job)
+
+    def release_held(self, now_s: float) -> None:
+        """Begins the recovered jobs whose earlier runs have ended by now."""
+        due = [job for job in self._held if now_s >= job.hold_until_s]
+        self._held = [job for job in self._held if now_s < job.hold_until_s]
+        for job in due:
+            if (
+                self._context.desk.jobs.get(job.job_id) is job
+                and not job.status.is_final
+            ):
+                self.begin(job, now_s)
+
+    def expire(self, now_s: float) -> None:
+        """Closes jobs whose deadline has passed and drops unclaimed ones.
+
+        Looks at all open jobs, so it does so only once an interval.
+        """
+        if now_s - self._expired_at_s < EXPIRY_INTERVAL_S:
+            return
+        self._expired_at_s = now_s
+        for job in self._context.desk.open_jobs:
+            if job.status is JobStatus.CLAIMING:
+                if now_s - job.submitted_at_s >= CLAIM_LIMIT_S:
+                    detail = f"the claim was not committed; {EARLIER_UNKNOWN}"
+                    answer = unavailable("no_quorum", detail, not_run=False)
+                    self.drop(job, answer)
+            elif now_s >= job.deadline_at_s:
+                self.close(job, JobStatus.FAILED, "deadline", now_s)
+
+    def close(self, job: Job, status: JobStatus, reason: str, now_s: float) -> None:
+        """Moves a job to its end, answers its callers, frees what it holds."""
+        self._context.dispatcher.dequeue(job)
+        if not job.close(status, reason, now_s):
+            return
+        self.uncount(job)
+        placed = sorted({placement.agent for placement in job.placed.values()})
+        self._context.outcomes.release_all(job)
+        for agent in placed:
+            self._context.send(agent, CancelJobs(jobs=[job.job_id]))
+        answer = Answer(status=status_code_of(status), body=job.answer_body())
+        self._context.desk.close(job, answer)
+        for target in self._context.desk.take_waiters(job.job_id):
+            self._context.answer(target, answer)
+        self._context.closing[job.job_id] = sorted(job.agents)
+        is_small = len(answer.body) <= SMALL_ANSWER_BYTES
+        self._context.propose(
+            Complete(
+                job=job.job_id,
+                epoch=job.epoch,
+                status=status.value,
+                answer=answer.body if is_small else b"",
+                time_s=self._context.time_s,
+            )
+        )
+        self.closed_jobs.append(job)
+        job.release_payloads()
+
+    def drop(self, job: Job, answer: Answer) -> None:
+        """Refuses a job of which no task was ever sent; nothing is recorded."""
+        self.uncount(job)
+        waiters = self._context.desk.remove(job.job_id) + self.cancels.pop(
+            job.job_id, []
+        )
+        for target in waiters:
+            self._context.answer(target, answer)
+
+    def uncount(self, job: Job) -> None:
+        """Frees the bounds that a job was counted against."""
+        work_s = self._admitted.pop(job.job_id, None)
+        if work_s is not None:
+            self._context.admission.remove(job.member, job.task_count, work_s)
+
+    def forward(
+        self,
+        target: ReplyTarget,
+        kind: ForwardKind,
+        claim: ClaimRecord,
+        body: bytes,
+        now_s: float,
+    ) -> None:
+        """Hands a request to the entry that owns the job."""
+        del now_s
+        if target.peer or not self._context.forwarder.can_reach(claim.owner):
+            detail = f"the job's owner {claim.owner} can not be reached; resubmit"
+            self._context.answer(
+                target, unavailable("owner_unreachable", detail, not_run=False)
+            )
+            return
+        request = self._context.forwarder.add(claim.owner, target)
+        self._context.send(
+            claim.owner,
+            ForwardRequest(
+                request=request,
+                kind=kind,
+                member=claim.member,
+                key=claim.key,
+                body=body,
+            ),
+        )
+
+    def work_s(self, member: str, spec: JobSpec) -> float:
+        """Returns the expected slot time of a job in seconds."""
+        mean_s = self._context.estimator.mean_s(
+            member, spec.service, spec.declared_run_s
+        )
+        return len(spec.tasks) * mean_s
+
+    def deadline_s(self, spec: JobSpec) -> float:
+        """Returns the time from submission to the deadline."""
+        if spec.deadline_s is not None:
+            return spec.deadline_s
+        service = self._context.configuration.services.get(spec.service)
+        return service.deadline_s if service else 60.0
+
+    def state_of(self, job: Job) -> Answer:
+        """Returns the answer for a job that is recorded here."""
+        if not job.status.is_final:
+            return pending(job.key, job.status.value)
+        answer = self._context.desk.answer(job.job_id)
+        return answer if answer is not None else not_found()
+
+    def closed_answer(self, claim: ClaimRecord) -> Answer:
+        """Returns the answer of a closed job from the ledger."""
+        status = status_code_of(JobStatus(claim.status))
+        if claim.answer:
+            return Answer(status=status, body=claim.answer)
+        detail = f"the job ended as {claim.status}; its answer is no longer held"
+        return refuse(410, "answer_gone", detail, not_run=False)
--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_ownership.py
@@ -0,0 +1,281 @@
+"""Ownership: claims, membership, and the takeover of a dead entry's jobs."""
+
+from hawthornbarrow.jobs import Job, JobStatus, Placement, parse_job_spec
+from hawthornbarrow.ledger import (
+    Applied,
+    Claim,
+    ClaimRecord,
+    ClaimVerdict,
+    Complete,
+    ExpireEntry,
+    RegisterEntry,
+    job_id_of,
+)
+from hawthornbarrow.links import EntryIncarnation, JobsClosed, JobsRecovered
+
+from hawthornbarrow_entry._answers import key_expired, key_reused, unavailable
+from hawthornbarrow_entry._context import EntryContext
+from hawthornbarrow_entry._forwarding import ForwardKind
+from hawthornbarrow_entry._lifecycle import JobLifecycle
+from hawthornbarrow_entry._takeover import Recovery, Takeover, has_lost_memory
+
+ORPHAN_LIMIT_S = 3600.0
+REGISTER_RETRY_S = 1.0
+_INCARNATION_BITS = 62
+
+
+class Ownership:
+    """Follows the ledger on who owns which job.
+
+    Args:
+        context: What the parts of the entry share.
+        lifecycle: Moves the job records.
+        address: Link address of the entry.
+    """
+
+    def __init__(
+        self, *, context: EntryContext, lifecycle: JobLifecycle, address: str
+    ) -> None:
+        """Starts without takeovers."""
+        self._context = context
+        self._lifecycle = lifecycle
+        self._address = address
+        self._takeover = Takeover()
+        self._registered_at_s = -REGISTER_RETRY_S
+
+    def greet_agent(self, agent: str) -> None:
+        """Asks an agent whose link came up for what takeovers still miss."""
+        for recovery in self._takeover.recoveries:
+            if agent in recovery.pending:
+                self._context.send(agent, recovery.request())
+
+    def on_claim(self, command: Claim, applied: Applied, now_s: float) -> None:
+        """Takes the outcome of a claim for a job that waits for it."""
+        assert applied.outcome is not None
+        job = self._context.desk.jobs.get(job_id_of(command.member, command.key))
+        if job is None or job.status is not JobStatus.CLAIMING:
+            return
+        claim = applied.outcome.claim
+        is_ours = command.owner == self._context.name
+        is_ours = is_ours and command.incarnation == self._context.incarnation
+        is_same = (
+            self._context.desk.matches(job.job_id, claim.digest) if claim else False
+        )
+        if claim is not None and is_same and self._context.owns(claim):
+            job.epoch = claim.epoch
+            self._lifecycle.begin(job, now_s)
+            return
+        if not is_ours:
+            return
+        if applied.outcome.verdict is ClaimVerdict.NOT_MEMBER:
+            answer = unavailable("not_a_member", "the entry is joining the fleet")
+            self._lifecycle.drop(job, answer)
+        elif applied.outcome.verdict is ClaimVerdict.EXPIRED:
+            self._lifecycle.drop(job, key_expired())
+        elif applied.outcome.verdict is ClaimVerdict.MISMATCH:
+            self._lifecycle.drop(job, key_reused())
+        elif claim is not None:
+            self.hand_over(job, claim, now_s)
+
+    def on_snapshot(self, now_s: float) -> list[Job]:
+        """Compares all records with a state that has jumped forward.
+
+        Returns:
+            The jobs whose claims are settled by it.
+        """
+        settled = []
+        for job in self._context.desk.open_jobs:
+            claim = self._context.state.claim(job.job_id)
+            if claim is None:
+                continue
+            if job.status is JobStatus.CLAIMING and self._context.owns(claim):
+                job.epoch = claim.epoch
+                self._lifecycle.begin(job, now_s)
+                settled.append(job)
+            elif not self._context.owns(claim) or claim.epoch != job.epoch:
+                self.hand_over(job, claim, now_s)
+                settled.append(job)
+        held = self._context.state.open_claims_of(
+            self._context.name, self._context.incarnation
+        )
+        moved = tuple(claim.job for claim in held if claim.epoch > 1)
+        self._inherit(moved, [], now_s)
+        return settled
+
+    def on_membership(
+        self,
+        command: RegisterEntry | ExpireEntry,
+        moved: tuple[str, ...],
+        now_s: float,
+    ) -> None:
+        """Takes a change of the fleet and the jobs that it moved."""
+        for job_id in moved:
+            job = self._context.desk.jobs.get(job_id)
+            claim = self._context.state.claim(job_id)
+            if job is None or claim is None or job.status.is_final:
+                continue
+            if not self._context.owns(claim):
+                self.hand_over(job, claim, now_s)
+        is_expiry = isinstance(command, ExpireEntry)
+        is_own = (command.name, command.incarnation) == (
+            self._context.name,
+            self._context.incarnation,
+        )
+        if is_expiry and is_own:
+            self._leave_incarnation()
+            return
+        fenced = EntryIncarnation(name=command.name, incarnation=command.incarnation)
+        self._inherit(moved, [fenced] if is_expiry else [], now_s)
+
+    def on_complete(self, command: Complete, *, accepted: bool) -> None:
+        """Tells agents that the end of a job is committed."""
+        job = self._context.desk.jobs.get(command.job)
+        if job is None or command.epoch != job.epoch or not job.status.is_final:
+            return
+        if not accepted:
+            self._context.desk.remove(command.job)
+        for agent in self._context.closing.pop(command.job, ()):
+            self._context.send(agent, JobsClosed(jobs=[command.job]), is_urgent=False)
+
+    def hand_over(self, job: Job, claim: ClaimRecord, now_s: float) -> None:
+        """Gives up a job that another entry owns, and forwards its callers."""
+        body = self._context.desk.body(job.job_id)
+        self._lifecycle.uncount(job)
+        self._context.outcomes.release_all(job)
+        waiters = self._context.desk.remove(job.job_id)
+        job.close(JobStatus.UNKNOWN, f"owned by {claim.owner} now", now_s)
+        for target in waiters:
+            if claim.status:
+                self._context.answer(target, self._lifecycle.closed_answer(claim))
+            else:
+                self._lifecycle.forward(target, ForwardKind.SUBMIT, claim, body, now_s)
+
+    def attach(self, job: Job, body: bytes, now_s: float) -> None:
+        """Gives an inherited job its document."""
+        job.spec = parse_job_spec(body, max_tasks=job.task_count)
+        job.deadline_at_s = now_s + self._lifecycle.deadline_s(job.spec)
+        self._context.desk.set_body(job.job_id, body)
+        self._lifecycle.admit(job, job.spec)
+        if job.is_recovered:
+            self._lifecycle.begin(job, now_s)
+
+    def on_recovered(self, agent: str, message: JobsRecovered, now_s: float) -> None:
+        """Takes what an agent holds of inherited jobs."""
+        recovery = self._takeover.answered(message.recovery, agent)
+        if recovery is None:
+            return
+        record = self._context.state.agents.get(agent)
+        for holding in message.holdings:
+            job = recovery.jobs.get(holding.job)
+            if job is None or job.status.is_final:
+                continue
+            for index, attempt in holding.running:
+                placement = Placement(
+                    agent=agent, upstream="", attempt=attempt, cost_s=0.0
+                )
+                job.adopt(index, placement)
+            for result in holding.finished:
+                self._context.outcomes.take_recovered(job, agent, result)
+        view = self._context.fleet.agents.get(agent)
+        if record is None or view is None or view.incarnation != record.incarnation:
+            # The answer comes from an incarnation that joined after the claim but
+            # is not in the ledger yet; it can not speak for the one before.
+            recovery.lost.add(agent)
+        self.finish_recoveries(now_s)
+
+    def finish_recoveries(self, now_s: float) -> None:
+        """Ends the takeovers that have all they can get."""
+        for recovery in self._takeover.take_finished(now_s):
+            for job in recovery.jobs.values():
+                if not job.status.is_final:
+                    self._finish_recovery(recovery, job, now_s)
+
+    def register_if_needed(self, now_s: float) -> None:
+        """Proposes this incarnation until the ledger has it."""
+        if (
+            self._context.is_registered()
+            or now_s - self._registered_at_s < REGISTER_RETRY_S
+        ):
+            return
+        self._registered_at_s = now_s
+        self._context.propose(
+            RegisterEntry(
+                name=self._context.name,
+                incarnation=self._context.incarnation,
+                address=self._address,
+            )
+        )
+
+    def _leave_incarnation(self) -> None:
+        """Takes a new incarnation, as the fleet has given up the current one."""
+        self._context.incarnation = self._context.generator.getrandbits(
+            _INCARNATION_BITS
+        )
+        self._registered_at_s = -REGISTER_RETRY_S
+
+    def _inherit(
+        self, moved: tuple[str, ...], fenced: list[EntryIncarnation], now_s: float
+    ) -> None:
+        """Begins the takeover of the moved jobs that this entry owns now."""
+        jobs = []
+        for job_id in moved:
+            claim = self._context.state.claim(job_id)
+            known = self._context.desk.jobs.get(job_id)
+            if claim is None or claim.status or not self._context.owns(claim):
+                continue
+            if known is None or known.epoch != claim.epoch:
+                jobs.append(self._orphan(claim, now_s))
+        if not jobs:
+            return
+        recovery = self._takeover.begin(jobs, self._context.state, fenced, now_s)
+        for agent in sorted(recovery.pending):
+            view = self._context.fleet.agents.get(agent)
+            if view is not None and view.is_up:
+                self._context.send(agent, recovery.request())
+
+    def _orphan(self, claim: ClaimRecord, now_s: float) -> Job:
+        job = Job(
+            job_id=claim.job,
+            member=claim.member,
+            key=claim.key,
+            epoch=claim.epoch,
+            task_count=claim.task_count,
+            repeatable=claim.repeatable,
+            submitted_at_s=now_s,
+            deadline_at_s=now_s + ORPHAN_LIMIT_S,
+            spec=None,
+        )
+        job.orphan()
+        job.may_have_run = True
+        job.timeline.add(
+            now_s, "inherited", f"epoch {claim.epoch} at {self._context.name}"
+        )
+        self._context.desk.add(job, claim.digest, b"")
+        if claim.body:
+            self.attach(job, claim.body, now_s)
+        return job
+
+    def _finish_recovery(self, recovery: Recovery, job: Job, now_s: float) -> None:
+        claim = self._context.state.claim(job.job_id)
+        if claim is None or claim.epoch != job.epoch or not self._context.owns(claim):
+            return
+        lost = set(recovery.lost)
+        for name, record in self._context.state.agents.items():
+            if has_lost_memory(record, claim.index):
+                lost.add(name)
+        job.is_recovered = True
+        job.may_have_run = bool(lost)
+        detail = f"{len(job.placed)} running, {job.unfinished_count} unfinished"
+        job.timeline.add(now_s, "recovered", f"{detail}, lost agents {sorted(lost)}")
+        job.hold_until_s = now_s + self._context.outcomes.hold_s(job, lost)
+        uncertain = job.unfinished_count - len(job.placed)
+        failure = self._context.outcomes.failure_of(job)
+        if failure is not None:
+            self._lifecycle.close(job, failure.status, failure.reason, now_s)
+        elif not job.unfinished_count:
+            self._lifecycle.close(job, JobStatus.COMPLETED, "", now_s)
+        elif lost and uncertain and not job.repeatable:
+            reason = f"tasks may have run at {', '.join(sorted(lost))}"
+            self._lifecycle.close(job, JobStatus.UNKNOWN, reason, now_s)
+        elif job.spec is not None:
+            self._lifecycle.begin(job, now_s)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
@@ -219,8 +219,7 @@
 
     def _account(self, now_s: float) -> None:
         """Counts closed jobs in metrics, burn and log."""
-        closed, self._core.closed_jobs = self._core.closed_jobs, []
-        for job in closed:
+        for job in self._core.take_closed_jobs():
             response_s = job.closed_at_s - job.submitted_at_s
             completed = job.status.value == "completed"
             self._metrics.count_job(
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_deployment.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_deployment.py
@@ -277,11 +277,11 @@
         return None
 
 
-def echo_job(key, tasks, run_ms, repeatable):
+def echo_job(key, tasks, run_ms, repeatable, deadline_s=30.0):
     document = {
         "service": "echo",
         "repeatable": repeatable,
-        "deadline_s": 30.0,
+        "deadline_s": deadline_s,
         "tasks": [{"nonce": f"{key}/{n}", "run_ms": run_ms} for n in range(tasks)],
     }
     return msgspec.json.encode(document)
