--- a/benchmarks/virtual_fleet.py
+++ b/benchmarks/virtual_fleet.py
@@ -116,6 +116,7 @@
         self._wakes: dict[str, float] = {}
         self._home = "e0" if policy.has_home else ""
         self._offset_s = 0.0
+        self._early_ticks: set[str] = set()
         self._lazy: dict[tuple[str, str], list] = {}
         self.messages: collections.Counter[str] = collections.Counter()
         self.starts: collections.Counter[str] = collections.Counter()
@@ -253,6 +254,10 @@
         self._settle(name, ticks=False)
         self._at(self._now_s + _TICK_S, lambda: self._tick_entry(name))
 
+    def _tick_early(self, name: str) -> None:
+        self._early_ticks.discard(name)
+        self._settle(name)
+
     def _wake_agent(self, name: str, due_s: float) -> None:
         if self._wakes.get(name) != due_s:
             return
@@ -268,6 +273,9 @@
                     self._now_s, time_s=self._now_s, in_touch=True, home=self._home
                 )
             self._settle_entry(name, core)
+            if core.next_due_s < _TICK_S and name not in self._early_ticks:
+                self._early_ticks.add(name)
+                self._at(self._now_s + core.next_due_s, lambda: self._tick_early(name))
             return
         frames: dict[str, list] = {}
         for effect in core.take_effects():
--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_core.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_core.py
@@ -17,7 +17,6 @@
     PeerDown,
     PeerUp,
     RecoverJobs,
-    ResultBatch,
     SlotDemand,
     SlotGrant,
     TaskOutcome,
@@ -33,6 +32,7 @@
     judge_call,
 )
 
+from hawthornbarrow_agent._custody import JobCustody
 from hawthornbarrow_agent._effects import (
     AgentEffect,
     SendMessage,
@@ -40,11 +40,12 @@
     StopCall,
 )
 from hawthornbarrow_agent._holdings import HeldTask, JobHolding, UpstreamSlots
+from hawthornbarrow_agent._reporter import ResultReporter
 
 FENCE_S = 5.0
 _RUN_WEIGHT = 0.1
 _LIMIT_CHANGE = 0.25
-_CLOSED_MEMORY_S = 600.0
+_TICK_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -69,8 +70,6 @@
     is_up: bool = True
     silent_since_s: float = 0.0
     backlog: dict[str, int] = dataclasses.field(default_factory=dict)
-    results: list[TaskResult] = dataclasses.field(default_factory=list)
-    due_at_s: float = 0.0
 
 
 class AgentCore:
@@ -85,9 +84,8 @@
         self._timing = timing or AgentTiming()
         self._upstreams: dict[str, UpstreamSlots] = {}
         self._entries: dict[str, _EntryLink] = {}
-        self._jobs: dict[str, JobHolding] = {}
-        self._closed: dict[str, tuple[int, float]] = {}
-        self._fenced: set[tuple[str, int]] = set()
+        self._custody = JobCustody()
+        self._reporter = ResultReporter()
         self._effects: list[AgentEffect] = []
         self._dirty: set[str] = set()
         self._configuration = ConfigurationUpdate(version=0, document=b"")
@@ -106,7 +104,7 @@
     @property
     def job_count(self) -> int:
         """Number of jobs of which something is held."""
-        return len(self._jobs)
+        return len(self._custody)
 
     @property
     def wasted(self) -> dict[str, int]:
@@ -116,11 +114,10 @@
     @property
     def is_idle(self) -> bool:
         """Whether no task is held and no result waits to be sent."""
-        has_results = any(entry.results for entry in self._entries.values())
         has_tasks = any(
             slots.queue or slots.running for slots in self._upstreams.values()
         )
-        return not has_results and not has_tasks
+        return self._reporter.is_empty and not has_tasks
 
     def retime(self, *, result_hold_s: float, ahead_s: float) -> None:
         """Takes new times from the configuration in force."""
@@ -235,15 +232,12 @@
             slots = self._upstreams[name]
             if now_s - slots.split_at_s >= self._timing.split_interval_s:
                 self._split(slots, now_s)
-        self._forget_closed(now_s)
+        self._custody.forget_closed(now_s)
         self._flush_due(now_s)
 
     def next_due_s(self, now_s: float) -> float:
         """Returns the time until something is due."""
-        due_s = 0.2
-        for entry in self._entries.values():
-            if entry.results:
-                due_s = min(due_s, max(0.0, entry.due_at_s - now_s))
+        due_s = min(_TICK_S, max(0.0, self._reporter.due_at_s - now_s))
         if self._dirty:
             due_s = min(due_s, self._timing.split_interval_s)
         return due_s
@@ -276,7 +270,7 @@
                     self._cancel(peer, job, now_s)
             case JobsClosed():
                 for job in message.jobs:
-                    self._close(job, now_s)
+                    self._custody.close(job, now_s)
             case RecoverJobs():
                 self._on_recover(peer, message, now_s)
             case ConfigurationUpdate():
@@ -301,7 +295,7 @@
                 self._dirty.add(upstream)
 
     def _on_dispatch(self, peer: str, batch: DispatchBatch, now_s: float) -> None:
-        is_fenced = (peer, batch.incarnation) in self._fenced
+        is_fenced = self._custody.is_fenced(peer, batch.incarnation)
         for item in batch.items:
             for start in item.tasks:
                 reason = "fenced" if is_fenced else self._refusal(item, start)
@@ -314,21 +308,11 @@
 
     def _refusal(self, item: DispatchItem, start: TaskStart) -> str:
         """Returns why a task must not be taken, or an empty string."""
-        closed = self._closed.get(item.job)
-        if closed is not None and item.epoch <= closed[0]:
-            return "job_closed"
-        holding = self._jobs.get(item.job)
-        if holding is not None:
-            if item.epoch < holding.epoch:
-                return "stale_epoch"
-            if start.attempt <= holding.attempts.get(start.index, 0):
-                return "repeated"
-            if not item.repeatable and start.index in holding.started:
-                return "already_started"
+        reason = self._custody.refusal(item, start)
+        if reason:
+            return reason
         slots = self._upstreams.get(item.upstream)
-        if slots is None or slots.is_leaving:
-            return "upstream_gone"
-        return ""
+        return "upstream_gone" if slots is None or slots.is_leaving else ""
 
     def _take(
         self,
@@ -356,13 +340,7 @@
         if reason:
             self._refuse(task, item, reason, now_s)
             return
-        holding = self._jobs.get(item.job)
-        if holding is None:
-            holding = self._jobs[item.job] = JobHolding(owner=peer, epoch=item.epoch)
-        holding.owner = peer
-        holding.epoch = item.epoch
-        holding.attempts[start.index] = start.attempt
-        holding.active += 1
+        self._custody.accept(peer, item, start)
         self._upstreams[item.upstream].queue.append(task)
 
     def _refuse(
@@ -383,7 +361,7 @@
         self._report(task.entry, result, now_s, is_urgent=True)
 
     def _cancel(self, peer: str, job: str, now_s: float) -> None:
-        holding = self._jobs.get(job)
+        holding = self._custody.get(job)
         if holding is None or holding.owner != peer:
             return
         for slots in self._upstreams.values():
@@ -393,24 +371,12 @@
                     self._stop(task)
             self._start_waiting(slots, now_s)
 
-    def _close(self, job: str, now_s: float) -> None:
-        holding = self._jobs.pop(job, None)
-        epoch = holding.epoch if holding else 0
-        self._closed[job] = (epoch, now_s)
-
-    def _forget_closed(self, now_s: float) -> None:
-        while self._closed:
-            job, (_, closed_at_s) = next(iter(self._closed.items()))
-            if now_s - closed_at_s < _CLOSED_MEMORY_S:
-                return
-            del self._closed[job]
-
     # --- change of owner -----------------------------------------------------
 
     def _on_recover(self, peer: str, message: RecoverJobs, now_s: float) -> None:
         """Fences the former owners and reports all that is held of the jobs."""
         for former in message.fenced:
-            self._fenced.add((former.name, former.incarnation))
+            self._custody.fence(former)
         holdings = []
         for job in message.jobs:
             holding = self._adopt(peer, job, now_s)
@@ -419,14 +385,9 @@
         self._send(peer, JobsRecovered(recovery=message.recovery, holdings=holdings))
 
     def _adopt(self, peer: str, job: JobEpoch, now_s: float) -> JobHoldings | None:
-        holding = self._jobs.get(job.job)
+        holding = self._custody.adopt(peer, job)
         if holding is None:
-            self._jobs[job.job] = JobHolding(owner=peer, epoch=job.epoch)
-            return None
-        if job.epoch < holding.epoch:
             return None
-        holding.owner = peer
-        holding.epoch = job.epoch
         running = []
         for slots in self._upstreams.values():
             self._drop_waiting(slots, holding, job.job)
@@ -453,7 +414,7 @@
             if not slots.announcement.stops_on_disconnect:
                 continue
             for task in slots.running.values():
-                holding = self._jobs.get(task.job)
+                holding = self._custody.get(task.job)
                 owner = holding.owner if holding else task.entry
                 if owner == entry and task.repeatable:
                     self._stop(task)
@@ -486,7 +447,7 @@
 
     def _start(self, slots: UpstreamSlots, task: HeldTask) -> None:
         slots.running[task.job, task.index] = task
-        holding = self._jobs.get(task.job)
+        holding = self._custody.get(task.job)
         if holding is not None:
             holding.started.add(task.index)
         self._effects.append(
@@ -552,7 +513,7 @@
         now_s: float,
     ) -> None:
         """Records the end of a task and reports it to the job's owner."""
-        holding = self._jobs.get(task.job)
+        holding = self._custody.get(task.job)
         if holding is None:
             self._count_wasted("late")
             return
@@ -587,18 +548,12 @@
     def _report(
         self, peer: str, result: TaskResult, now_s: float, *, is_urgent: bool
     ) -> None:
-        entry = self._entries.setdefault(peer, _EntryLink(is_up=False))
-        if not entry.results:
-            entry.due_at_s = now_s + self._timing.result_hold_s
-        if is_urgent:
-            entry.due_at_s = now_s
-        entry.results.append(result)
+        hold_s = 0.0 if is_urgent else self._timing.result_hold_s
+        self._reporter.add(peer, result, now_s + hold_s)
 
     def _flush_due(self, now_s: float) -> None:
-        for peer, entry in self._entries.items():
-            if entry.results and now_s >= entry.due_at_s:
-                self._send(peer, ResultBatch(results=entry.results))
-                entry.results = []
+        for peer, batch in self._reporter.take_due(now_s):
+            self._send(peer, batch)
 
     def _send(self, peer: str, message: Message) -> None:
         self._effects.append(SendMessage(peer=peer, message=message))
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_context.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_context.py
@@ -109,6 +109,10 @@
         """Proposes a command to the ledger."""
         self._effects.append(Propose(command=command))
 
+    def propose_later(self, command: Command) -> None:
+        """Proposes a command that may wait a moment for others to join it."""
+        self._effects.append(Propose(command=command, is_urgent=False))
+
     def send(self, peer: str, message: Message, *, is_urgent: bool = True) -> None:
         """Sends a message to a peer process."""
         self._effects.append(
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
@@ -45,10 +45,11 @@
 from hawthornbarrow_entry._effects import Answer, EntryEffect, ReplyTarget
 from hawthornbarrow_entry._fleet import AgentView, FleetView
 from hawthornbarrow_entry._intake import Intake
-from hawthornbarrow_entry._lifecycle import JobLifecycle
+from hawthornbarrow_entry._lifecycle import CANCEL_HOLD_S, JobLifecycle
 from hawthornbarrow_entry._ownership import REGISTER_RETRY_S, Ownership
 
 AGENT_LOST_S = 6.0
+TICK_S = 0.05
 USAGE_INTERVAL_S = 1.0
 
 
@@ -162,6 +163,11 @@
         """Returns what there is to do, and forgets it."""
         return self._context.take_effects()
 
+    @property
+    def next_due_s(self) -> float:
+        """Longest time until the next tick."""
+        return CANCEL_HOLD_S if self._lifecycle.holds_cancels else TICK_S
+
     def take_closed_jobs(self) -> list[Job]:
         """Returns the jobs closed since the last call."""
         closed = self._lifecycle.closed_jobs
@@ -369,14 +375,18 @@
         self._lifecycle.release_held(now_s)
         self._exchange_usage(now_s)
         self._context.desk.forget_old(now_s, pinned=self._context.closing)
-        if in_touch and self._context.is_registered():
-            for agent, batch in self._context.dispatcher.dispatch(
-                self._context.incarnation, now_s
-            ):
-                self._note_dispatch(agent, batch.items, now_s)
-                self._context.send(agent, batch)
-            for agent, demand in self._context.dispatcher.demands(now_s):
-                self._context.send(agent, demand)
+        self._lifecycle.flush_cancels(now_s)
+        may_dispatch = in_touch and self._context.is_registered()
+        if may_dispatch and not self._lifecycle.holds_cancels:
+            self._dispatch(now_s)
+
+    def _dispatch(self, now_s: float) -> None:
+        dispatcher = self._context.dispatcher
+        for agent, batch in dispatcher.dispatch(self._context.incarnation, now_s):
+            self._note_dispatch(agent, batch.items, now_s)
+            self._context.send(agent, batch)
+        for agent, demand in dispatcher.demands(now_s):
+            self._context.send(agent, demand)
 
     def _note_dispatch(
         self, agent: str, items: list[DispatchItem], now_s: float
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_effects.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_effects.py
@@ -60,9 +60,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Propose:
-    """Propose a command to the ledger."""
+    """Propose a command to the ledger.
+
+    Attributes:
+        command: The command.
+        is_urgent: Whether it must go now; others wait a moment for company.
+    """
 
     command: Command
+    is_urgent: bool = True
 
 
 EntryEffect = Reply | SendMessage | Propose
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_lifecycle.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_lifecycle.py
@@ -17,6 +17,7 @@
 
 CLAIM_LIMIT_S = 3.0
 EXPIRY_INTERVAL_S = 0.05
+CANCEL_HOLD_S = 0.005
 SMALL_ANSWER_BYTES = 4096
 
 
@@ -33,6 +34,8 @@
         self._admitted: dict[str, float] = {}
         self._held: list[Job] = []
         self._expired_at_s = 0.0
+        self._held_cancels: dict[str, list[str]] = {}
+        self._cancelled_at_s = 0.0
         self.cancels: dict[str, list[ReplyTarget]] = {}
         self.closed_jobs: list[Job] = []
 
@@ -123,15 +126,15 @@
         self.uncount(job)
         placed = sorted({placement.agent for placement in job.placed.values()})
         self._context.outcomes.release_all(job)
-        for agent in placed:
-            self._context.send(agent, CancelJobs(jobs=[job.job_id]))
+        if placed:
+            self._hold_cancel(job.job_id, placed, now_s)
         answer = Answer(status=status_code_of(status), body=job.answer_body())
         self._context.desk.close(job, answer)
         for target in self._context.desk.take_waiters(job.job_id):
             self._context.answer(target, answer)
         self._context.closing[job.job_id] = sorted(job.agents)
         is_small = len(answer.body) <= SMALL_ANSWER_BYTES
-        self._context.propose(
+        self._context.propose_later(
             Complete(
                 job=job.job_id,
                 epoch=job.epoch,
@@ -143,6 +146,29 @@
         self.closed_jobs.append(job)
         job.release_payloads()
 
+    @property
+    def holds_cancels(self) -> bool:
+        """Whether cancellations wait for their batch.
+
+        Nothing should be dispatched meanwhile: in a wave of cancellations the next
+        task would be one that is cancelled a moment later.
+        """
+        return bool(self._held_cancels)
+
+    def flush_cancels(self, now_s: float) -> None:
+        """Sends held cancellations, one message to each agent."""
+        if now_s - self._cancelled_at_s < CANCEL_HOLD_S:
+            return
+        held, self._held_cancels = self._held_cancels, {}
+        for agent, jobs in held.items():
+            self._context.send(agent, CancelJobs(jobs=jobs))
+
+    def _hold_cancel(self, job_id: str, agents: list[str], now_s: float) -> None:
+        if not self._held_cancels:
+            self._cancelled_at_s = now_s
+        for agent in agents:
+            self._held_cancels.setdefault(agent, []).append(job_id)
+
     def drop(self, job: Job, answer: Answer) -> None:
         """Refuses a job of which no task was ever sent; nothing is recorded."""
         self.uncount(job)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
@@ -25,7 +25,7 @@
 from hawthornbarrow_entry._core import EntryCore, EntryIdentity
 from hawthornbarrow_entry._effects import Propose, Reply
 
-_IDLE_TICK_S = 0.05
+_DRAIN_POLL_S = 0.05
 _BURN_SAVE_S = 10.0
 _log = structlog.get_logger()
 
@@ -150,7 +150,7 @@
         while time.monotonic() < until_s:
             if self._core.is_idle and not self._http.busy_requests:
                 break
-            await curio.sleep(_IDLE_TICK_S)
+            await curio.sleep(_DRAIN_POLL_S)
         await self._port.settle(limit_s=2.0)
         self._burn.save(time.time())
 
@@ -178,7 +178,7 @@
 
     async def _serve(self) -> None:
         while True:
-            events = await self._mailbox.drain(timeout_s=_IDLE_TICK_S)
+            events = await self._mailbox.drain(timeout_s=self._core.next_due_s)
             now_s = time.monotonic()
             for event in events:
                 await self._take(event, now_s)
@@ -212,7 +212,7 @@
             if isinstance(effect, Reply):
                 await self._api.reply(effect)
             elif isinstance(effect, Propose):
-                await self._ledger.propose(effect.command)
+                await self._ledger.propose(effect.command, is_urgent=effect.is_urgent)
             else:
                 self._port.send(effect.peer, effect.message, is_urgent=effect.is_urgent)
         await self._port.flush()
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_ledger.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_ledger.py
@@ -72,8 +72,11 @@
         """Tells whether a quorum was in touch within the configuration lease."""
 
     @abc.abstractmethod
-    async def propose(self, command: Command) -> int:
-        """Proposes a command until it is committed; returns its number."""
+    async def propose(self, command: Command, *, is_urgent: bool = True) -> int:
+        """Proposes a command until it is committed; returns its number.
+
+        One that is not urgent may wait a moment to share a write with others.
+        """
 
     @abc.abstractmethod
     async def replace(self, old: str, new: str) -> int:
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
@@ -31,6 +31,7 @@
 ENTRY_LEASE_S = 1.2
 CONFIGURATION_LEASE_S = 1.0
 PROPOSAL_RETRY_S = 0.5
+WAITING_INTERVAL_S = 0.05
 FORGET_INTERVAL_S = 60.0
 SNAPSHOT_AFTER_ENTRIES = 5000
 _TICK_S = 0.02
@@ -93,6 +94,8 @@
         self._state = LedgerState()
         self._next_number = generator.getrandbits(_NUMBER_BITS)
         self._proposals: dict[int, _Proposal] = {}
+        self._waiting: list[_NewProposal] = []
+        self._took_waiting_at_s = 0.0
         self._forgot_at_s = time.monotonic()
         self._expired_at_s: dict[int, float] = {}
         self._stopped = ""
@@ -142,12 +145,14 @@
             return False
         return self._raft.is_in_touch(now_s, CONFIGURATION_LEASE_S)
 
-    async def propose(self, command: Command) -> int:
+    async def propose(self, command: Command, *, is_urgent: bool = True) -> int:
         """Proposes a command; it is tried again until it is committed."""
         number = self._take_number()
-        await self._inbox.post(
-            _NewProposal(number=number, command=encode_command(command))
-        )
+        proposal = _NewProposal(number=number, command=encode_command(command))
+        if is_urgent:
+            await self._inbox.post(proposal)
+        else:
+            self._waiting.append(proposal)
         return number
 
     async def replace(self, old: str, new: str) -> int:
@@ -169,6 +174,7 @@
                 now_s = time.monotonic()
                 for item in items:
                     await self._take(item, now_s)
+                self._take_waiting(now_s)
                 self._raft.tick(now_s)
                 self._retry_proposals(now_s)
                 self._keep_house(now_s)
@@ -179,14 +185,26 @@
             _log.error("ledger_stopped", replica=self._identity, reason=str(error))
             await self._events.post(LedgerLost(reason=str(error)))
 
+    def _take_waiting(self, now_s: float) -> None:
+        """Proposes what waited, together, once an interval."""
+        if now_s - self._took_waiting_at_s < WAITING_INTERVAL_S:
+            return
+        self._took_waiting_at_s = now_s
+        waiting, self._waiting = self._waiting, []
+        for proposal in waiting:
+            self._start_proposal(proposal, now_s)
+
+    def _start_proposal(self, proposal: _NewProposal, now_s: float) -> None:
+        self._proposals[proposal.number] = _Proposal(
+            command=proposal.command, tried_at_s=now_s
+        )
+        self._try_proposal(proposal.number, proposal.command)
+
     async def _take(self, item: object, now_s: float) -> None:
         if isinstance(item, ReplicaEnvelope):
             self._raft.receive(item.sender, item.message, now_s)
         elif isinstance(item, _NewProposal):
-            self._proposals[item.number] = _Proposal(
-                command=item.command, tried_at_s=now_s
-            )
-            self._try_proposal(item.number, item.command)
+            self._start_proposal(item, now_s)
         elif isinstance(item, _NewReplacement):
             await self._try_replacement(item, now_s)
 
