Lease work to agents by confirmed hearing; fault matrix

Cause: the fault matrix (result x cut) ran a task twice at once: a dispatch waited in the queue of a cut link for seven seconds, was delivered after its entry had given the agent up, and started beside the second attempt. Ruled out: counting silence at the agent alone; a frozen agent reads old frames from its buffer after it thaws and takes them for fresh. Change: frames carry the sender's time and echo the peer's; an agent starts an entry's work only while its newest frame known to be heard is less than 5 s old, and an entry gives an agent up after 6 s and drops what it has not acknowledged.

--- a/benchmarks/virtual_fleet.py
+++ b/benchmarks/virtual_fleet.py
@@ -26,7 +26,14 @@
 from hawthornbarrow_agent import AgentCore, AgentTiming
 from hawthornbarrow_agent import SendMessage as AgentSend
 from hawthornbarrow_agent import StartCall as AgentStart
-from hawthornbarrow_entry import EntryCore, EntryIdentity, Propose, Reply, ReplyTarget
+from hawthornbarrow_entry import (
+    EntryCore,
+    EntryIdentity,
+    ForgetPeer,
+    Propose,
+    Reply,
+    ReplyTarget,
+)
 
 from benchmarks.results import JobEnd, RunResult
 from benchmarks.traces import Site, TraceJob
@@ -300,6 +307,8 @@
                 self._at(self._now_s + delay_s, lambda c=command: self._apply(c))
             elif isinstance(effect, Reply):
                 self._answered(effect)
+            elif isinstance(effect, ForgetPeer):
+                continue
             else:
                 is_usage = type(effect.message).__name__ == "UsageReport"
                 if is_usage and not self._policy.exchanges_usage:
--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_core.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_core.py
@@ -1,6 +1,7 @@
 """AgentCore: the sans-I/O decisions of one agent."""
 
 import dataclasses
+import math
 
 from hawthornbarrow.dispatch import SlotSplitter
 from hawthornbarrow.links import (
@@ -16,6 +17,7 @@
     Message,
     PeerDown,
     PeerUp,
+    Received,
     RecoverJobs,
     SlotDemand,
     SlotGrant,
@@ -68,7 +70,8 @@
 @dataclasses.dataclass(kw_only=True)
 class _EntryLink:
     is_up: bool = True
-    silent_since_s: float = 0.0
+    confirmed_at_s: float = -math.inf
+    has_lease: bool = False
     backlog: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
@@ -182,10 +185,11 @@
             entry = self._entries.get(event.peer)
             if entry is not None:
                 entry.is_up = False
-                entry.silent_since_s = now_s
                 self._dirty.update(self._upstreams)
         else:
-            self._receive(event.peer, event.message, now_s)
+            self._renew_lease(event.peer, event.confirmed_at_s)
+            if isinstance(event, Received):
+                self._receive(event.peer, event.message, now_s)
         self._flush_due(now_s)
 
     def call_ended(
@@ -225,8 +229,8 @@
             if not slots.is_leaving and now_s >= slots.expires_at_s:
                 self.withdraw(name, now_s, "announcement_expired")
         for name, entry in self._entries.items():
-            silent_s = now_s - entry.silent_since_s
-            if not entry.is_up and silent_s >= self._timing.fence_s:
+            if entry.has_lease and not self._has_lease(name, now_s):
+                entry.has_lease = False
                 self._stop_work_of(name, now_s)
         for name in sorted(self._dirty):
             slots = self._upstreams[name]
@@ -251,7 +255,6 @@
         if entry is None or event.restarted:
             entry = self._entries[event.peer] = _EntryLink()
         entry.is_up = True
-        entry.silent_since_s = now_s
         for slots in self._upstreams.values():
             slots.shares.pop(event.peer, None)
             if not slots.is_leaving:
@@ -259,6 +262,25 @@
                 self._send(event.peer, announced)
                 self._split(slots, now_s)
 
+    def _renew_lease(self, peer: str, confirmed_at_s: float) -> None:
+        entry = self._entries.get(peer)
+        if entry is not None:
+            entry.confirmed_at_s = max(entry.confirmed_at_s, confirmed_at_s)
+            entry.has_lease = True
+
+    def _has_lease(self, peer: str, now_s: float) -> bool:
+        """Tells whether an entry's work may be started.
+
+        The lease runs from the newest frame of this agent that the entry is known
+        to have heard. The entry gives this agent up only later than it ends, so
+        work that arrives late, from a queue or a buffer, never starts beside its
+        second attempt elsewhere.
+        """
+        entry = self._entries.get(peer)
+        if entry is None:
+            return False
+        return now_s - entry.confirmed_at_s < self._timing.fence_s
+
     def _receive(self, peer: str, message: Message, now_s: float) -> None:
         match message:
             case DispatchBatch():
@@ -298,7 +320,11 @@
         is_fenced = self._custody.is_fenced(peer, batch.incarnation)
         for item in batch.items:
             for start in item.tasks:
-                reason = "fenced" if is_fenced else self._refusal(item, start)
+                reason = self._refusal(item, start)
+                if is_fenced:
+                    reason = "fenced"
+                elif not self._has_lease(peer, now_s):
+                    reason = "lease_lapsed"
                 self._take(peer, item, start, reason, now_s)
         self._on_demand(peer, batch.backlog, now_s)
         for name in sorted({item.upstream for item in batch.items}):
@@ -439,12 +465,18 @@
         announcement = slots.announcement
         while slots.queue and len(slots.running) < announcement.slots:
             task = slots.queue.popleft()
-            if now_s >= task.expires_at_s:
+            reason = self._refusal_of_start(task, now_s)
+            if reason:
                 outcome = TaskOutcome.NOT_STARTED
-                self._end(task, announcement.name, outcome, 0.0, b"", "deadline", now_s)
+                self._end(task, announcement.name, outcome, 0.0, b"", reason, now_s)
                 continue
             self._start(slots, task)
 
+    def _refusal_of_start(self, task: HeldTask, now_s: float) -> str:
+        if now_s >= task.expires_at_s:
+            return "deadline"
+        return "" if self._has_lease(task.entry, now_s) else "lease_lapsed"
+
     def _start(self, slots: UpstreamSlots, task: HeldTask) -> None:
         slots.running[task.job, task.index] = task
         holding = self._custody.get(task.job)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/__init__.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/__init__.py
@@ -4,6 +4,7 @@
 from hawthornbarrow_entry._effects import (
     Answer,
     EntryEffect,
+    ForgetPeer,
     Propose,
     Reply,
     ReplyTarget,
@@ -17,6 +18,7 @@
     "EntryEffect",
     "EntryIdentity",
     "EntryProcess",
+    "ForgetPeer",
     "EntrySettings",
     "Propose",
     "Reply",
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_context.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_context.py
@@ -20,6 +20,7 @@
 from hawthornbarrow_entry._effects import (
     Answer,
     EntryEffect,
+    ForgetPeer,
     Propose,
     Reply,
     ReplyTarget,
@@ -119,6 +120,10 @@
             SendMessage(peer=peer, message=message, is_urgent=is_urgent)
         )
 
+    def forget_peer(self, peer: str) -> None:
+        """Drops what a peer whose link is down has not acknowledged."""
+        self._effects.append(ForgetPeer(peer=peer))
+
     def answer(self, target: ReplyTarget, answer: Answer) -> None:
         """Answers a local caller, or the entry that forwarded its request."""
         if not target.peer:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
@@ -32,6 +32,7 @@
     Message,
     PeerDown,
     PeerUp,
+    Received,
     ResultBatch,
     SlotGrant,
     UpstreamAnnounced,
@@ -271,7 +272,7 @@
             self._peer_up(event, now_s)
         elif isinstance(event, PeerDown):
             self._peer_down(event.peer, now_s)
-        else:
+        elif isinstance(event, Received):
             self._receive(event.peer, event.message, now_s)
 
     def _peer_up(self, event: PeerUp, now_s: float) -> None:
@@ -415,6 +416,7 @@
                 continue
             if now_s - view.down_since_s >= AGENT_LOST_S:
                 view.is_lost = True
+                self._context.forget_peer(view.name)
                 self._give_up_agent(view.name, "agent_lost", now_s)
 
     def _give_up_agent(self, agent: str, reason: str, now_s: float) -> None:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_effects.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_effects.py
@@ -71,7 +71,14 @@
     is_urgent: bool = True
 
 
-EntryEffect = Reply | SendMessage | Propose
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ForgetPeer:
+    """Drop what a peer whose link is down has not acknowledged."""
+
+    peer: str
+
+
+EntryEffect = Reply | SendMessage | Propose | ForgetPeer
 
 
 def refuse(
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
@@ -18,12 +18,19 @@
     ReplicatedLedger,
     load_identity,
 )
-from hawthornbarrow.links import LinkPort, Mailbox, PeerDown, PeerUp, Received
+from hawthornbarrow.links import (
+    LinkPort,
+    Mailbox,
+    PeerDown,
+    PeerHeard,
+    PeerUp,
+    Received,
+)
 from hawthornbarrow.observability import BurnBook, Metrics
 
 from hawthornbarrow_entry._api import Api, CallerEvent
 from hawthornbarrow_entry._core import EntryCore, EntryIdentity
-from hawthornbarrow_entry._effects import Propose, Reply
+from hawthornbarrow_entry._effects import ForgetPeer, Propose, Reply
 
 _DRAIN_POLL_S = 0.05
 _BURN_SAVE_S = 10.0
@@ -200,8 +207,8 @@
             await self._api.on_applied(event)
         elif isinstance(event, LedgerLost):
             _log.error("ledger_lost", reason=event.reason)
-        elif isinstance(event, PeerUp | PeerDown | Received):
-            if not isinstance(event, Received):
+        elif isinstance(event, PeerUp | PeerDown | PeerHeard | Received):
+            if isinstance(event, PeerUp | PeerDown):
                 _log.info("link", peer=event.peer, up=isinstance(event, PeerUp))
             self._core.on_link_event(event, now_s)
         else:
@@ -213,6 +220,8 @@
                 await self._api.reply(effect)
             elif isinstance(effect, Propose):
                 await self._ledger.propose(effect.command, is_urgent=effect.is_urgent)
+            elif isinstance(effect, ForgetPeer):
+                self._port.forget(effect.peer)
             else:
                 self._port.send(effect.peer, effect.message, is_urgent=effect.is_urgent)
         await self._port.flush()
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_fleet.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_fleet.py
@@ -8,6 +8,7 @@
 import collections
 import dataclasses
 import itertools
+import math
 import random
 
 import msgspec
@@ -24,7 +25,7 @@
     LedgerState,
     job_id_of,
 )
-from hawthornbarrow.links import PeerDown, PeerUp, Received
+from hawthornbarrow.links import PeerDown, PeerHeard, PeerUp, Received
 from hawthornbarrow.upstreams import Announcement, CallEnd
 from hawthornbarrow_agent import AgentCore
 from hawthornbarrow_agent import SendMessage as AgentSend
@@ -33,6 +34,7 @@
 from hawthornbarrow_entry import (
     EntryCore,
     EntryIdentity,
+    ForgetPeer,
     Propose,
     Reply,
     ReplyTarget,
@@ -102,6 +104,7 @@
         self.entries = {}
         self.agents = {}
         self.agent_incarnations = {}
+        self.confirmed = {}
         self.queues = collections.defaultdict(collections.deque)
         self.linked = set()
         self.cut = set()
@@ -174,10 +177,20 @@
                     if pair not in self.linked:
                         self._link(pair)
 
+    def _exchange_heartbeats(self):
+        """A heartbeat overtakes nothing: one on a link with a queue is not heard."""
+        for pair in sorted(self.linked):
+            sender, receiver = pair
+            if (receiver, sender) in self.linked and not self.queues[pair]:
+                self.confirmed[pair] = self.now_s
+                event = PeerHeard(peer=sender, confirmed_at_s=self.now_s)
+                self._event(receiver, event)
+
     def _link(self, pair):
         sender, receiver = pair
         incarnation = self.incarnation(sender)
         self.linked.add(pair)
+        self.confirmed[pair] = self.now_s
         event = PeerUp(
             peer=sender,
             role="agent" if sender in self.agents else "entry",
@@ -222,7 +235,9 @@
             return False
         sender, receiver = sorted(ready)[pick % len(ready)]
         message = self.queues[sender, receiver].popleft()
-        self._event(receiver, Received(peer=sender, message=message))
+        confirmed_at_s = self.confirmed.get((sender, receiver), -math.inf)
+        event = Received(peer=sender, message=message, confirmed_at_s=confirmed_at_s)
+        self._event(receiver, event)
         return True
 
     def apply_one(self, pick):
@@ -247,6 +262,7 @@
     def tick(self, dt_s):
         self.now_s += dt_s
         self._connect()
+        self._exchange_heartbeats()
         for agent in list(self.agents):
             self.agents[agent].announce(self._announcement(agent), self.now_s)
             self.agents[agent].tick(self.now_s)
@@ -303,6 +319,8 @@
                         entry.held.append(effect.command)
                 elif isinstance(effect, Reply):
                     self._answered(name, effect)
+                elif isinstance(effect, ForgetPeer):
+                    self.queues[name, effect.peer].clear()
                 else:
                     self._queue(name, effect)
         elif name in self.agents:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_ownership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_ownership.py
@@ -156,6 +156,31 @@
         self.assertEqual(status(fleet, number), "completed")
         self.assertEqual(len(fleet.runs), 4)
 
+    def test_a_dispatch_that_arrives_after_its_agent_was_given_up_never_starts(self):
+        fleet = Fleet()
+        number = fleet.submit("e0", "k", tasks=4, repeatable=True)
+        fleet.tick(0.01)
+        while fleet.apply_one(0):
+            pass
+        fleet.tick(0.01)
+        fleet.cut_link("e0", "a0")
+        fleet.quiesce(7.0, finish=False)
+        fleet.heal()
+        fleet.quiesce(10.0)
+        self.assertEqual(status(fleet, number), "completed")
+
+    def test_an_agent_starts_nothing_once_its_lease_has_lapsed(self):
+        fleet = Fleet()
+        fleet.submit("e0", "k", tasks=4, repeatable=True)
+        fleet.tick(0.01)
+        while fleet.apply_one(0):
+            pass
+        fleet.tick(0.01)
+        fleet.now_s += 7.0
+        while fleet.deliver(0):
+            pass
+        self.assertEqual(fleet.runs, [])
+
     def test_an_uncertain_end_is_final_unless_repeatable(self):
         for repeatable, expected in ((False, "unknown"), (True, "completed")):
             fleet = Fleet()
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/__init__.py
@@ -38,6 +38,7 @@
     LinkEvent,
     LinkSession,
     PeerDown,
+    PeerHeard,
     PeerUp,
     Received,
 )
@@ -68,6 +69,7 @@
     "Mailbox",
     "Message",
     "PeerDown",
+    "PeerHeard",
     "PeerUp",
     "Received",
     "RecoverJobs",
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_frames.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_frames.py
@@ -14,6 +14,7 @@
         incarnation: Random number drawn when the sender started.
         peer_incarnation: Incarnation of the receiver as last seen, or zero.
         received: Sequence number of the last message received from it.
+        sent_at_s: Time of sending on the sender's clock.
     """
 
     process: str
@@ -21,6 +22,7 @@
     incarnation: int
     peer_incarnation: int
     received: int
+    sent_at_s: float
 
 
 class Frame(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=True):
@@ -29,9 +31,13 @@
     Attributes:
         first: Sequence number of the first message.
         received: Sequence number of the last message received in order.
+        sent_at_s: Time of sending on the sender's clock.
+        heard_at_s: The receiver's own sent_at_s in the last frame heard from it.
         messages: The messages, numbered from first upwards.
     """
 
     first: int
     received: int
+    sent_at_s: float
+    heard_at_s: float
     messages: list[Message]
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
@@ -105,6 +105,12 @@
             self._dirty.add(peer)
         return True
 
+    def forget(self, peer: str) -> None:
+        """Drops what a peer whose link is down has not acknowledged."""
+        session = self._sessions.get(peer)
+        if session is not None and not session.is_up:
+            session.forget_unacknowledged()
+
     async def flush(self) -> None:
         """Wakes the writers of all links that have something to send."""
         dirty, self._dirty = self._dirty, set()
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_session.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_session.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 
 from hawthornbarrow.links._frames import Frame, Hello
 from hawthornbarrow.links._messages import Message
@@ -37,13 +38,35 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Received:
-    """A message arrived, in order and for the first time."""
+    """A message arrived, in order and for the first time.
+
+    Attributes:
+        peer: Name of the peer process.
+        message: The message.
+        confirmed_at_s: As in PeerHeard.
+    """
 
     peer: str
     message: Message
+    confirmed_at_s: float = math.inf
 
 
-LinkEvent = PeerUp | PeerDown | Received
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PeerHeard:
+    """A heartbeat arrived.
+
+    Attributes:
+        peer: Name of the peer process.
+        confirmed_at_s: Time, on this side's clock, of the newest frame that the peer
+            is known to have heard. A lease counted from then has not lapsed at the
+            peer, whatever the delay of this heartbeat.
+    """
+
+    peer: str
+    confirmed_at_s: float
+
+
+LinkEvent = PeerUp | PeerDown | PeerHeard | Received
 
 
 class LinkSession:
@@ -86,6 +109,8 @@
         self._connected = False
         self._greeted = False
         self._heard_at_s = 0.0
+        self._peer_sent_at_s = -math.inf
+        self._confirmed_at_s = -math.inf
         self._sent_at_s = 0.0
         self._duplicates = 0
 
@@ -126,6 +151,7 @@
             incarnation=self._incarnation,
             peer_incarnation=self._peer_incarnation,
             received=self._received,
+            sent_at_s=now_s,
         )
 
     def disconnect(self) -> list[LinkEvent]:
@@ -143,6 +169,11 @@
         self._unacknowledged.append(message)
         self._unsent += 1
 
+    def forget_unacknowledged(self) -> None:
+        """Drops what the peer has not acknowledged, as it must not act on it now."""
+        self._unacknowledged.clear()
+        self._unsent = 0
+
     def receive(self, frame: Frame | Hello, now_s: float) -> list[LinkEvent]:
         """Takes one frame from the connection and returns what it means."""
         self._heard_at_s = now_s
@@ -156,10 +187,10 @@
             return []
         frames = []
         while self._unsent:
-            frames.append(self._next_frame())
+            frames.append(self._next_frame(now_s))
         is_idle = now_s - self._sent_at_s >= self._heartbeat_s
         if not frames and (is_idle or self._acknowledgement_is_late(now_s)):
-            frames.append(Frame(first=0, received=self._received, messages=[]))
+            frames.append(self._frame(0, [], now_s))
         if frames:
             self._sent_at_s = now_s
             self._acknowledgement_due = False
@@ -173,14 +204,19 @@
         waited_s = now_s - self._sent_at_s
         return self._acknowledgement_due and waited_s >= self._heartbeat_s / 2
 
-    def _next_frame(self) -> Frame:
+    def _next_frame(self, now_s: float) -> Frame:
         start = len(self._unacknowledged) - self._unsent
         stop = min(start + _MAX_FRAME_MESSAGES, len(self._unacknowledged))
         messages = [self._unacknowledged[index] for index in range(start, stop)]
         self._unsent -= len(messages)
+        return self._frame(self._next_sequence + start, messages, now_s)
+
+    def _frame(self, first: int, messages: list[Message], now_s: float) -> Frame:
         return Frame(
-            first=self._next_sequence + start,
+            first=first,
             received=self._received,
+            sent_at_s=now_s,
+            heard_at_s=self._peer_sent_at_s,
             messages=messages,
         )
 
@@ -193,8 +229,10 @@
                 self._next_sequence = 1
         if hello.peer_incarnation == self._incarnation and not restarted:
             self._acknowledge(hello.received)
+            self._next_sequence = max(self._next_sequence, hello.received + 1)
         elif hello.peer_incarnation != self._incarnation:
             self._next_sequence = 1
+        self._peer_sent_at_s = hello.sent_at_s
         self._peer = hello.process
         self._peer_incarnation = hello.incarnation
         self._unsent = len(self._unacknowledged)
@@ -210,7 +248,12 @@
 
     def _receive_frame(self, frame: Frame) -> list[LinkEvent]:
         self._acknowledge(frame.received)
+        self._peer_sent_at_s = frame.sent_at_s
+        self._confirmed_at_s = max(self._confirmed_at_s, frame.heard_at_s)
+        peer = self._peer or ""
         events: list[LinkEvent] = []
+        if not frame.messages:
+            events.append(PeerHeard(peer=peer, confirmed_at_s=self._confirmed_at_s))
         for offset, message in enumerate(frame.messages):
             sequence = frame.first + offset
             if sequence != self._received + 1:
@@ -218,7 +261,10 @@
                 continue
             self._received = sequence
             self._acknowledgement_due = True
-            events.append(Received(peer=self._peer or "", message=message))
+            received = Received(
+                peer=peer, message=message, confirmed_at_s=self._confirmed_at_s
+            )
+            events.append(received)
         return events
 
     def _acknowledge(self, received: int) -> None:
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/tests/test_session.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/tests/test_session.py
@@ -37,7 +37,13 @@
 
 
 class CodecTest(unittest.TestCase):
-    frame = Frame(first=1, received=0, messages=[CancelJobs(jobs=["j"])])
+    frame = Frame(
+        first=1,
+        received=0,
+        sent_at_s=1.0,
+        heard_at_s=0.5,
+        messages=[CancelJobs(jobs=["j"])],
+    )
 
     def test_round_trip(self):
         data = codec().encode(self.frame)
