--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_client.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_client.py
@@ -42,6 +42,7 @@
         self.sock = sock
         self.parser = h11.Connection(h11.CLIENT)
         self.used_at_s = time.monotonic()
+        self.has_answer = False
 
 
 class PooledClient:
@@ -134,6 +135,7 @@
         body: bytes,
     ) -> Response:
         parser = connection.parser
+        connection.has_answer = False
         head = h11.Request(
             method=method,
             target=path,
@@ -155,7 +157,7 @@
         try:
             return await _receive_response(connection)
         except h11.RemoteProtocolError as error:
-            if parser.their_state is h11.SEND_RESPONSE:
+            if not connection.has_answer:
                 raise ResetAfterSendError(str(error)) from error
             raise TruncatedError(str(error)) from error
         except OSError as error:
@@ -171,6 +173,7 @@
             connection.parser.receive_data(await connection.sock.recv(_READ_BYTES))
         elif isinstance(event, h11.Response):
             head = event
+            connection.has_answer = True
         elif isinstance(event, h11.Data):
             body += event.data
         elif isinstance(event, h11.EndOfMessage):
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
@@ -10,6 +10,7 @@
 from hawthornbarrow.http._exchange import Request, Response, problem
 
 _READ_BYTES = 64 * 1024
+_HEADER_OVERHEAD_BYTES = 4
 
 Handler = collections.abc.Callable[[Request], collections.abc.Awaitable[Response]]
 
@@ -200,6 +201,7 @@
             if event is h11.NEED_DATA:
                 return None
             if isinstance(event, h11.Request):
+                self._check_size(event)
                 self._head = event
             elif isinstance(event, h11.Data):
                 self._body += event.data
@@ -210,6 +212,18 @@
             else:
                 raise ConnectionResetError("connection closed within a request")
 
+    def _check_size(self, head: h11.Request) -> None:
+        """Refuses a large head that arrived at once, which the parser lets pass."""
+        size = len(head.target)
+        for name, value in head.headers.raw_items():
+            size += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
+        if size > self._limits.header_bytes:
+            raise h11.RemoteProtocolError(
+                f"request line and headers of {size} bytes, expected at most "
+                f"{self._limits.header_bytes}",
+                error_status_hint=431,
+            )
+
 
 def _request(head: h11.Request, body: bytes) -> Request:
     target = head.target.decode("ascii", "replace")
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/tests/test_http.py
@@ -0,0 +1,194 @@
+import socket
+import threading
+import unittest
+
+import curio
+
+from hawthornbarrow.http import (
+    HttpLimits,
+    HttpServer,
+    PooledClient,
+    RefusedError,
+    Request,
+    ResetAfterSendError,
+    Response,
+    TruncatedError,
+)
+
+LIMITS = HttpLimits(
+    header_bytes=2000, body_bytes=1000, connections=20, idle_s=1.0, request_s=0.5
+)
+
+
+async def echo(request: Request) -> Response:
+    if request.path == "/slow":
+        await curio.sleep(0.2)
+    return Response(status=200, body=request.path.encode() + request.body)
+
+
+def with_server(scenario):
+    """Runs a scenario in a thread against a server; returns what it returns."""
+    server = HttpServer(handler=echo, limits=LIMITS)
+    result = []
+
+    async def main():
+        task = await curio.spawn(server.serve, "127.0.0.1", 0)
+        while not server.bound_port:
+            await curio.sleep(0.001)
+        result.append(await curio.run_in_thread(scenario, server.bound_port))
+        await task.cancel()
+
+    curio.run(main)
+    return result[0]
+
+
+def exchange(port, data, *, chunks=None):
+    """Sends bytes, returns all that comes until the connection ends."""
+    with socket.create_connection(("127.0.0.1", port), timeout=5) as sock:
+        for chunk in chunks or [data]:
+            sock.sendall(chunk)
+        received = b""
+        while chunk := sock.recv(65536):
+            received += chunk
+        return received
+
+
+GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class ServerTest(unittest.TestCase):
+    def test_pipelined_requests_are_answered_in_order(self):
+        slow = b"GET /slow HTTP/1.1\r\nHost: x\r\n\r\n"
+        last = b"GET /b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        reply = with_server(lambda port: exchange(port, slow + GET + last))
+        positions = [reply.index(body) for body in (b"/slow", b"/a", b"/b")]
+        self.assertEqual(positions, sorted(positions))
+        self.assertEqual(reply.count(b"200"), 3)
+
+    def test_bad_input_gets_a_clear_refusal_and_disturbs_nobody(self):
+        cases = {
+            b"NONSENSE\r\n\r\n": b"400",
+            b"GET /a HTTP/1.1\r\n\r\n": b"400",
+            b"GET /a HTTP/1.1\r\nHost: x\r\nBad Header: 1\r\n\r\n": b"400",
+            b"GET /a HTTP/1.1\r\nHost: x\r\nX: " + b"y" * 5000 + b"\r\n\r\n": b"431",
+            b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n"
+            + b"z" * 2000: b"413",
+            b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+            b"Content-Length: 4\r\n\r\nabcd": b"400",
+            b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"zz\r\n": b"400",
+            b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\n": b"501",
+        }
+
+        def scenario(port):
+            replies = [exchange(port, data) for data in cases]
+            fine = exchange(
+                port, GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+            )
+            return replies, fine
+
+        replies, fine = with_server(scenario)
+        for (data, expected), reply in zip(cases.items(), replies, strict=True):
+            head = reply.split(b"\r\n", 1)[0]
+            self.assertIn(expected, head, data[:60])
+            self.assertIn(b'"not_run":true', reply)
+        self.assertIn(b"200", fine)
+
+    def test_length_and_chunked_together_do_not_smuggle_a_request(self):
+        data = (
+            b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n"
+        )
+        reply = with_server(lambda port: exchange(port, data))
+        self.assertNotIn(b"/smuggled", reply)
+
+    def test_a_slow_sender_is_cut_off_while_others_are_served(self):
+        def scenario(port):
+            slow = socket.create_connection(("127.0.0.1", port), timeout=5)
+            slow.sendall(b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nab")
+            closing = GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+            fine = exchange(port, closing)
+            rest = slow.recv(100)
+            slow.close()
+            return fine, rest
+
+        fine, rest = with_server(scenario)
+        self.assertIn(b"200", fine)
+        self.assertEqual(rest, b"")
+
+    def test_connections_over_the_limit_are_refused(self):
+        def scenario(port):
+            held = [
+                socket.create_connection(("127.0.0.1", port), timeout=5)
+                for _ in range(LIMITS.connections)
+            ]
+            for sock in held:
+                sock.sendall(GET)
+                sock.recv(1000)
+            reply = exchange(port, b"")
+            for sock in held:
+                sock.close()
+            return reply
+
+        self.assertIn(b"503", with_server(scenario))
+
+
+class ClientTest(unittest.TestCase):
+    """Each way that a call can fail is told from the others."""
+
+    def call(self, behaviour):
+        listener = socket.create_server(("127.0.0.1", 0))
+        port = listener.getsockname()[1]
+
+        def serve():
+            sock, _ = listener.accept()
+            sock.recv(65536)
+            sock.sendall(behaviour)
+            sock.close()
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+
+        async def main():
+            client = PooledClient(host="127.0.0.1", port=port, connections=1)
+            try:
+                return await client.request("POST", "/", {}, b"x")
+            finally:
+                await client.close()
+
+        try:
+            return curio.run(main)
+        finally:
+            thread.join()
+            listener.close()
+
+    def test_whole_answer(self):
+        reply = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        self.assertEqual(self.call(reply).body, b"ok")
+
+    def test_cut_short(self):
+        with self.assertRaises(TruncatedError):
+            self.call(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok")
+
+    def test_closed_without_an_answer(self):
+        with self.assertRaises(ResetAfterSendError):
+            self.call(b"")
+
+    def test_not_http(self):
+        with self.assertRaises((TruncatedError, ResetAfterSendError)):
+            self.call(b"\x00\x01\x02 nonsense\r\n\r\n")
+
+    def test_refused(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+
+        async def main():
+            client = PooledClient(host="127.0.0.1", port=port, connections=1)
+            await client.request("POST", "/", {}, b"x")
+
+        with self.assertRaises(RefusedError):
+            curio.run(main)
+
+
+if __name__ == "__main__":
+    unittest.main()
