--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/__init__.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/__init__.py
@@ -1,6 +1,6 @@
 """The agent: one small process beside each upstream."""
 
-from hawthornbarrow_agent._core import AgentCore, AgentTiming
+from hawthornbarrow_agent._core import AgentCore
 from hawthornbarrow_agent._effects import (
     AgentEffect,
     SendMessage,
@@ -8,6 +8,7 @@
     StopCall,
 )
 from hawthornbarrow_agent._process import AgentProcess, AgentSettings
+from hawthornbarrow_agent._timing import AgentTiming
 
 __all__ = [
     "AgentCore",
--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_core.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_core.py
@@ -1,7 +1,6 @@
 """AgentCore: the sans-I/O decisions of one agent."""
 
 import dataclasses
-import math
 
 from hawthornbarrow.dispatch import SlotSplitter
 from hawthornbarrow.links import (
@@ -20,7 +19,6 @@
     Received,
     RecoverJobs,
     SlotDemand,
-    SlotGrant,
     TaskOutcome,
     TaskResult,
     TaskStart,
@@ -41,40 +39,14 @@
     StartCall,
     StopCall,
 )
+from hawthornbarrow_agent._entry_links import EntryLinks
 from hawthornbarrow_agent._holdings import HeldTask, JobHolding, UpstreamSlots
 from hawthornbarrow_agent._reporter import ResultReporter
+from hawthornbarrow_agent._timing import AgentTiming
 
-FENCE_S = 5.0
-_RUN_WEIGHT = 0.1
-_LIMIT_CHANGE = 0.25
 _TICK_S = 0.2
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class AgentTiming:
-    """Times of the agent's decisions.
-
-    Attributes:
-        result_hold_s: Longest time that a result waits for a batch.
-        ahead_s: Work that an entry may queue ahead of its slots.
-        split_interval_s: Least time between two splits of an upstream's slots.
-        fence_s: Silence of an entry after which its work is stopped.
-    """
-
-    result_hold_s: float = 0.025
-    ahead_s: float = 0.04
-    split_interval_s: float = 0.02
-    fence_s: float = FENCE_S
-
-
-@dataclasses.dataclass(kw_only=True)
-class _EntryLink:
-    is_up: bool = True
-    confirmed_at_s: float = -math.inf
-    has_lease: bool = False
-    backlog: dict[str, int] = dataclasses.field(default_factory=dict)
-
-
 class AgentCore:
     """Holds slots, starts tasks and keeps results until their job is closed.
 
@@ -86,11 +58,10 @@
         """Starts without upstreams and entries."""
         self._timing = timing or AgentTiming()
         self._upstreams: dict[str, UpstreamSlots] = {}
-        self._entries: dict[str, _EntryLink] = {}
+        self._entries = EntryLinks(fence_s=self._timing.fence_s)
         self._custody = JobCustody()
         self._reporter = ResultReporter()
         self._effects: list[AgentEffect] = []
-        self._dirty: set[str] = set()
         self._configuration = ConfigurationUpdate(version=0, document=b"")
         self._wasted: dict[str, int] = {}
 
@@ -127,11 +98,11 @@
         self._timing = dataclasses.replace(
             self._timing, result_hold_s=result_hold_s, ahead_s=ahead_s
         )
-        for name, slots in self._upstreams.items():
+        for slots in self._upstreams.values():
             slots.splitter = SlotSplitter(
                 slots=slots.announcement.slots, ahead_s=ahead_s
             )
-            self._dirty.add(name)
+            slots.is_dirty = True
 
     def take_effects(self) -> list[AgentEffect]:
         """Returns what there is to do, and forgets it."""
@@ -170,9 +141,7 @@
             return slots is not None
         slots.is_leaving = True
         self._tell_all(UpstreamGone(upstream=upstream, reason=reason))
-        waiting = list(slots.queue)
-        slots.queue.clear()
-        for task in waiting:
+        for task in slots.take_waiting(lambda task: True):
             self._end(task, upstream, TaskOutcome.NOT_STARTED, 0.0, b"", reason, now_s)
         self._flush_due(now_s)
         return True
@@ -182,12 +151,11 @@
         if isinstance(event, PeerUp):
             self._entry_up(event, now_s)
         elif isinstance(event, PeerDown):
-            entry = self._entries.get(event.peer)
-            if entry is not None:
-                entry.is_up = False
-                self._dirty.update(self._upstreams)
+            if self._entries.down(event.peer):
+                for slots in self._upstreams.values():
+                    slots.is_dirty = True
         else:
-            self._renew_lease(event.peer, event.confirmed_at_s)
+            self._entries.renew(event.peer, event.confirmed_at_s)
             if isinstance(event, Received):
                 self._receive(event.peer, event.message, now_s)
         self._flush_due(now_s)
@@ -212,7 +180,7 @@
         reason = "" if verdict.completed else end.value
         if verdict.completed:
             outcome = TaskOutcome.COMPLETED
-            self._learn(slots, run_s)
+            slots.learn(run_s)
         elif not verdict.started:
             outcome = TaskOutcome.NOT_STARTED
         elif verdict.known:
@@ -228,13 +196,11 @@
         for name, slots in list(self._upstreams.items()):
             if not slots.is_leaving and now_s >= slots.expires_at_s:
                 self.withdraw(name, now_s, "announcement_expired")
-        for name, entry in self._entries.items():
-            if entry.has_lease and not self._has_lease(name, now_s):
-                entry.has_lease = False
-                self._stop_work_of(name, now_s)
-        for name in sorted(self._dirty):
-            slots = self._upstreams[name]
-            if now_s - slots.split_at_s >= self._timing.split_interval_s:
+        for name in self._entries.take_lapsed(now_s):
+            self._stop_work_of(name, now_s)
+        for slots in self._upstreams.values():
+            is_due = now_s - slots.split_at_s >= self._timing.split_interval_s
+            if slots.is_dirty and is_due:
                 self._split(slots, now_s)
         self._custody.forget_closed(now_s)
         self._flush_due(now_s)
@@ -242,7 +208,7 @@
     def next_due_s(self, now_s: float) -> float:
         """Returns the time until something is due."""
         due_s = min(_TICK_S, max(0.0, self._reporter.due_at_s - now_s))
-        if self._dirty:
+        if any(slots.is_dirty for slots in self._upstreams.values()):
             due_s = min(due_s, self._timing.split_interval_s)
         return due_s
 
@@ -251,10 +217,7 @@
     def _entry_up(self, event: PeerUp, now_s: float) -> None:
         if event.role != "entry":
             return
-        entry = self._entries.get(event.peer)
-        if entry is None or event.restarted:
-            entry = self._entries[event.peer] = _EntryLink()
-        entry.is_up = True
+        self._entries.up(event.peer, restarted=event.restarted)
         for slots in self._upstreams.values():
             slots.shares.pop(event.peer, None)
             if not slots.is_leaving:
@@ -262,25 +225,6 @@
                 self._send(event.peer, announced)
                 self._split(slots, now_s)
 
-    def _renew_lease(self, peer: str, confirmed_at_s: float) -> None:
-        entry = self._entries.get(peer)
-        if entry is not None:
-            entry.confirmed_at_s = max(entry.confirmed_at_s, confirmed_at_s)
-            entry.has_lease = True
-
-    def _has_lease(self, peer: str, now_s: float) -> bool:
-        """Tells whether an entry's work may be started.
-
-        The lease runs from the newest frame of this agent that the entry is known
-        to have heard. The entry gives this agent up only later than it ends, so
-        work that arrives late, from a queue or a buffer, never starts beside its
-        second attempt elsewhere.
-        """
-        entry = self._entries.get(peer)
-        if entry is None:
-            return False
-        return now_s - entry.confirmed_at_s < self._timing.fence_s
-
     def _receive(self, peer: str, message: Message, now_s: float) -> None:
         match message:
             case DispatchBatch():
@@ -302,19 +246,15 @@
                 self._count_wasted("unexpected")
 
     def _on_demand(self, peer: str, backlog: dict[str, int], now_s: float) -> None:
-        entry = self._entries.get(peer)
-        if entry is None:
-            return
         for upstream, waiting in backlog.items():
-            before = entry.backlog.get(upstream, 0)
-            entry.backlog[upstream] = waiting
+            before = self._entries.set_backlog(peer, upstream, waiting)
             slots = self._upstreams.get(upstream)
-            if slots is None or before == waiting:
+            if slots is None or before is None or before == waiting:
                 continue
             if not before:
                 self._split(slots, now_s)
             else:
-                self._dirty.add(upstream)
+                slots.is_dirty = True
 
     def _on_dispatch(self, peer: str, batch: DispatchBatch, now_s: float) -> None:
         is_fenced = self._custody.is_fenced(peer, batch.incarnation)
@@ -323,7 +263,7 @@
                 reason = self._refusal(item, start)
                 if is_fenced:
                     reason = "fenced"
-                elif not self._has_lease(peer, now_s):
+                elif not self._entries.has_lease(peer, now_s):
                     reason = "lease_lapsed"
                 self._take(peer, item, start, reason, now_s)
         self._on_demand(peer, batch.backlog, now_s)
@@ -429,14 +369,9 @@
     def _stop_work_of(self, entry: str, now_s: float) -> None:
         """Drops what waits and stops what may run again for a silent entry."""
         for name, slots in self._upstreams.items():
-            waiting = [task for task in slots.queue if task.entry == entry]
-            if waiting:
-                kept = [task for task in slots.queue if task.entry != entry]
-                slots.queue.clear()
-                slots.queue.extend(kept)
-                for task in waiting:
-                    outcome = TaskOutcome.NOT_STARTED
-                    self._end(task, name, outcome, 0.0, b"", "owner_silent", now_s)
+            for task in slots.take_waiting(lambda task: task.entry == entry):
+                outcome = TaskOutcome.NOT_STARTED
+                self._end(task, name, outcome, 0.0, b"", "owner_silent", now_s)
             if not slots.announcement.stops_on_disconnect:
                 continue
             for task in slots.running.values():
@@ -449,10 +384,7 @@
         self, slots: UpstreamSlots, holding: JobHolding, job: str
     ) -> None:
         """Drops the tasks of a job that have not started; nobody is told."""
-        kept = [task for task in slots.queue if task.job != job]
-        holding.active -= len(slots.queue) - len(kept)
-        slots.queue.clear()
-        slots.queue.extend(kept)
+        holding.active -= len(slots.take_waiting(lambda task: task.job == job))
 
     def _stop(self, task: HeldTask) -> None:
         self._effects.append(
@@ -475,7 +407,7 @@
     def _refusal_of_start(self, task: HeldTask, now_s: float) -> str:
         if now_s >= task.expires_at_s:
             return "deadline"
-        return "" if self._has_lease(task.entry, now_s) else "lease_lapsed"
+        return "" if self._entries.has_lease(task.entry, now_s) else "lease_lapsed"
 
     def _start(self, slots: UpstreamSlots, task: HeldTask) -> None:
         slots.running[task.job, task.index] = task
@@ -497,41 +429,10 @@
 
     def _split(self, slots: UpstreamSlots, now_s: float) -> None:
         """Splits an upstream's slots anew and sends the grants that changed."""
-        name = slots.announcement.name
-        self._dirty.discard(name)
-        slots.split_at_s = now_s
-        slots.split_mean_s = slots.mean_run_s
-        demand = {
-            peer: entry.backlog.get(name, 0) + slots.held_for(peer)
-            for peer, entry in self._entries.items()
-            if entry.is_up
-        }
-        shares = slots.splitter.split(demand, slots.mean_run_s)
-        for peer, share in shares.items():
-            before = slots.shares.get(peer)
-            if before is not None and before.slots == share.slots:
-                change = abs(share.limit - before.limit)
-                if change <= _LIMIT_CHANGE * before.limit:
-                    continue
-            slots.generation += 1
-            slots.shares[peer] = share
-            grant = SlotGrant(
-                upstream=name,
-                limit=share.limit,
-                slots=share.slots,
-                generation=slots.generation,
-            )
+        backlog = self._entries.backlogs(slots.announcement.name)
+        for peer, grant in slots.split(backlog, now_s):
             self._send(peer, grant)
 
-    def _learn(self, slots: UpstreamSlots, run_s: float) -> None:
-        """Updates the mean run time; a clear change resizes the queues ahead."""
-        slots.completed += 1
-        weight = max(_RUN_WEIGHT, 1 / slots.completed)
-        slots.mean_run_s += weight * (run_s - slots.mean_run_s)
-        change = abs(slots.mean_run_s - slots.split_mean_s)
-        if change > _LIMIT_CHANGE * slots.split_mean_s:
-            self._dirty.add(slots.announcement.name)
-
     # --- results -------------------------------------------------------------
 
     def _end(
@@ -572,10 +473,9 @@
 
     def _is_starving(self, upstream: str, owner: str) -> bool:
         """Tells whether the upstream idles while work for it waits at the owner."""
-        entry = self._entries.get(owner)
-        if entry is None or self._upstreams[upstream].queue:
+        if self._upstreams[upstream].queue:
             return False
-        return entry.backlog.get(upstream, 0) > 0
+        return self._entries.backlog(owner, upstream) > 0
 
     def _report(
         self, peer: str, result: TaskResult, now_s: float, *, is_urgent: bool
@@ -591,7 +491,7 @@
         self._effects.append(SendMessage(peer=peer, message=message))
 
     def _tell_all(self, message: Message) -> None:
-        for peer in self._entries:
+        for peer in self._entries.names:
             self._send(peer, message)
 
     def _count_wasted(self, cause: str) -> None:
--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_holdings.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_holdings.py
@@ -1,12 +1,16 @@
 """What the agent holds: tasks in line, tasks on slots, results of open jobs."""
 
 import collections
+import collections.abc
 import dataclasses
 
 from hawthornbarrow.dispatch import DEFAULT_RUN_S, SlotSplitter, SplitShare
-from hawthornbarrow.links import TaskResult
+from hawthornbarrow.links import SlotGrant, TaskResult
 from hawthornbarrow.upstreams import Announcement
 
+_RUN_WEIGHT = 0.1
+_CLEAR_CHANGE = 0.25
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class HeldTask:
@@ -84,9 +88,68 @@
         self.shares: dict[str, SplitShare] = {}
         self.generation = 0
         self.split_at_s = 0.0
+        self.is_dirty = False
 
     def held_for(self, entry: str) -> int:
         """Returns the number of tasks held for an entry."""
         queued = sum(task.entry == entry for task in self.queue)
         running = sum(task.entry == entry for task in self.running.values())
         return queued + running
+
+    def take_waiting(
+        self, is_meant: collections.abc.Callable[[HeldTask], bool]
+    ) -> list[HeldTask]:
+        """Removes and returns the tasks in line that are meant."""
+        taken = [task for task in self.queue if is_meant(task)]
+        if taken:
+            kept = [task for task in self.queue if not is_meant(task)]
+            self.queue = collections.deque(kept)
+        return taken
+
+    def learn(self, run_s: float) -> None:
+        """Updates the mean run time; a clear change asks for a new split."""
+        self.completed += 1
+        weight = max(_RUN_WEIGHT, 1 / self.completed)
+        self.mean_run_s += weight * (run_s - self.mean_run_s)
+        change = abs(self.mean_run_s - self.split_mean_s)
+        if change > _CLEAR_CHANGE * self.split_mean_s:
+            self.is_dirty = True
+
+    def split(
+        self, backlog: dict[str, int], now_s: float
+    ) -> list[tuple[str, SlotGrant]]:
+        """Splits the slots anew.
+
+        Args:
+            backlog: Tasks that wait at each linked entry.
+            now_s: Current time.
+
+        Returns:
+            The grants that changed clearly, by entry.
+        """
+        self.is_dirty = False
+        self.split_at_s = now_s
+        self.split_mean_s = self.mean_run_s
+        demand = {
+            peer: waiting + self.held_for(peer) for peer, waiting in backlog.items()
+        }
+        grants = []
+        for peer, share in self.splitter.split(demand, self.mean_run_s).items():
+            if self._is_told(peer, share):
+                continue
+            self.generation += 1
+            self.shares[peer] = share
+            grant = SlotGrant(
+                upstream=self.announcement.name,
+                limit=share.limit,
+                slots=share.slots,
+                generation=self.generation,
+            )
+            grants.append((peer, grant))
+        return grants
+
+    def _is_told(self, peer: str, share: SplitShare) -> bool:
+        before = self.shares.get(peer)
+        if before is None or before.slots != share.slots:
+            return False
+        return abs(share.limit - before.limit) <= _CLEAR_CHANGE * before.limit
--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_process.py
@@ -16,8 +16,9 @@
 from hawthornbarrow.upstreams import Announcement
 
 from hawthornbarrow_agent._caller import CallEnded, UpstreamCaller
-from hawthornbarrow_agent._core import AgentCore, AgentTiming
+from hawthornbarrow_agent._core import AgentCore
 from hawthornbarrow_agent._effects import SendMessage, StartCall
+from hawthornbarrow_agent._timing import AgentTiming
 
 _DRAIN_POLL_S = 0.02
 _log = structlog.get_logger()
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/__init__.py
@@ -35,8 +35,9 @@
     SnapshotReply,
     VoteReply,
 )
-from hawthornbarrow.ledger._raft import RaftReplica, RaftSettings, Ready, Role
+from hawthornbarrow.ledger._raft import RaftReplica
 from hawthornbarrow.ledger._raft_log import RaftLog
+from hawthornbarrow.ledger._ready import RaftSettings, Ready, Role
 from hawthornbarrow.ledger._replica import ReplicatedLedger
 from hawthornbarrow.ledger._state import (
     AgentRecord,
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_messages.py
@@ -168,3 +168,14 @@
     receiver: str
     heard_age_s: float
     message: RaftMessage
+
+
+def stale_reply(term: int, message: RaftMessage) -> RaftMessage | None:
+    """Returns the answer that tells a sender of an older term which term it is."""
+    match message:
+        case AppendEntries() | InstallSnapshot():
+            return AppendReply(term=term, accepted=False, match=0, hint=0)
+        case RequestVote():
+            return VoteReply(term=term, granted=False, is_prevote=message.is_prevote)
+        case _:
+            return None
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
@@ -6,8 +6,6 @@
 and `persisted`, and after each takes what `take_ready` returns.
 """
 
-import dataclasses
-import enum
 import random
 
 from hawthornbarrow.ledger._messages import (
@@ -23,75 +21,18 @@
     RequestVote,
     SnapshotReply,
     VoteReply,
+    stale_reply,
 )
-from hawthornbarrow.ledger._progress import Progress
 from hawthornbarrow.ledger._raft_log import RaftLog
+from hawthornbarrow.ledger._ready import RaftSettings, Ready, Role
 from hawthornbarrow.ledger._replacement import (
     next_members,
     refusal_of_replacement,
 )
-from hawthornbarrow.ledger._snapshot_transfer import SnapshotAssembly, chunk_of
+from hawthornbarrow.ledger._replication import Replication
+from hawthornbarrow.ledger._snapshot_transfer import SnapshotAssembly
 from hawthornbarrow.ledger._storage import HardState, Snapshot, StoredState
 
-MAX_ENTRIES_PER_MESSAGE = 256
-
-
-class Role(enum.StrEnum):
-    """Role of a replica in its term."""
-
-    FOLLOWER = "follower"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class RaftSettings:
-    """Times of the protocol.
-
-    Attributes:
-        heartbeat_s: Interval between a leader's messages.
-        election_min_s: Shortest time without a leader before an election.
-        election_max_s: Longest such time; each replica draws its own.
-    """
-
-    heartbeat_s: float = 0.1
-    election_min_s: float = 0.4
-    election_max_s: float = 0.8
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Ready:
-    """What the driver must do, in this order.
-
-    Attributes:
-        immediate: Messages to send at once.
-        snapshot: Snapshot to store durably, or None.
-        truncate_from: Stored entries from here on are void, or zero.
-        entries: Entries to append durably.
-        hard_state: Term and vote to store durably, or None.
-        after_sync: Messages to send once all that is durable.
-        installed: Snapshot whose state replaces the state machine's, or None.
-        committed: Entries to apply.
-        replies: Outcomes of replacement requests made at this replica.
-    """
-
-    immediate: list[tuple[str, RaftMessage]]
-    snapshot: Snapshot | None
-    truncate_from: int
-    entries: list[LogEntry]
-    hard_state: HardState | None
-    after_sync: list[tuple[str, RaftMessage]]
-    installed: Snapshot | None
-    committed: list[LogEntry]
-    replies: list[ReplaceReply]
-
-    @property
-    def must_sync(self) -> bool:
-        """Whether anything must be made durable."""
-        return bool(
-            self.snapshot or self.truncate_from or self.entries or self.hard_state
-        )
-
 
 class RaftReplica:
     """One replica.
@@ -134,8 +75,7 @@
         self._election_at_s = 0.0
         self._votes: set[str] = set()
         self._is_prevote = False
-        self._progress: dict[str, Progress] = {}
-        self._led_since_s = 0.0
+        self._replication: Replication | None = None
         self._assembly: SnapshotAssembly | None = None
         self._clear_ready()
         self._reset_election_timer(now_s)
@@ -171,25 +111,20 @@
         return self._log
 
     @property
-    def progress(self) -> dict[str, Progress]:
+    def replication(self) -> Replication | None:
         """At a leader, what it knows of the others."""
-        return self._progress
-
-    @property
-    def led_since_s(self) -> float:
-        """When this replica became leader."""
-        return self._led_since_s
+        return self._replication
 
     def is_in_touch(self, now_s: float, limit_s: float) -> bool:
         """Tells whether a leader that a quorum follows was heard within the limit."""
-        if self._role is Role.LEADER:
-            return self._hears_quorum(now_s, limit_s)
+        if self._replication is not None:
+            return self._replication.hears_quorum(now_s, limit_s)
         return now_s - self._leader_heard_at_s <= limit_s
 
     def tick(self, now_s: float) -> None:
         """Lets time pass."""
-        if self._role is Role.LEADER:
-            self._tick_leader(now_s)
+        if self._replication is not None:
+            self._tick_leader(self._replication, now_s)
         elif now_s >= self._election_at_s:
             self._start_election(now_s, is_prevote=True)
 
@@ -206,17 +141,17 @@
         Returns:
             An empty string, or why the request is refused.
         """
-        if self._role is not Role.LEADER:
+        if self._replication is None:
             return "not the leader"
         if self._log.members_index > self._commit:
             return "an earlier change of members is not committed yet"
-        heard = self._heard_replicas(now_s, self._settings.election_max_s)
+        heard = self._replication.heard(now_s, self._settings.election_max_s)
         reason = refusal_of_replacement(self._log.members, old, new, heard)
         if reason:
             return reason
         members = self._log.members
-        self._append_members(
-            Members(voters=members.voters, learners=(new,), leaving=old)
+        self._append(
+            members=Members(voters=members.voters, learners=(new,), leaving=old)
         )
         return ""
 
@@ -236,19 +171,23 @@
             self._replies.append(message)
             return
         if not self._accept_term(message, now_s):
-            self._answer_stale(sender, message)
+            reply = stale_reply(self.term, message)
+            if reply is not None:
+                self._after_sync.append((sender, reply))
             return
         self._handle(sender, message, now_s)
 
     def persisted(self) -> None:
         """Notes that all of the last Ready is durable."""
         self._synced = self._log.last_index
-        if self._role is Role.LEADER:
-            self._advance_commit()
+        if self._replication is not None:
+            self._advance_commit(self._replication)
 
     def compact(self, snapshot: Snapshot) -> None:
         """Replaces the applied part of the log by a stored snapshot."""
         self._snapshot = snapshot
+        if self._replication is not None:
+            self._replication.snapshot = snapshot
         self._log.compact(snapshot.index)
 
     def snapshot_at(self, data: bytes) -> Snapshot:
@@ -271,6 +210,8 @@
             )
             self._delivered = self._commit
         immediate, after_sync = self._immediate, self._after_sync
+        if self._replication is not None:
+            immediate = immediate + self._replication.take_messages()
         if self._hard_changed:
             immediate, after_sync = [], immediate + after_sync
         ready = Ready(
@@ -302,17 +243,6 @@
             self._become_follower(message.term, now_s, reset_timer=leads)
         return message.term >= self.term
 
-    def _answer_stale(self, sender: str, message: RaftMessage) -> None:
-        """Tells a sender of an older term which term it is."""
-        if isinstance(message, AppendEntries | InstallSnapshot):
-            reply = AppendReply(term=self.term, accepted=False, match=0, hint=0)
-            self._after_sync.append((sender, reply))
-        elif isinstance(message, RequestVote):
-            refusal = VoteReply(
-                term=self.term, granted=False, is_prevote=message.is_prevote
-            )
-            self._after_sync.append((sender, refusal))
-
     def _handle(self, sender: str, message: RaftMessage, now_s: float) -> None:
         match message:
             case RequestVote():
@@ -321,12 +251,15 @@
                 self._on_vote_reply(sender, message, now_s)
             case AppendEntries():
                 self._on_append_entries(sender, message, now_s)
-            case AppendReply():
-                self._on_append_reply(sender, message, now_s)
+            case AppendReply() if self._replication is not None:
+                self._replication.take_append_reply(
+                    sender, message, now_s, self._commit
+                )
+                self._advance_commit(self._replication)
             case InstallSnapshot():
                 self._on_install_snapshot(sender, message, now_s)
-            case SnapshotReply():
-                self._on_snapshot_reply(sender, message, now_s)
+            case SnapshotReply() if self._replication is not None:
+                self._replication.take_snapshot_reply(sender, message, now_s)
 
     def _has_leader(self, now_s: float) -> bool:
         """Tells whether a live leader makes an election needless."""
@@ -397,12 +330,17 @@
     def _become_leader(self, now_s: float) -> None:
         self._role = Role.LEADER
         self._leader = self._replica
-        self._led_since_s = now_s
-        self._progress = {}
-        self._sync_progress(now_s)
-        self._append(proposer="", number=0, command=b"")
-        self._broadcast(now_s)
-        self._advance_commit()
+        self._replication = Replication(
+            replica=self._replica,
+            term=self.term,
+            log=self._log,
+            snapshot=self._snapshot,
+            heartbeat_s=self._settings.heartbeat_s,
+            now_s=now_s,
+        )
+        self._append()
+        self.flush(now_s)
+        self._advance_commit(self._replication)
 
     def _become_follower(self, term: int, now_s: float, *, reset_timer: bool) -> None:
         if term > self.term:
@@ -411,6 +349,7 @@
             self._reset_election_timer(now_s)
         self._role = Role.FOLLOWER
         self._leader = None
+        self._replication = None
         self._assembly = None
 
     def _reset_election_timer(self, now_s: float) -> None:
@@ -420,173 +359,56 @@
 
     # --- leader --------------------------------------------------------------
 
-    def _tick_leader(self, now_s: float) -> None:
-        if not self._hears_quorum(now_s, self._settings.election_max_s):
+    def _tick_leader(self, replication: Replication, now_s: float) -> None:
+        if not replication.hears_quorum(now_s, self._settings.election_max_s):
             self._become_follower(self.term, now_s, reset_timer=True)
             return
-        self._sync_progress(now_s)
-        self._continue_replacement()
-        self._broadcast(now_s)
+        self._continue_replacement(replication)
+        self.flush(now_s)
 
-    def _hears_quorum(self, now_s: float, limit_s: float) -> bool:
-        if now_s - self._led_since_s <= limit_s:
-            return True
-        voters = self._log.members.voters
-        heard = self._heard_replicas(now_s, limit_s)
-        count = sum(voter in heard for voter in voters)
-        return count >= self._log.members.quorum
-
-    def _heard_replicas(self, now_s: float, limit_s: float) -> set[str]:
-        heard = {self._replica}
-        for name, progress in self._progress.items():
-            if now_s - progress.heard_at_s <= limit_s:
-                heard.add(name)
-        return heard
-
-    def _sync_progress(self, now_s: float) -> None:
-        others = set(self._log.members.everyone) - {self._replica}
-        for gone in set(self._progress) - others:
-            del self._progress[gone]
-        for name in others - set(self._progress):
-            self._progress[name] = Progress(
-                next=self._log.last_index + 1, heard_at_s=now_s, sent_at_s=-1e9
-            )
+    def flush(self, now_s: float) -> None:
+        """Sends newly appended entries without waiting for the next tick."""
+        if self._replication is not None:
+            self._replication.sync_members(now_s)
+            self._replication.broadcast(now_s, self._commit)
 
-    def _continue_replacement(self) -> None:
-        if self._log.members_index > self._commit or not self._committed_own_term():
+    def _continue_replacement(self, replication: Replication) -> None:
+        is_settled = self._log.members_index <= self._commit
+        if not is_settled or self._log.term_at(self._commit) != self.term:
             return
-        matches = {name: entry.match for name, entry in self._progress.items()}
+        matches = {
+            name: progress.match for name, progress in replication.progress.items()
+        }
         members = next_members(self._log.members, matches, self._commit)
         if members is not None:
-            self._append_members(members)
+            self._append(members=members)
 
-    def _committed_own_term(self) -> bool:
-        return self._log.term_at(self._commit) == self.term
-
-    def _broadcast(self, now_s: float) -> None:
-        for name in list(self._progress):
-            self._send_to(name, now_s)
-
-    def _send_to(self, name: str, now_s: float) -> None:
-        progress = self._progress[name]
-        is_due = now_s - progress.sent_at_s >= self._settings.heartbeat_s
-        has_news = progress.next <= self._log.last_index
-        if not is_due and not has_news:
-            return
-        if is_due and 0 < progress.match < progress.next - 1:
-            progress.next = progress.match + 1
-        needs_snapshot = progress.next <= self._log.base_index
-        if needs_snapshot and not is_due:
-            return
-        progress.sent_at_s = now_s
-        if needs_snapshot:
-            self._send_snapshot(name, progress)
-        else:
-            self._send_entries(name, progress)
-
-    def _send_entries(self, name: str, progress: Progress) -> None:
-        previous = progress.next - 1
-        term = self._log.term_at(previous)
-        assert term is not None
-        entries = self._log.slice(progress.next, MAX_ENTRIES_PER_MESSAGE)
-        progress.next += len(entries)
-        message = AppendEntries(
-            term=self.term,
-            previous_index=previous,
-            previous_term=term,
-            entries=entries,
-            commit=self._commit,
-        )
-        self._immediate.append((name, message))
-
-    def _send_snapshot(self, name: str, progress: Progress) -> None:
-        snapshot = self._snapshot
-        if progress.snapshot_index != snapshot.index:
-            progress.snapshot_index = snapshot.index
-            progress.snapshot_received = 0
-        chunk = chunk_of(snapshot, progress.snapshot_received, self.term)
-        self._immediate.append((name, chunk))
-
-    def _append(self, *, proposer: str, number: int, command: bytes) -> None:
+    def _append(
+        self,
+        *,
+        proposer: str = "",
+        number: int = 0,
+        command: bytes = b"",
+        members: Members | None = None,
+    ) -> None:
         entry = LogEntry(
             index=self._log.last_index + 1,
             term=self.term,
             proposer=proposer,
             number=number,
             command=command,
-        )
-        self._log.append(entry)
-        self._to_persist.append(entry)
-
-    def _append_members(self, members: Members) -> None:
-        entry = LogEntry(
-            index=self._log.last_index + 1,
-            term=self.term,
-            proposer="",
-            number=0,
-            command=b"",
             members=members,
         )
         self._log.append(entry)
         self._to_persist.append(entry)
 
-    def flush(self, now_s: float) -> None:
-        """Sends newly appended entries without waiting for the next tick."""
-        if self._role is Role.LEADER:
-            self._sync_progress(now_s)
-            self._broadcast(now_s)
-
-    def _on_append_reply(self, sender: str, message: AppendReply, now_s: float) -> None:
-        progress = self._progress.get(sender)
-        if self._role is not Role.LEADER or progress is None:
+    def _advance_commit(self, replication: Replication) -> None:
+        index = replication.quorum_index(self._synced)
+        if index <= self._commit or self._log.term_at(index) != self.term:
             return
-        progress.heard_at_s = now_s
-        if message.accepted:
-            progress.match = max(progress.match, message.match)
-            progress.next = max(progress.next, progress.match + 1)
-            self._advance_commit()
-        else:
-            progress.next = max(1, min(progress.next - 1, message.hint))
-            progress.match = min(progress.match, progress.next - 1)
-        if progress.next <= self._log.last_index:
-            self._send_to(sender, now_s)
-
-    def _on_snapshot_reply(
-        self, sender: str, message: SnapshotReply, now_s: float
-    ) -> None:
-        progress = self._progress.get(sender)
-        if self._role is not Role.LEADER or progress is None:
-            return
-        progress.heard_at_s = now_s
-        if message.index != progress.snapshot_index:
-            return
-        progress.snapshot_received = message.received
-        if message.received < len(self._snapshot.data):
-            self._send_snapshot(sender, progress)
-
-    def _advance_commit(self) -> None:
-        members = self._log.members
-        matches = sorted(
-            (self._match_of(voter) for voter in members.voters), reverse=True
-        )
-        index = matches[members.quorum - 1]
-        if index > self._commit and self._log.term_at(index) == self.term:
-            start = self._commit + 1
-            self._commit = index
-            self._tell_proposers(self._log.slice(start, index - start + 1))
-
-    def _tell_proposers(self, entries: list[LogEntry]) -> None:
-        """Sends the new commit index at once to those who wait for it."""
-        for name in {entry.proposer for entry in entries}:
-            progress = self._progress.get(name)
-            if progress is not None and progress.next > self._log.base_index:
-                self._send_entries(name, progress)
-
-    def _match_of(self, voter: str) -> int:
-        if voter == self._replica:
-            return self._synced
-        progress = self._progress.get(voter)
-        return progress.match if progress else 0
+        committed = self._log.slice(self._commit + 1, index - self._commit)
+        self._commit = index
+        replication.tell_commit([entry.proposer for entry in committed], index)
 
     # --- follower ------------------------------------------------------------
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
@@ -22,7 +22,8 @@
     ReplaceReply,
     ReplicaEnvelope,
 )
-from hawthornbarrow.ledger._raft import RaftReplica, RaftSettings, Ready, Role
+from hawthornbarrow.ledger._raft import RaftReplica
+from hawthornbarrow.ledger._ready import RaftSettings, Ready, Role
 from hawthornbarrow.ledger._state import EntryRecord, LedgerState
 from hawthornbarrow.ledger._storage import LedgerStorageError, Snapshot, Storage
 from hawthornbarrow.ledger._transport import ReplicaTransport
@@ -119,7 +120,8 @@
     def status(self) -> LedgerStatus:
         """What an operator sees of this replica."""
         members = self._raft.log.members
-        progress = self._raft.progress if self._raft.role is Role.LEADER else {}
+        replication = self._raft.replication
+        progress = replication.progress if replication is not None else {}
         return LedgerStatus(
             replica=self._identity,
             role=self._raft.role.value,
@@ -322,8 +324,11 @@
     def _heard_at_s(self, entry: str) -> float:
         if entry == self._identity.partition(".")[0]:
             return time.monotonic()
-        heard_at_s = self._raft.led_since_s
-        for name, progress in self._raft.progress.items():
+        replication = self._raft.replication
+        if replication is None:
+            return time.monotonic()
+        heard_at_s = replication.since_s
+        for name, progress in replication.progress.items():
             if name.partition(".")[0] == entry:
                 heard_at_s = max(heard_at_s, progress.heard_at_s)
         return heard_at_s
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/_machine.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/_machine.py
@@ -124,9 +124,12 @@
         self.cluster.snapshot(self.node(pick))
 
     @precondition(lambda self: len(self.cluster.names) > 1)
-    @rule(pick=_PICK)
-    def lose_disk_and_replace(self, pick):
-        """Loses one voter's disk; the repair must end before the next loss."""
+    @rule(pick=_PICK, settle=st.booleans())
+    def lose_disk_and_replace(self, pick, settle):
+        """Loses one voter's disk; the repair must end before the next loss.
+
+        Without settling, the faults of the next rules fall into the repair.
+        """
         type(self).steps += 1
         self.recover()
         leader = self.cluster.leader()
@@ -144,7 +147,8 @@
             reason = self.cluster.replace(lost, fresh)
         if reason:
             raise ViolationError(f"replacement refused without need: {reason}")
-        self.cluster.run(2.5)
+        if settle:
+            self.cluster.run(2.5)
         self.wiped += 1
 
     def recover(self):
@@ -153,6 +157,8 @@
         self.cluster.run(4.0)
         if self.cluster.leader() is None:
             raise ViolationError("no leader without faults")
+        if self.cluster.leader().raft.log.members.learners:
+            self.cluster.run(4.0)
 
     def teardown(self):
         if not hasattr(self, "cluster"):
--- a/packages/hawthornbarrow/src/hawthornbarrow/observability/_metrics.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/_metrics.py
@@ -21,8 +21,8 @@
 
     def __init__(self, *, process: str) -> None:
         """Makes the instruments."""
-        self._registry = prometheus_client.CollectorRegistry()
-        reader = PrometheusMetricReader(registry=self._registry)
+        self._collectors = prometheus_client.CollectorRegistry()
+        reader = PrometheusMetricReader(registry=self._collectors)
         self._provider = MeterProvider(
             metric_readers=[reader],
             resource=Resource.create({"service.name": process}),
@@ -67,7 +67,7 @@
 
     def render(self) -> bytes:
         """Returns all metrics in Prometheus' text format."""
-        return prometheus_client.generate_latest(self._registry)
+        return prometheus_client.generate_latest(self._collectors)
 
     def _bounded(self, label: str, value: str) -> str:
         known = self._labels.setdefault(label, set())
