--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 20261203
 PACKAGES = packages/hawthornbarrow packages/hawthornbarrow-agent packages/hawthornbarrow-entry
 
-.PHONY: demo test lint format bench fuzz fault-matrix path cost install
+.PHONY: demo test lint format bench fuzz fault-matrix path cost scenarios install
 
 $(VENV)/.installed: constraints.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	$(PYTHON) -m venv $(VENV)
@@ -38,6 +38,9 @@
 cost: install
 	$(BIN)/python -m benchmarks.cost
 
+scenarios: install
+	$(BIN)/python -m benchmarks.scenarios --seed $(SEED)
+
 fuzz: install
 	$(BIN)/python -m benchmarks.fuzz --seed $(SEED)
 
