Tell agents only of ends that the ledger took

Ruled out: a fault of the recovery itself; agents answered truthfully that they held nothing, and their incarnations were the registered ones. Change: agents are told only of accepted ends, and take that word only from the job's owner; a test that started a task twice before.

--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_core.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_core.py
@@ -236,7 +236,7 @@
                     self._cancel(peer, job, now_s)
             case JobsClosed():
                 for job in message.jobs:
-                    self._custody.close(job, now_s)
+                    self._custody.close(peer, job, now_s)
             case RecoverJobs():
                 self._on_recover(peer, message, now_s)
             case ConfigurationUpdate():
--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_custody.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_custody.py
@@ -80,11 +80,16 @@
         holding.epoch = job.epoch
         return holding
 
-    def close(self, job: str, now_s: float) -> None:
-        """Forgets a job whose end is committed, but not that it has ended."""
-        holding = self._holdings.pop(job, None)
-        epoch = holding.epoch if holding else 0
-        self._closed[job] = (epoch, now_s)
+    def close(self, peer: str, job: str, now_s: float) -> None:
+        """Forgets a job whose end is committed, but not that it has ended.
+
+        Only its owner may say so; a former owner's word comes too late.
+        """
+        holding = self._holdings.get(job)
+        if holding is None or holding.owner != peer:
+            return
+        del self._holdings[job]
+        self._closed[job] = (holding.epoch, now_s)
 
     def forget_closed(self, now_s: float) -> None:
         """Forgets ends that no late message can ask for any more."""
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_ownership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_ownership.py
@@ -128,13 +128,19 @@
         self._inherit(moved, [fenced] if is_expiry else [], now_s)
 
     def on_complete(self, command: Complete, *, accepted: bool) -> None:
-        """Tells agents that the end of a job is committed."""
+        """Tells agents that the end of a job is committed.
+
+        An end that the ledger refused is not told: the job has another owner, who
+        needs what the agents hold of it.
+        """
         job = self._context.desk.jobs.get(command.job)
         if job is None or command.epoch != job.epoch or not job.status.is_final:
             return
+        agents = self._context.closing.pop(command.job, [])
         if not accepted:
             self._context.desk.remove(command.job)
-        for agent in self._context.closing.pop(command.job, ()):
+            return
+        for agent in agents:
             self._context.send(agent, JobsClosed(jobs=[command.job]), is_urgent=False)
 
     def hand_over(self, job: Job, claim: ClaimRecord, now_s: float) -> None:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_ownership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_ownership.py
@@ -100,6 +100,24 @@
         self.assertEqual(status(fleet, number), "completed")
         self.assertEqual(len(fleet.runs), 8)
 
+    def test_an_end_that_the_ledger_refuses_makes_no_agent_forget(self):
+        fleet = self.running_job(repeatable=False)
+        fleet.isolate("e0")
+        fleet.tick(0.5)
+        fleet.cancel("e0", "k")
+        for agent in ("a0", "a1"):
+            fleet.cut_link("e1", agent)
+            fleet.cut_link("e2", agent)
+        fleet.tick(1.0)
+        for entry in fleet.entries.values():
+            entry.isolated_since = None
+        fleet.quiesce(1.0, finish=False)
+        fleet.heal()
+        fleet.quiesce(8.0)
+        fleet.submit("e1", "k", tasks=8)
+        fleet.submit("e2", "k", tasks=8)
+        fleet.quiesce(8.0)
+
     def test_an_agent_restarted_after_the_claim_makes_the_job_unknown(self):
         fleet = self.running_job(repeatable=False)
         fleet.crash_entry("e0")
