Keep a stream's socket inside the stream

Cause: the port reached into the stream for its socket in two places. Ruled out: handing the socket around beside the stream. Change: the stream shuts down and disables delay itself.

--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
@@ -6,7 +6,6 @@
 import time
 
 import curio
-from curio import socket as curio_socket
 
 from hawthornbarrow.links._codec import NONCE_BYTES, Codec, LinkError
 from hawthornbarrow.links._frames import Frame, Hello
@@ -176,7 +175,6 @@
             await stream.close()
 
     async def _accept(self, sock: curio.io.Socket) -> None:
-        _disable_delay(sock)
         stream = BlockStream(sock=sock)
         try:
             async with curio.timeout_after(_GREETING_LIMIT_S):
@@ -199,7 +197,7 @@
     ) -> str:
         """Serves one greeted connection until it ends; returns the peer's name."""
         peer = hello.process
-        _disable_delay(stream._sock)
+        stream.disable_delay()
         self._sessions[peer] = session
         connection = _Connection(stream=stream, codec=codec)
         await self._drop_connection(peer)
@@ -242,7 +240,7 @@
             await curio.ignore_after(_POLL_INTERVAL_S, connection.wake.wait)
             connection.wake.clear()
         connection.closed = True
-        _shut_down(connection.stream)
+        connection.stream.shut_down()
 
     async def _send_frames(self, connection: _Connection, frames: list[Frame]) -> None:
         blocks = [connection.codec.encode(frame) for frame in frames]
@@ -260,7 +258,7 @@
         if connection is None:
             return
         connection.closed = True
-        _shut_down(connection.stream)
+        connection.stream.shut_down()
         for event in self._sessions[peer].disconnect():
             await self._mailbox.post(event)
 
@@ -287,15 +285,3 @@
         return LinkSession(
             process=self._process, role=self._role, incarnation=self._incarnation
         )
-
-
-def _disable_delay(sock: curio.io.Socket) -> None:
-    sock.setsockopt(curio_socket.IPPROTO_TCP, curio_socket.TCP_NODELAY, 1)
-
-
-def _shut_down(stream: BlockStream) -> None:
-    """Makes a blocked reader of the stream return at once."""
-    try:
-        stream._sock._socket.shutdown(curio_socket.SHUT_RDWR)
-    except OSError:
-        return
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_stream.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_stream.py
@@ -1,5 +1,6 @@
 """Length-prefixed byte blocks over a curio TCP stream."""
 
+import socket
 import struct
 
 import curio
@@ -50,6 +51,17 @@
         del self._buffer[: _PREFIX.size + size]
         return block
 
+    def disable_delay(self) -> None:
+        """Makes the kernel send small blocks at once."""
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def shut_down(self) -> None:
+        """Makes a blocked reader of the stream return at once."""
+        try:
+            self._sock._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
     async def close(self) -> None:
         """Closes the socket."""
         await self._sock.close()
