--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
@@ -66,7 +66,6 @@
         self._synced = self._log.last_index
         self._role = Role.FOLLOWER
         self._leader: str | None = None
-        self._last_leader = ""
         self._leader_heard_at_s = -1e9
         self._election_at_s = 0.0
         self._votes: set[str] = set()
@@ -327,7 +326,6 @@
             heartbeat_s=self._settings.heartbeat_s,
             now_s=now_s,
         )
-        self._replication.note_heard(self._last_leader, self._leader_heard_at_s)
         self._append()
         self.flush(now_s)
         self._advance_commit(self._replication)
@@ -405,7 +403,6 @@
     def _follow(self, leader: str, now_s: float) -> None:
         self._role = Role.FOLLOWER
         self._leader = leader
-        self._last_leader = leader
         self._leader_heard_at_s = now_s
         self._reset_election_timer(now_s)
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replication.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replication.py
@@ -62,16 +62,6 @@
                 heard.add(name)
         return heard
 
-    def note_heard(self, replica: str, heard_at_s: float) -> None:
-        """Notes when a replica was last heard before this term.
-
-        All others count as heard when the term begins. The former leader fell silent
-        before that, so its entry need not be waited for as long.
-        """
-        progress = self.progress.get(replica)
-        if progress is not None:
-            progress.heard_at_s = heard_at_s
-
     def hears_quorum(self, now_s: float, limit_s: float) -> bool:
         """Tells whether a quorum was heard within the limit, or may yet be."""
         if now_s - self.since_s <= limit_s:
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_raft.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_raft.py
@@ -59,16 +59,6 @@
         self.assertEqual(cluster.leader().raft.term, term, "return disturbs nobody")
         cluster.check_nothing_lost()
 
-    def test_the_former_leader_counts_as_silent_from_its_last_message(self):
-        cluster = started()
-        old = cluster.leader().name
-        cluster.run(0.5)
-        killed_at_s = cluster.now_s
-        cluster.crash(old)
-        cluster.run_until_led()
-        heard_at_s = cluster.leader().raft.replication.progress[old].heard_at_s
-        self.assertLessEqual(heard_at_s, killed_at_s)
-
 
 class ReplicationTest(unittest.TestCase):
     def test_restart_after_hundreds_of_changes_catches_up_by_snapshot(self):
