--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
@@ -213,10 +213,6 @@
         """Closes a job as cancelled, unless it has ended before."""
         self._intake.cancel(target, member=member, key=key, now_s=now_s)
 
-    def caller_gone(self, target: ReplyTarget) -> None:
-        """Forgets a caller whose connection ended; its job goes on."""
-        self._context.desk.forget_waiter(target)
-
     def apply_configuration(self, command: ApplyConfiguration) -> None:
         """Proposes a configuration; the outcome comes with its Applied event."""
         self._context.propose(command)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_desk.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_desk.py
@@ -70,12 +70,6 @@
         """Returns and forgets the callers that wait for a job."""
         return self._waiters.pop(job_id, [])
 
-    def forget_waiter(self, target: ReplyTarget) -> None:
-        """Forgets a caller that has gone."""
-        for waiters in self._waiters.values():
-            if target in waiters:
-                waiters.remove(target)
-
     def close(self, job: Job, answer: Answer) -> None:
         """Keeps the answer of a job that has become final."""
         self._open.pop(job.job_id, None)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_dispatcher.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_dispatcher.py
@@ -112,10 +112,6 @@
             job.member, charged_s=placement.cost_s, measured_s=measured_s
         )
 
-    def next_delayed_s(self) -> float:
-        """Returns when the next delayed task may wait again."""
-        return self._delayed[0][0] if self._delayed else math.inf
-
     def dispatch(
         self, incarnation: int, now_s: float
     ) -> list[tuple[str, DispatchBatch]]:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_intake.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_intake.py
@@ -91,7 +91,7 @@
         if self._context.state.is_expired_key(key, time_s):
             self._context.answer(target, key_expired())
             return
-        spec = self._admit(target, member, body, now_s)
+        spec = self._admit(target, member, body)
         if spec is not None:
             self._lifecycle.open_job(
                 target, member, key, digest, body, spec, wait=wait, now_s=now_s
@@ -106,7 +106,7 @@
         if job is not None:
             self._context.answer(target, self._lifecycle.state_of(job))
         else:
-            self._ask_elsewhere(target, ForwardKind.FETCH, member, key, now_s)
+            self._ask_elsewhere(target, ForwardKind.FETCH, member, key)
 
     def cancel(
         self, target: ReplyTarget, *, member: str, key: str, now_s: float
@@ -124,7 +124,7 @@
             )
             self._context.answer(target, self._lifecycle.state_of(job))
         else:
-            self._ask_elsewhere(target, ForwardKind.CANCEL, member, key, now_s)
+            self._ask_elsewhere(target, ForwardKind.CANCEL, member, key)
 
     def _ask_elsewhere(
         self,
@@ -132,7 +132,6 @@
         kind: ForwardKind,
         member: str,
         key: str,
-        now_s: float,
     ) -> None:
         """Answers for a job that is not recorded here, or asks who has it."""
         claim = self._context.state.claim(job_id_of(member, key))
@@ -146,7 +145,7 @@
         elif self._context.owns(claim):
             self._context.answer(target, pending(key, "orphaned"))
         else:
-            self._lifecycle.forward(target, kind, claim, b"", now_s)
+            self._lifecycle.forward(target, kind, claim, b"")
 
     def resume_cancels(self, member: str, key: str, now_s: float) -> None:
         """Carries out cancellations that waited for the end of a claim."""
@@ -213,11 +212,8 @@
         )
         self._context.send(self._context.home, message)
 
-    def _admit(
-        self, target: ReplyTarget, member: str, body: bytes, now_s: float
-    ) -> JobSpec | None:
+    def _admit(self, target: ReplyTarget, member: str, body: bytes) -> JobSpec | None:
         """Returns the job of a submission, or answers why it is refused."""
-        del now_s
         limits = self._context.configuration.limits
         try:
             spec = parse_job_spec(body, max_tasks=limits.tasks_per_job)
@@ -330,7 +326,7 @@
             )
         else:
             kind = ForwardKind.SUBMIT if wait else ForwardKind.SUBMIT_ASYNC
-            self._lifecycle.forward(target, kind, claim, body, now_s)
+            self._lifecycle.forward(target, kind, claim, body)
 
     def _start_unopened(
         self,
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_lifecycle.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_lifecycle.py
@@ -200,10 +200,8 @@
         kind: ForwardKind,
         claim: ClaimRecord,
         body: bytes,
-        now_s: float,
     ) -> None:
         """Hands a request to the entry that owns the job."""
-        del now_s
         if target.peer or not self._context.forwarder.can_reach(claim.owner):
             detail = f"the job's owner {claim.owner} can not be reached; resubmit"
             self._context.answer(
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_ownership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_ownership.py
@@ -152,7 +152,7 @@
             if claim.status:
                 self._context.answer(target, self._lifecycle.closed_answer(claim))
             else:
-                self._lifecycle.forward(target, ForwardKind.SUBMIT, claim, body, now_s)
+                self._lifecycle.forward(target, ForwardKind.SUBMIT, claim, body)
 
     def attach(self, job: Job, body: bytes, now_s: float) -> None:
         """Gives an inherited job its document."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/dispatch/_health.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/dispatch/_health.py
@@ -78,7 +78,7 @@
         if record.on_probation:
             self._judge_canary(record, failed=failed, now_s=now_s)
             return record.ejected_until_s > now_s
-        if self._is_bad(record) and self._may_eject(now_s):
+        if self._is_bad(record) and self._may_eject():
             self._eject(record, now_s)
             return True
         return False
@@ -110,8 +110,7 @@
             return True
         return record.relative_run > self._policy.slow_factor
 
-    def _may_eject(self, now_s: float) -> bool:
-        del now_s
+    def _may_eject(self) -> bool:
         ejected = sum(record.on_probation for record in self._records.values())
         allowed = len(self._records) * self._policy.max_ejected_share
         return ejected + 1 <= max(1.0, allowed) and len(self._records) > 1
