--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/__init__.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/__init__.py
@@ -1,14 +1,19 @@
 """The agent: one small process beside each upstream."""
 
-from hawthornbarrow_agent._core import AgentCore
-from hawthornbarrow_agent._effects import (
-    AgentEffect,
-    SendMessage,
-    StartCall,
-    StopCall,
-)
-from hawthornbarrow_agent._process import AgentProcess, AgentSettings
-from hawthornbarrow_agent._timing import AgentTiming
+import typing
+
+from hawthornbarrow.lazy import lazy_attributes
+
+if typing.TYPE_CHECKING:
+    from hawthornbarrow_agent._core import AgentCore
+    from hawthornbarrow_agent._effects import (
+        AgentEffect,
+        SendMessage,
+        StartCall,
+        StopCall,
+    )
+    from hawthornbarrow_agent._process import AgentProcess, AgentSettings
+    from hawthornbarrow_agent._timing import AgentTiming
 
 __all__ = [
     "AgentCore",
@@ -20,3 +25,17 @@
     "StartCall",
     "StopCall",
 ]
+
+__getattr__ = lazy_attributes(
+    __name__,
+    {
+        "AgentCore": "_core",
+        "AgentEffect": "_effects",
+        "AgentProcess": "_process",
+        "AgentSettings": "_process",
+        "AgentTiming": "_timing",
+        "SendMessage": "_effects",
+        "StartCall": "_effects",
+        "StopCall": "_effects",
+    },
+)
--- /dev/null
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -0,0 +1,294 @@
+"""FleetAgent: the curio tasks of an agent that guards one upstream of its fleet."""
+
+import abc
+import dataclasses
+import random
+import secrets
+
+import curio
+import structlog
+from hawthornbarrow.cells import (
+    Custodian,
+    Directory,
+    Listing,
+    Pulse,
+    RunLeaseTiming,
+    StartCall,
+    StartTasks,
+    StartVerdict,
+    StopCall,
+    StopTasks,
+    WorkerRecord,
+)
+from hawthornbarrow.clock import steady_s
+from hawthornbarrow.links import (
+    LinkPort,
+    Mailbox,
+    PeerDown,
+    PeerUp,
+    Received,
+)
+
+_HEARTBEAT_S = 0.15
+_SILENCE_S = 1.5
+_TICK_S = 0.05
+_LOOK_AGAIN_S = 0.1
+_HOLD_WAIT_S = 0.25
+_AGENT_ROLE = "agent"
+
+_log = structlog.get_logger()
+
+
+class UpstreamGoneError(Exception):
+    """Nothing listens at the upstream's address."""
+
+
+class UpstreamSilentError(Exception):
+    """The upstream gave no usable answer; it may have carried the call out."""
+
+
+class UpstreamClient(abc.ABC):
+    """Calls to the upstream beside the agent."""
+
+    @abc.abstractmethod
+    async def start(self, call: StartCall, lease_until_s: float) -> StartVerdict:
+        """Starts a run; a lack of an answer is a verdict too.
+
+        Args:
+            call: What to start.
+            lease_until_s: Until when it may run unless it is held again.
+        """
+
+    @abc.abstractmethod
+    async def stop(self, call: StopCall) -> bool:
+        """Stops a run; returns whether the upstream confirmed it."""
+
+    @abc.abstractmethod
+    async def hold(
+        self,
+        upstream: str,
+        term: int,
+        acknowledged: int,
+        lease_until_s: float | None,
+        wait_s: float,
+    ) -> Listing:
+        """Holds all runs for longer, and lists them.
+
+        Args:
+            upstream: Incarnation that is meant.
+            term: Fencing token.
+            acknowledged: Number of the last end that needs no listing.
+            lease_until_s: Until when runs are held; None only looks.
+            wait_s: How long the upstream may wait for an end.
+
+        Raises:
+            UpstreamGoneError: Nothing listens there.
+            UpstreamSilentError: There was no usable answer.
+        """
+
+    @abc.abstractmethod
+    def set_address(self, address: str) -> None:
+        """Takes the upstream's IP number and port."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FleetAgentSettings:
+    """Settings of one agent.
+
+    Attributes:
+        name: Name of the agent, unique in the deployment.
+        seeds: Link addresses of entries to contact first.
+        timing: Lengths of the leases.
+        cluster_key: Secret shared by all processes of the deployment.
+    """
+
+    name: str
+    seeds: tuple[str, ...]
+    timing: RunLeaseTiming
+    cluster_key: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Listed:
+    listing: Listing
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Gone:
+    upstream: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Started:
+    call: StartCall
+    verdict: StartVerdict
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Stopped:
+    call: StopCall
+    is_confirmed: bool
+
+
+class FleetAgent:
+    """One agent beside its upstream.
+
+    Args:
+        settings: Settings of the process.
+        client: Calls to the upstream.
+    """
+
+    def __init__(self, *, settings: FleetAgentSettings, client: UpstreamClient) -> None:
+        """Makes the parts; `run` starts them."""
+        self._settings = settings
+        self._client = client
+        self._mailbox = Mailbox()
+        incarnation = secrets.randbits(62)
+        self._port = LinkPort(
+            process=settings.name,
+            role=_AGENT_ROLE,
+            incarnation=incarnation,
+            cluster_key=settings.cluster_key,
+            mailbox=self._mailbox,
+            heartbeat_s=_HEARTBEAT_S,
+            silence_s=_SILENCE_S,
+        )
+        self._custodian = Custodian(
+            timing=settings.timing, generator=random.Random(incarnation)
+        )
+        self._dialled: set[str] = set()
+        self._dials: list[str] = []
+        self._calls: curio.Queue = curio.Queue()
+
+    def announce(self, worker: WorkerRecord, address: str, is_leaving: bool) -> None:
+        """Takes the upstream's announcement of itself."""
+        self._client.set_address(address)
+        self._custodian.announce(worker, is_leaving, steady_s())
+
+    def withdraw(self, upstream: str) -> None:
+        """Takes the upstream's leave."""
+        self._custodian.withdraw(upstream, steady_s())
+
+    def add_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Takes seeds from the settings, at the start or changed ones."""
+        for address in seeds:
+            self._add_dial(address)
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        _log.info("agent_started", seeds=",".join(self._settings.seeds))
+        self.add_seeds(self._settings.seeds)
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._dial_entries)
+            await group.spawn(self._hold)
+            await group.spawn(self._make_calls)
+            await group.spawn(self._serve)
+
+    async def stop(self) -> None:
+        """Says that the agent stops; its upstream's runs end with their lease."""
+        _log.info("agent_stopping", held=self._custodian.held_count)
+
+    async def _serve(self) -> None:
+        while True:
+            items = await self._mailbox.drain(timeout_s=_TICK_S)
+            now_s = steady_s()
+            for item in items:
+                self._take(item, now_s)
+            self._custodian.tick(now_s)
+            for call in self._custodian.take_calls():
+                await self._calls.put(call)
+            for receiver, message in self._custodian.take_messages():
+                self._port.send(receiver, message)
+            await self._port.flush()
+
+    def _take(self, item: object, now_s: float) -> None:
+        match item:
+            case PeerUp():
+                _log.info("peer_up", peer=item.peer)
+            case PeerDown():
+                _log.warning("peer_down", peer=item.peer)
+                self._custodian.lose_dispatcher(item.peer)
+            case Received():
+                self._take_message(item.peer, item.message, now_s)
+            case _Listed():
+                self._custodian.take_listing(item.listing, now_s)
+            case _Gone():
+                self._custodian.upstream_is_gone(item.upstream, now_s)
+            case _Started():
+                self._custodian.start_answered(item.call, item.verdict, now_s)
+            case _Stopped():
+                self._custodian.stop_answered(item.call, item.is_confirmed, now_s)
+
+    def _take_message(self, peer: str, message: object, now_s: float) -> None:
+        match message:
+            case Pulse():
+                self._custodian.take_pulse(peer, message, now_s)
+            case StartTasks() | StopTasks():
+                self._custodian.take_orders(message, now_s)
+            case Directory():
+                for member in message.members:
+                    host, _, port = member.address.rpartition(":")
+                    self._port.note_address(host, int(port), member.name)
+                    if member.replica:
+                        self._add_dial(member.address)
+
+    def _add_dial(self, address: str) -> None:
+        if address not in self._dialled:
+            self._dialled.add(address)
+            self._dials.append(address)
+
+    async def _dial_entries(self) -> None:
+        async with curio.TaskGroup(wait=None) as group:
+            while True:
+                while self._dials:
+                    host, _, port = self._dials.pop().rpartition(":")
+                    await group.spawn(self._port.dial, host, int(port))
+                await curio.sleep(_TICK_S)
+
+    # --- the upstream -----------------------------------------------------------
+
+    async def _hold(self) -> None:
+        """Holds what runs, and learns of ends as they come."""
+        while True:
+            now_s = steady_s()
+            lease_until_s = self._custodian.lease_until_s
+            may_hold = self._custodian.may_hold(now_s)
+            if not may_hold and not self._custodian.must_look:
+                await curio.sleep(_LOOK_AGAIN_S)
+                continue
+            upstream = self._custodian.upstream
+            is_idle = not self._custodian.held_count
+            try:
+                listing = await self._client.hold(
+                    upstream,
+                    self._custodian.term,
+                    self._custodian.acknowledged,
+                    lease_until_s if may_hold else None,
+                    _HOLD_WAIT_S if may_hold and not self._custodian.must_look else 0.0,
+                )
+                await self._mailbox.post(_Listed(listing=listing))
+                if is_idle or not may_hold:
+                    await curio.sleep(_LOOK_AGAIN_S)
+            except UpstreamGoneError:
+                await self._mailbox.post(_Gone(upstream=upstream))
+                await curio.sleep(_LOOK_AGAIN_S)
+            except UpstreamSilentError as error:
+                _log.warning("hold_failed", upstream=upstream, reason=str(error))
+                await curio.sleep(_LOOK_AGAIN_S)
+
+    async def _make_calls(self) -> None:
+        async with curio.TaskGroup(wait=None) as group:
+            while True:
+                call = await self._calls.get()
+                await group.spawn(self._make_call, call)
+
+    async def _make_call(self, call: StartCall | StopCall) -> None:
+        if isinstance(call, StopCall):
+            is_confirmed = await self._client.stop(call)
+            await self._mailbox.post(_Stopped(call=call, is_confirmed=is_confirmed))
+            return
+        now_s = steady_s()
+        verdict = StartVerdict.TOO_LATE
+        if self._custodian.may_hold(now_s) and self._custodian.term == call.term:
+            verdict = await self._client.start(call, self._custodian.lease_until_s)
+        await self._mailbox.post(_Started(call=call, verdict=verdict))
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/__init__.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/__init__.py
@@ -1,16 +1,21 @@
 """The entry process: takes callers and operators, owns jobs, dispatches tasks."""
 
-from hawthornbarrow_entry._core import EntryCore, EntryIdentity
-from hawthornbarrow_entry._effects import (
-    Answer,
-    EntryEffect,
-    ForgetPeer,
-    Propose,
-    Reply,
-    ReplyTarget,
-    SendMessage,
-)
-from hawthornbarrow_entry._process import EntryProcess, EntrySettings
+import typing
+
+from hawthornbarrow.lazy import lazy_attributes
+
+if typing.TYPE_CHECKING:
+    from hawthornbarrow_entry._core import EntryCore, EntryIdentity
+    from hawthornbarrow_entry._effects import (
+        Answer,
+        EntryEffect,
+        ForgetPeer,
+        Propose,
+        Reply,
+        ReplyTarget,
+        SendMessage,
+    )
+    from hawthornbarrow_entry._process import EntryProcess, EntrySettings
 
 __all__ = [
     "Answer",
@@ -25,3 +30,20 @@
     "ReplyTarget",
     "SendMessage",
 ]
+
+__getattr__ = lazy_attributes(
+    __name__,
+    {
+        "Answer": "_effects",
+        "EntryCore": "_core",
+        "EntryEffect": "_effects",
+        "EntryIdentity": "_core",
+        "EntryProcess": "_process",
+        "EntrySettings": "_process",
+        "ForgetPeer": "_effects",
+        "Propose": "_effects",
+        "Reply": "_effects",
+        "ReplyTarget": "_effects",
+        "SendMessage": "_effects",
+    },
+)
--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_intake.py
@@ -0,0 +1,271 @@
+"""Intake: the sans-I/O state machine that keeps callers until their jobs end."""
+
+import collections.abc
+import dataclasses
+import enum
+
+import structlog
+from hawthornbarrow.cells import (
+    JobAnswer,
+    JobDocument,
+    JobState,
+    Pulse,
+    SubmitJob,
+    WithdrawJob,
+)
+
+INFORMATION_LEASE_S = 1.2  # what a dispatcher told earlier is not acted on any more
+RETRY_SOON_S = 1.0
+
+_log = structlog.get_logger()
+
+
+class OutcomeKind(enum.StrEnum):
+    """What a caller is told of its job."""
+
+    COMPLETE = "complete"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallerOutcome:
+    """The answer to a caller.
+
+    Attributes:
+        kind: What became of the job.
+        reason: Why it was refused or is unknown, empty else.
+        retry_after_s: When the caller may come back, zero for no advice.
+    """
+
+    kind: OutcomeKind
+    reason: str = ""
+    retry_after_s: float = 0.0
+
+
+_OUTCOMES = {
+    JobState.COMPLETE: OutcomeKind.COMPLETE,
+    JobState.FAILED: OutcomeKind.FAILED,
+    JobState.CANCELLED: OutcomeKind.CANCELLED,
+}
+
+
+class Waiter:
+    """One caller that waits for a job.
+
+    Args:
+        give_up_at_s: When the caller stops waiting.
+        is_abandoned: Tells whether the caller has left.
+    """
+
+    def __init__(
+        self, *, give_up_at_s: float, is_abandoned: collections.abc.Callable[[], bool]
+    ) -> None:
+        """Starts without an outcome."""
+        self.give_up_at_s = give_up_at_s
+        self.is_abandoned = is_abandoned
+        self.outcome: CallerOutcome | None = None
+
+
+@dataclasses.dataclass(kw_only=True)
+class _HeldJob:
+    document: JobDocument
+    received_at_s: float
+    offered_term: int
+    offers: int
+    waiters: list[Waiter]
+
+
+class Intake:
+    """Keeps the jobs of this entry's callers and hands them to the dispatcher.
+
+    Args:
+        entry: Name of this entry.
+    """
+
+    def __init__(self, *, entry: str) -> None:
+        """Starts without a dispatcher."""
+        self._entry = entry
+        self._dispatcher = ""
+        self._term = 0
+        self._version = 0
+        self._heard_at_s = -1e9
+        self._waiting: dict[str, int] = {}
+        self._workers: set[str] = set()
+        self._jobs: dict[str, _HeldJob] = {}
+        self._messages: list[tuple[str, SubmitJob | WithdrawJob]] = []
+        self._finished: list[Waiter] = []
+
+    @property
+    def dispatcher(self) -> str:
+        """Name of the entry that dispatches, empty when unknown."""
+        return self._dispatcher
+
+    @property
+    def term(self) -> int:
+        """Term of the dispatcher."""
+        return self._term
+
+    @property
+    def version(self) -> int:
+        """Version in force by the dispatcher's last pulse."""
+        return self._version
+
+    @property
+    def workers(self) -> set[str]:
+        """Agents that may hold work of the dispatcher."""
+        return self._workers
+
+    @property
+    def held_count(self) -> int:
+        """Jobs that callers wait for."""
+        return len(self._jobs)
+
+    def is_informed(self, now_s: float) -> bool:
+        """Tells whether what the dispatcher told is recent enough to act on."""
+        return now_s - self._heard_at_s < INFORMATION_LEASE_S
+
+    def information_age_s(self, now_s: float) -> float:
+        """Returns the age of what the dispatcher told."""
+        return now_s - self._heard_at_s
+
+    def waiting(self, queue: str) -> int:
+        """Returns the number of a queue's jobs not begun, by the last pulse."""
+        return self._waiting.get(queue, 0)
+
+    def take_messages(self) -> list[tuple[str, SubmitJob | WithdrawJob]]:
+        """Returns the messages to send, by receiver, and forgets them."""
+        messages, self._messages = self._messages, []
+        return messages
+
+    def take_finished(self) -> list[Waiter]:
+        """Returns the waiters that have an outcome now, and forgets them."""
+        finished, self._finished = self._finished, []
+        return finished
+
+    def take_pulse(self, peer: str, pulse: Pulse, now_s: float) -> None:
+        """Takes a dispatcher's pulse; a new one is offered all jobs."""
+        if pulse.term < self._term:
+            return
+        is_new = pulse.term > self._term
+        self._term = pulse.term
+        self._version = max(self._version, pulse.version)
+        self._heard_at_s = max(self._heard_at_s, pulse.heard_at_s)
+        self._waiting = pulse.waiting
+        if is_new:
+            _log.info(
+                "dispatcher_found",
+                dispatcher=peer,
+                term=pulse.term,
+                former=self._dispatcher,
+                held=len(self._jobs),
+            )
+            self._dispatcher = peer
+            self._workers |= set(pulse.workers)
+            for job in self._jobs.values():
+                self._offer(job, now_s)
+        else:
+            self._workers = set(pulse.workers)
+
+    def submit(
+        self, document: JobDocument, waiter: Waiter, now_s: float
+    ) -> CallerOutcome | None:
+        """Takes a job; returns an outcome when it is refused at once."""
+        held = self._jobs.get(document.job)
+        if held is not None:
+            held.waiters.append(waiter)
+            return None
+        if not self._dispatcher or not self.is_informed(now_s):
+            _log.info(
+                "job_refused",
+                job=document.job,
+                queue=document.queue,
+                reason="no dispatcher",
+                information_age_s=round(self.information_age_s(now_s), 3),
+                term=self._term,
+            )
+            return CallerOutcome(
+                kind=OutcomeKind.REFUSED,
+                reason="no dispatcher",
+                retry_after_s=RETRY_SOON_S,
+            )
+        held = _HeldJob(
+            document=document,
+            received_at_s=now_s,
+            offered_term=0,
+            offers=0,
+            waiters=[waiter],
+        )
+        self._jobs[document.job] = held
+        self._offer(held, now_s)
+        return None
+
+    def withdraw(self, job: str) -> None:
+        """Cancels a job, whoever holds it."""
+        if self._dispatcher:
+            self._messages.append((self._dispatcher, WithdrawJob(job=job)))
+
+    def take_answer(self, answer: JobAnswer, now_s: float) -> None:
+        """Takes what became of a job."""
+        held = self._jobs.pop(answer.job, None)
+        if held is None:
+            return
+        kind = _OUTCOMES.get(answer.state)
+        if kind is None and held.offers > 1:
+            # An earlier dispatcher may have run it, so "refused" would not be true.
+            kind = OutcomeKind.UNKNOWN
+        outcome = CallerOutcome(
+            kind=kind or OutcomeKind.REFUSED,
+            reason=answer.reason,
+            retry_after_s=answer.retry_after_s,
+        )
+        self._finish(held, outcome, now_s)
+
+    def tick(self, now_s: float) -> None:
+        """Answers callers that wait no longer, and drops jobs that nobody wants."""
+        for held in list(self._jobs.values()):
+            held.waiters = [
+                waiter for waiter in held.waiters if not waiter.is_abandoned()
+            ]
+            if not held.waiters:
+                del self._jobs[held.document.job]
+                _log.info(
+                    "job_abandoned",
+                    job=held.document.job,
+                    waited_s=round(now_s - held.received_at_s, 3),
+                )
+                self.withdraw(held.document.job)
+            elif now_s >= max(waiter.give_up_at_s for waiter in held.waiters):
+                del self._jobs[held.document.job]
+                self.withdraw(held.document.job)
+                outcome = CallerOutcome(
+                    kind=OutcomeKind.UNKNOWN, reason="the time limit passed"
+                )
+                self._finish(held, outcome, now_s)
+
+    def _offer(self, held: _HeldJob, now_s: float) -> None:
+        held.offers += 1
+        held.offered_term = self._term
+        message = SubmitJob(
+            document=held.document,
+            age_s=now_s - held.received_at_s,
+            was_offered=held.offers > 1,
+        )
+        self._messages.append((self._dispatcher, message))
+
+    def _finish(self, held: _HeldJob, outcome: CallerOutcome, now_s: float) -> None:
+        _log.info(
+            "job_answered",
+            job=held.document.job,
+            queue=held.document.queue,
+            outcome=outcome.kind.value,
+            reason=outcome.reason,
+            term=held.offered_term,
+            offers=held.offers,
+            took_s=round(now_s - held.received_at_s, 3),
+        )
+        for waiter in held.waiters:
+            waiter.outcome = outcome
+            self._finished.append(waiter)
--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -0,0 +1,473 @@
+"""FleetEntry: the curio tasks of one entry that finds its fleet by seeds."""
+
+import collections.abc
+import random
+import secrets
+
+import curio
+import structlog
+from hawthornbarrow.cells import (
+    AskConfiguration,
+    AskJobState,
+    AttachWorker,
+    CellMessage,
+    ConfigurationOutcome,
+    Directory,
+    FleetMember,
+    FoundLedger,
+    JobAnswer,
+    JobDocument,
+    JobState,
+    NewestConfiguration,
+    OfferConfiguration,
+    Pulse,
+    SubmitJob,
+    TellJobState,
+    WithdrawJob,
+    WorkerReport,
+)
+from hawthornbarrow.clock import steady_s
+from hawthornbarrow.ledger import Applied, LedgerLost
+from hawthornbarrow.links import (
+    LinkPort,
+    Mailbox,
+    PeerDown,
+    PeerHeard,
+    PeerUp,
+    Received,
+    ReplicaPayload,
+)
+from hawthornbarrow.queues import (
+    ConfigurationFormat,
+    InvalidConfigurationError,
+    Queue,
+    QueueTable,
+)
+
+from hawthornbarrow_entry.fleet._intake import CallerOutcome, Intake, Waiter
+from hawthornbarrow_entry.fleet._leadership import Leadership
+from hawthornbarrow_entry.fleet._membership import Membership
+from hawthornbarrow_entry.fleet._replica_keeper import ReplicaKeeper
+from hawthornbarrow_entry.fleet._settings import FleetEntrySettings
+
+ENTRY_ROLE = "entry"
+AGENT_ROLE = "agent"
+_HEARTBEAT_S = 0.2
+_SILENCE_S = 1.5
+_TICK_S = 0.05
+_SWEEP_S = 0.1
+_ASK_AGAIN_S = 0.25
+_HOUSEKEEPING_S = 0.5
+_READ_LIMIT_S = 0.8
+_OFFER_LIMIT_S = 0.9
+_STATE_LIMIT_S = 0.8
+
+_log = structlog.get_logger()
+
+
+class NotSureError(Exception):
+    """No leader could be asked in time."""
+
+
+class FleetEntry:
+    """One entry: callers' jobs, a replica where there is a disk, maybe the dispatcher.
+
+    Args:
+        settings: Settings of the process.
+        configuration_format: Format of the operators' configurations.
+    """
+
+    def __init__(
+        self, *, settings: FleetEntrySettings, configuration_format: ConfigurationFormat
+    ) -> None:
+        """Makes the parts; `run` starts them."""
+        self._settings = settings
+        self._format = configuration_format
+        self._mailbox = Mailbox()
+        incarnation = secrets.randbits(62)
+        self._generator = random.Random(incarnation)
+        self._port = LinkPort(
+            process=settings.name,
+            role=ENTRY_ROLE,
+            incarnation=incarnation,
+            cluster_key=settings.cluster_key,
+            mailbox=self._mailbox,
+            heartbeat_s=_HEARTBEAT_S,
+            silence_s=_SILENCE_S,
+        )
+        self._replica = ReplicaKeeper(
+            settings=settings,
+            port=self._port,
+            events=self._mailbox,
+            generator=self._generator,
+        )
+        own = FleetMember(
+            name=settings.name,
+            address=settings.address,
+            data_centre=settings.data_centre,
+            replica=self._replica.identity,
+        )
+        self._membership = Membership(own=own, now_s=steady_s())
+        self._intake = Intake(entry=settings.name)
+        self._leadership = Leadership(
+            settings=settings,
+            replica=self._replica,
+            port=self._port,
+            send=self._send,
+        )
+        self._table: QueueTable | None = None
+        self._roles: dict[str, str] = {}
+        self._dialled: set[str] = set()
+        self._dials: list[str] = []
+        self._events: dict[Waiter, curio.Event] = {}
+        self._replies: dict[int, _Reply] = {}
+        self._next_number = 1
+        self._asked_at_s = -1e9
+        self._swept_at_s = -1e9
+        self._kept_house_at_s = -1e9
+        self._is_stopping = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new callers should come here."""
+        return not self._is_stopping and self._is_serving(steady_s())
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the process has been asked to stop."""
+        return self._is_stopping
+
+    @property
+    def held_count(self) -> int:
+        """Jobs that callers wait for here."""
+        return self._intake.held_count
+
+    @property
+    def is_dispatching(self) -> bool:
+        """Whether this entry is the dispatcher."""
+        return self._leadership.dispatcher is not None
+
+    # --- what callers and operators ask ---------------------------------------
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Returns the queue of a request.
+
+        Raises:
+            NotSureError: The configuration here may not be the one in force.
+        """
+        if self._table is None or not self._is_serving(steady_s()):
+            raise NotSureError("the configuration here may be out of date")
+        return self._table.find(host, path)
+
+    async def submit(
+        self,
+        document: JobDocument,
+        *,
+        limit_s: float,
+        is_abandoned: collections.abc.Callable[[], bool],
+    ) -> CallerOutcome:
+        """Runs a job that need not be kept; returns once it has ended.
+
+        Args:
+            document: The job.
+            limit_s: How long the caller waits.
+            is_abandoned: Tells whether the caller has left.
+        """
+        now_s = steady_s()
+        waiter = Waiter(give_up_at_s=now_s + limit_s, is_abandoned=is_abandoned)
+        outcome = self._intake.submit(document, waiter, now_s)
+        if outcome is not None:
+            return outcome
+        event = curio.Event()
+        self._events[waiter] = event
+        try:
+            await self._flush()
+            await event.wait()
+        finally:
+            del self._events[waiter]
+        assert waiter.outcome is not None
+        return waiter.outcome
+
+    async def job_state(self, job: str) -> JobState:
+        """Returns what the dispatcher knows of a job.
+
+        Raises:
+            NotSureError: The dispatcher did not answer in time.
+        """
+        answer = await self._ask(
+            lambda number: AskJobState(number=number, job=job), _STATE_LIMIT_S
+        )
+        return answer.state
+
+    async def withdraw(self, job: str) -> None:
+        """Cancels a job."""
+        self._intake.withdraw(job)
+        await self._flush()
+
+    def waiting(self, queue: Queue) -> int:
+        """Returns the number of a queue's jobs that have not begun."""
+        return self._intake.waiting(queue.name)
+
+    async def offer_configuration(self, version: int, document: bytes) -> int:
+        """Puts a configuration in force unless a higher version is.
+
+        Returns:
+            The version in force.
+
+        Raises:
+            InvalidConfigurationError: The document can not be put in force.
+            NotSureError: It may or may not come into force.
+        """
+        self._format.decode(document)
+        answer = await self._ask(
+            lambda number: OfferConfiguration(
+                number=number, version=version, document=document
+            ),
+            _OFFER_LIMIT_S,
+        )
+        _log.info("configuration_acknowledged", version=version, held=answer.version)
+        return answer.version
+
+    async def read_configuration(self) -> bytes:
+        """Returns the newest configuration's document, empty for none.
+
+        Raises:
+            NotSureError: No leader could tell which one it is.
+        """
+        answer = await self._ask(
+            lambda number: AskConfiguration(number=number), _READ_LIMIT_S
+        )
+        return answer.document
+
+    # --- tasks ----------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Serves links, replica and decisions until cancelled."""
+        _log.info(
+            "entry_started",
+            address=self._settings.address,
+            replica=self._replica.identity,
+            first_start=self._settings.is_first_start,
+            seeds=",".join(self._settings.seeds),
+        )
+        host, _, port = self._settings.address.rpartition(":")
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._port.listen, host, int(port))
+            await group.spawn(self._dial_members)
+            await group.spawn(self._replica.run)
+            await group.spawn(self._serve)
+
+    async def stop(self) -> None:
+        """Prepares for the end: hands leadership on, takes no new callers."""
+        self._is_stopping = True
+        _log.info("entry_stopping", held=self._intake.held_count)
+        await self._replica.resign()
+
+    async def replace_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Takes other seeds from changed settings."""
+        for address in seeds:
+            self._add_dial(address)
+
+    async def _serve(self) -> None:
+        for address in self._settings.seeds:
+            self._add_dial(address)
+        while True:
+            items = await self._mailbox.drain(timeout_s=_TICK_S)
+            now_s = steady_s()
+            for item in items:
+                await self._take(item, now_s)
+            workers = self._intake.workers if self._is_told(now_s) else None
+            await self._leadership.tick(now_s, workers, self._table)
+            if now_s - self._swept_at_s >= _SWEEP_S:
+                self._swept_at_s = now_s
+                self._intake.tick(now_s)
+            if now_s - self._kept_house_at_s >= _HOUSEKEEPING_S:
+                self._kept_house_at_s = now_s
+                await self._keep_house(now_s)
+            await self._flush()
+
+    async def _keep_house(self, now_s: float) -> None:
+        self._membership.forget_silent(now_s)
+        founders = self._replica.founders_to_announce(
+            self._membership, self._intake.term, now_s
+        )
+        if founders:
+            for member in self._membership.alive:
+                await self._send(member.name, FoundLedger(voters=founders))
+        await self._leadership.repair(self._membership, now_s)
+
+    async def _dial_members(self) -> None:
+        """Starts a task for each address that is to be dialled."""
+        async with curio.TaskGroup(wait=None) as group:
+            while True:
+                while self._dials:
+                    host, _, port = self._dials.pop().rpartition(":")
+                    await group.spawn(self._port.dial, host, int(port))
+                await curio.sleep(_TICK_S)
+
+    def _add_dial(self, address: str) -> None:
+        if address not in self._dialled and address != self._settings.address:
+            self._dialled.add(address)
+            self._dials.append(address)
+
+    # --- events ----------------------------------------------------------------
+
+    async def _take(self, item: object, now_s: float) -> None:
+        match item:
+            case PeerUp():
+                await self._take_peer_up(item, now_s)
+            case PeerDown():
+                self._take_peer_down(item, now_s)
+            case PeerHeard():
+                self._leadership.heard(item.peer, now_s)
+            case Received():
+                self._leadership.heard(item.peer, now_s)
+                await self._take_message(item.peer, item.message, now_s)
+            case Applied():
+                await self._leadership.take_applied(item, now_s)
+            case LedgerLost():
+                _log.error("replica_lost", reason=item.reason)
+
+    async def _take_peer_up(self, event: PeerUp, now_s: float) -> None:
+        self._roles[event.peer] = event.role
+        _log.info("peer_up", peer=event.peer, role=event.role)
+        if event.role == ENTRY_ROLE:
+            self._membership.note_link(event.peer, True, now_s)
+        await self._send(event.peer, self._membership.directory())
+
+    def _take_peer_down(self, event: PeerDown, now_s: float) -> None:
+        role = self._roles.get(event.peer, "")
+        _log.warning("peer_down", peer=event.peer, role=role)
+        if role == ENTRY_ROLE:
+            self._membership.note_link(event.peer, False, now_s)
+
+    async def _take_message(self, peer: str, message: object, now_s: float) -> None:
+        match message:
+            case ReplicaPayload():
+                await self._replica.deliver(message)
+            case Pulse():
+                self._intake.take_pulse(peer, message, now_s)
+                await self._pull_configuration(now_s)
+            case JobAnswer():
+                self._intake.take_answer(message, now_s)
+            case TellJobState() | ConfigurationOutcome():
+                await self._take_reply(message)
+            case NewestConfiguration():
+                self._take_configuration(message)
+                await self._take_reply(message)
+            case Directory():
+                await self._take_directory(peer, message, now_s)
+            case FoundLedger():
+                await self._replica.found(message.voters)
+            case AttachWorker() | WorkerReport() | SubmitJob() | WithdrawJob():
+                await self._leadership.take_work(peer, message, now_s)
+            case AskJobState() | OfferConfiguration() | AskConfiguration():
+                await self._leadership.take_question(peer, message, now_s)
+
+    async def _take_directory(
+        self, peer: str, directory: Directory, now_s: float
+    ) -> None:
+        for member in directory.members:
+            host, _, port = member.address.rpartition(":")
+            self._port.note_address(host, int(port), member.name)
+        if not self._membership.take(peer, directory, now_s):
+            return
+        for member in self._membership.members.values():
+            if self._settings.address < member.address:
+                self._add_dial(member.address)
+        for name, role in self._roles.items():
+            if self._port.is_up(name) and (role == AGENT_ROLE or name != peer):
+                await self._send(name, self._membership.directory())
+
+    # --- configuration ---------------------------------------------------------
+
+    def _is_serving(self, now_s: float) -> bool:
+        return (
+            self._table is not None
+            and self._intake.is_informed(now_s)
+            and self._table.version >= self._intake.version
+        )
+
+    def _is_told(self, now_s: float) -> bool:
+        """Tells whether the former dispatcher's agents are known here."""
+        return self._intake.term > 0 and self._intake.is_informed(now_s)
+
+    async def _pull_configuration(self, now_s: float) -> None:
+        held = self._table.version if self._table else 0
+        is_due = now_s - self._asked_at_s >= _ASK_AGAIN_S
+        if self._intake.version > held and is_due:
+            self._asked_at_s = now_s
+            await self._send(self._intake.dispatcher, AskConfiguration(number=0))
+
+    def _take_configuration(self, message: NewestConfiguration) -> None:
+        held = self._table.version if self._table else 0
+        if message.version <= held or not message.document:
+            return
+        try:
+            self._table = self._format.decode(message.document)
+        except InvalidConfigurationError as error:
+            _log.error("configuration_unreadable", reason=str(error))
+            return
+        _log.info(
+            "configuration_in_force",
+            version=message.version,
+            former=held,
+            queues=len(self._table.queues),
+        )
+
+    # --- questions ---------------------------------------------------------------
+
+    async def _ask(
+        self, question: collections.abc.Callable[[int], CellMessage], limit_s: float
+    ):  # noqa: ANN202
+        """Asks the leader and returns its answer.
+
+        Raises:
+            NotSureError: There is no leader, or it did not answer in time.
+        """
+        if not self._intake.dispatcher:
+            raise NotSureError("no leader is known")
+        number = self._next_number
+        self._next_number += 1
+        reply = self._replies[number] = _Reply()
+        try:
+            await self._send(self._intake.dispatcher, question(number))
+            await self._flush()
+            await curio.ignore_after(limit_s, reply.event.wait)
+        finally:
+            del self._replies[number]
+        if reply.message is None:
+            raise NotSureError("the leader did not answer in time")
+        return reply.message
+
+    async def _take_reply(
+        self, message: TellJobState | ConfigurationOutcome | NewestConfiguration
+    ) -> None:
+        reply = self._replies.get(message.number)
+        if reply is not None:
+            reply.message = message
+            await reply.event.set()
+
+    async def _send(self, receiver: str, message: CellMessage) -> None:
+        """Sends a message; one to this entry goes through its own mailbox."""
+        if receiver == self._settings.name:
+            await self._mailbox.post(Received(peer=receiver, message=message))
+        elif receiver:
+            self._port.send(receiver, message)
+
+    async def _flush(self) -> None:
+        for receiver, message in self._intake.take_messages():
+            await self._send(receiver, message)
+        for waiter in self._intake.take_finished():
+            event = self._events.get(waiter)
+            if event is not None:
+                await event.set()
+        await self._port.flush()
+
+
+class _Reply:
+    """Where the answer to a question arrives."""
+
+    def __init__(self) -> None:
+        self.event = curio.Event()
+        self.message: object | None = None
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_admission.py
@@ -0,0 +1,90 @@
+"""Admission: whether a new job can be served in time."""
+
+import collections.abc
+import dataclasses
+
+from hawthornbarrow.cells._job_record import JobRecord
+from hawthornbarrow.cells._run_times import RunTimes
+from hawthornbarrow.cells._worker_view import WorkerView
+
+_USABLE_SHARE = 0.92  # of the capacity; the rest is lost between tasks of odd sizes
+_LEAST_RETRY_S = 1.0
+_MOST_RETRY_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Verdict:
+    """Whether a job is taken.
+
+    Attributes:
+        is_admitted: Whether it is.
+        predicted_wait_s: When its first task is expected to start, from now.
+        slack_s: Latest start by which it meets its objective, from now.
+        retry_after_s: When the caller may come back.
+    """
+
+    is_admitted: bool
+    predicted_wait_s: float
+    slack_s: float
+    retry_after_s: float
+
+
+class Admission:
+    """Refuses a job on arrival when the work ahead of it takes too long.
+
+    Answers bursts over the capacity: a job that will miss its objective gains its
+    caller little and takes room from jobs that would meet theirs.
+
+    Args:
+        run_times: Expected run times.
+    """
+
+    def __init__(self, *, run_times: RunTimes) -> None:
+        """Keeps the run times."""
+        self._run_times = run_times
+
+    def judge(
+        self,
+        job: JobRecord,
+        waiting: collections.abc.Iterable[JobRecord],
+        workers: collections.abc.Iterable[WorkerView],
+        now_s: float,
+    ) -> Verdict:
+        """Returns whether a job is taken.
+
+        Args:
+            job: The new job.
+            waiting: Jobs that wait for room.
+            workers: Workers that may take it.
+            now_s: Current time.
+        """
+        workers = list(workers)
+        rate = sum(
+            worker.record.capacity.cpu
+            / 1000
+            / self._run_times.slowness(worker.record.upstream)
+            for worker in workers
+        )
+        free = sum(max(0, worker.free.cpu) for worker in workers) / 1000
+        ahead = sum(
+            self._work(other)
+            for other in waiting
+            if other.queue.priority <= job.queue.priority and other.start_by_s >= now_s
+        )
+        wait_s = 0.0
+        if ahead > 0 or free < self._cores(job):
+            wait_s = (ahead + self._work(job) / 2) / max(rate * _USABLE_SHARE, 0.001)
+        slack_s = job.start_by_s - now_s
+        return Verdict(
+            is_admitted=wait_s <= slack_s,
+            predicted_wait_s=wait_s,
+            slack_s=slack_s,
+            retry_after_s=max(_LEAST_RETRY_S, min(_MOST_RETRY_S, wait_s)),
+        )
+
+    def _work(self, job: JobRecord) -> float:
+        return self._run_times.expected_s(job.queue.name, job.remaining_work)
+
+    def _cores(self, job: JobRecord) -> float:
+        steps = [job.document.steps[index] for index in job.waiting_steps()]
+        return sum(step.count * step.each.cpu for step in steps) / 1000
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_custodian.py
@@ -0,0 +1,632 @@
+"""Custodian: the sans-I/O state machine that guards one worker's upstream.
+
+It starts, holds and stops runs by the orders of the dispatcher whose term is the
+highest, never beyond the worker's room, and never holds anything longer than its lease
+with that dispatcher.
+"""
+
+import collections
+import dataclasses
+import enum
+import random
+
+import structlog
+
+from hawthornbarrow.cells._messages import (
+    AttachWorker,
+    EndedRun,
+    HeldRun,
+    Pulse,
+    Resources,
+    RunEnd,
+    StartOrder,
+    StartTasks,
+    StopTasks,
+    TaskKey,
+    WorkerRecord,
+    WorkerReport,
+)
+from hawthornbarrow.cells._timing import RunLeaseTiming
+
+ENDED_KEPT_S = 4.0
+REPORT_AGAIN_S = 0.4
+STOP_AGAIN_S = 0.25
+STALLED_LEAST_S = 0.8
+STALLED_SHARE = 0.1  # of the expected run time
+_SESSION_BITS = 48
+
+_log = structlog.get_logger()
+
+
+class Phase(enum.StrEnum):
+    """How far a run has come."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class StartVerdict(enum.StrEnum):
+    """What the upstream answered to a start."""
+
+    STARTED = "started"
+    NO_ROOM = "no_room"
+    FENCED = "fenced"
+    SUPERSEDED = "superseded"
+    TOO_LATE = "too_late"
+    DECLINED = "declined"
+    NO_ANSWER = "no_answer"
+    GONE = "gone"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StartCall:
+    """Start a run at the upstream."""
+
+    upstream: str
+    order: StartOrder
+    term: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StopCall:
+    """Stop a run at the upstream."""
+
+    upstream: str
+    task: TaskKey
+    attempt: int
+    term: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ListedRun:
+    """A run in the upstream's listing; percent is its progress."""
+
+    task: str
+    attempt: int
+    percent: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ListedEnd:
+    """An end in the upstream's listing."""
+
+    number: int
+    task: str
+    attempt: int
+    end: RunEnd
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Listing:
+    """What the upstream says of itself.
+
+    Attributes:
+        upstream: Incarnation that answered.
+        asked_at_s: When it was asked.
+        running: Runs at work.
+        ended: Ends that were not acknowledged.
+    """
+
+    upstream: str
+    asked_at_s: float
+    running: list[ListedRun]
+    ended: list[ListedEnd]
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Held:
+    order: StartOrder
+    phase: Phase
+    since_s: float
+    started_at_s: float = 0.0
+    answered_at_s: float = 0.0
+    stop_sent_at_s: float = -1e9
+    progressed_at_s: float = 0.0
+    percent: float = -1.0
+    end: RunEnd = RunEnd.STOPPED
+    reason: str = ""
+
+
+def _stalled_after_s(order: StartOrder) -> float:
+    """Returns after how long without progress a run has stalled."""
+    return max(STALLED_LEAST_S, STALLED_SHARE * order.expected_s)
+
+
+class Custodian:
+    """Guards one upstream.
+
+    Args:
+        timing: Lengths of the leases.
+        generator: Source of session numbers.
+    """
+
+    def __init__(self, *, timing: RunLeaseTiming, generator: random.Random) -> None:
+        """Starts without an upstream and without a dispatcher."""
+        self._timing = timing
+        self._generator = generator
+        self._worker: WorkerRecord | None = None
+        self._is_leaving = False
+        self._term = 0
+        self._dispatcher = ""
+        self._session = 0
+        self._is_attached = False
+        self._is_clean = False
+        self._lease_until_s = -1e9
+        self._used = Resources()
+        self._held: dict[TaskKey, _Held] = {}
+        self._ended: collections.deque[tuple[float, EndedRun]] = collections.deque()
+        self._last_number = 0
+        self._reported_at_s = -1e9
+        self._noted = 0
+        self._seen_cursor = 0
+        self._messages: list[tuple[str, object]] = []
+        self._calls: list[StartCall | StopCall] = []
+        self._strangers: dict[tuple[str, int], float] = {}
+        self._has_news = False
+        self._offered_at_s = -1e9
+
+    @property
+    def term(self) -> int:
+        """Highest term of a dispatcher seen, the fencing token towards upstreams."""
+        return self._term
+
+    @property
+    def upstream(self) -> str:
+        """Incarnation of the upstream, empty when there is none."""
+        return self._worker.upstream if self._worker else ""
+
+    @property
+    def is_attached(self) -> bool:
+        """Whether the dispatcher has taken the present session."""
+        return self._is_attached
+
+    @property
+    def lease_until_s(self) -> float:
+        """Until when runs may be held."""
+        return self._lease_until_s
+
+    @property
+    def acknowledged(self) -> int:
+        """The upstream's number of the last end that needs no listing any more.
+
+        Jobs need not be kept, so an end that this process holds in memory will do: when
+        the process is lost with it, the task's run counts as lost.
+        """
+        return self._seen_cursor
+
+    @property
+    def held_count(self) -> int:
+        """Runs that are started, held or being stopped."""
+        return len(self._held)
+
+    @property
+    def must_look(self) -> bool:
+        """Whether the upstream must be asked what runs there before it is offered."""
+        return self._worker is not None and self._term > 0 and not self._is_clean
+
+    def may_hold(self, now_s: float) -> bool:
+        """Tells whether the upstream's runs may be held now."""
+        return self._worker is not None and now_s < self._lease_until_s
+
+    def take_messages(self) -> list[tuple[str, object]]:
+        """Returns the messages to send, by receiver, and forgets them."""
+        messages, self._messages = self._messages, []
+        return messages
+
+    def take_calls(self) -> list[StartCall | StopCall]:
+        """Returns the calls to make, and forgets them."""
+        calls, self._calls = self._calls, []
+        return calls
+
+    # --- upstream ------------------------------------------------------------
+
+    def announce(self, worker: WorkerRecord, is_leaving: bool, now_s: float) -> None:
+        """Takes the upstream's announcement of itself."""
+        if self._worker is None or worker.upstream != self._worker.upstream:
+            self._replace_upstream(worker, now_s)
+        if is_leaving and not self._is_leaving:
+            self._is_leaving = True
+            self._has_news = True
+            _log.info("upstream_leaving", upstream=worker.upstream)
+
+    def withdraw(self, upstream: str, now_s: float) -> None:
+        """Takes the upstream's leave."""
+        if self._worker is not None and self._worker.upstream == upstream:
+            _log.info("upstream_left", upstream=upstream, held=len(self._held))
+            self._lose_all("the upstream left", now_s)
+            self._worker = None
+            self._end_session()
+
+    def upstream_is_gone(self, upstream: str, now_s: float) -> None:
+        """Notes that nothing listens at the upstream's address any more."""
+        if self.upstream == upstream and self._held:
+            _log.warning("upstream_gone", upstream=upstream, held=len(self._held))
+            self._lose_all("the upstream is gone", now_s)
+
+    def _replace_upstream(self, worker: WorkerRecord, now_s: float) -> None:
+        _log.info(
+            "upstream_announced",
+            upstream=worker.upstream,
+            former=self.upstream,
+            held=len(self._held),
+        )
+        self._lose_all("the upstream is another incarnation", now_s)
+        self._worker = worker
+        self._is_leaving = False
+        self._is_clean = False
+        self._seen_cursor = 0
+        self._strangers.clear()
+        self._end_session()
+
+    # --- dispatcher ----------------------------------------------------------
+
+    def take_pulse(self, peer: str, pulse: Pulse, now_s: float) -> None:
+        """Takes a dispatcher's pulse, which renews the lease."""
+        if pulse.term < self._term:
+            return
+        if pulse.term > self._term:
+            _log.info(
+                "dispatcher_found",
+                dispatcher=peer,
+                term=pulse.term,
+                former=self._dispatcher,
+                held=len(self._held),
+            )
+            self._term = pulse.term
+            self._dispatcher = peer
+            self._is_attached = False
+            self._new_session()
+        lease_until_s = pulse.heard_at_s + self._timing.run_lease_s
+        if now_s > self._lease_until_s and self._held:
+            self._lapse(now_s)
+        if pulse.session == self._session and self._session:
+            self._lease_until_s = max(self._lease_until_s, lease_until_s)
+            if not self._is_attached:
+                self._is_attached = True
+                self._has_news = True
+            self._note_ends(pulse.noted)
+        elif self._is_attached:
+            # The dispatcher has given this session up.
+            self._lose_all("the dispatcher gave the session up", now_s)
+            self._end_session()
+        self._offer(now_s)
+
+    def lose_dispatcher(self, peer: str) -> None:
+        """Notes that the link to a process is down."""
+        if peer == self._dispatcher:
+            _log.warning("dispatcher_link_lost", dispatcher=peer, term=self._term)
+
+    def take_orders(self, message: StartTasks | StopTasks, now_s: float) -> None:
+        """Takes the dispatcher's orders of the present session."""
+        if message.term != self._term or message.session != self._session:
+            return
+        self._is_attached = True
+        if isinstance(message, StopTasks):
+            for task in message.tasks:
+                self._stop(task, RunEnd.STOPPED, "", now_s)
+            return
+        for order in message.orders:
+            self._take_start(order, now_s)
+
+    def _take_start(self, order: StartOrder, now_s: float) -> None:
+        reason = self._refusal(order, now_s)
+        if reason:
+            _log.info("start_refused", task=str(order.task), reason=reason)
+            self._add_end(order, RunEnd.STOPPED, now_s, reason=reason)
+            return
+        self._held[order.task] = _Held(order=order, phase=Phase.STARTING, since_s=now_s)
+        self._used = self._used.plus(order.needs)
+        self._calls.append(
+            StartCall(upstream=self.upstream, order=order, term=self._term)
+        )
+
+    def _refusal(self, order: StartOrder, now_s: float) -> str:
+        """Returns why a start is refused, or an empty string."""
+        if self._worker is None or not self.may_hold(now_s):
+            return "no lease"
+        if self._is_leaving:
+            return "the upstream is leaving"
+        if order.task in self._held:
+            return "held already"
+        if not self._used.plus(order.needs).fits_into(self._worker.capacity):
+            return "no room"
+        return ""
+
+    # --- answers of the upstream ---------------------------------------------
+
+    def start_answered(
+        self, call: StartCall, verdict: StartVerdict, now_s: float
+    ) -> None:
+        """Takes the upstream's answer to a start, or the lack of one."""
+        held = self._held.get(call.order.task)
+        if held is None or held.order.attempt != call.order.attempt:
+            return
+        held.answered_at_s = now_s
+        task = call.order.task
+        if verdict is StartVerdict.STARTED:
+            held.started_at_s = held.started_at_s or now_s
+            held.progressed_at_s = now_s
+            if held.phase is Phase.STARTING:
+                held.phase = Phase.RUNNING
+            return
+        _log.info(
+            "start_not_done",
+            task=str(task),
+            attempt=call.order.attempt,
+            verdict=verdict.value,
+        )
+        if verdict is StartVerdict.NO_ANSWER:
+            self._stop(task, RunEnd.LOST, "no answer to the start", now_s)
+            return
+        end = RunEnd.LOST
+        if verdict is StartVerdict.SUPERSEDED:
+            end = RunEnd.SUPERSEDED
+        elif verdict in (StartVerdict.DECLINED, StartVerdict.NO_ROOM):
+            end = RunEnd.REFUSED
+        self._drop(task, end, verdict.value, now_s)
+
+    def stop_answered(self, call: StopCall, is_confirmed: bool, now_s: float) -> None:
+        """Takes the upstream's answer to a stop.
+
+        A run that was never listed can not begin after a confirmed stop, so it ends
+        here; one that was at work ends when the upstream lists its end.
+        """
+        held = self._held.get(call.task)
+        if held is None or held.order.attempt != call.attempt or not is_confirmed:
+            return
+        if not held.started_at_s:
+            self._drop(call.task, held.end, held.reason, now_s)
+
+    def take_listing(self, listing: Listing, now_s: float) -> None:
+        """Takes what the upstream says of itself."""
+        if listing.upstream != self.upstream:
+            return
+        for ended in listing.ended:
+            self._take_listed_end(ended, now_s)
+        running = {run.task: run for run in listing.running}
+        for task, held in list(self._held.items()):
+            self._compare(task, held, running.pop(str(task), None), listing, now_s)
+        self._stop_strangers(list(running.values()), now_s)
+        self._report_stalls(now_s)
+
+    def _compare(
+        self,
+        task: TaskKey,
+        held: _Held,
+        run: ListedRun | None,
+        listing: Listing,
+        now_s: float,
+    ) -> None:
+        if run is not None and run.attempt == held.order.attempt:
+            if not held.started_at_s:
+                held.started_at_s = now_s
+                held.progressed_at_s = now_s
+                if held.phase is Phase.STARTING:
+                    held.phase = Phase.RUNNING
+            if run.percent != held.percent:
+                held.percent = run.percent
+                held.progressed_at_s = now_s
+            return
+        was_known = held.started_at_s and held.answered_at_s
+        if was_known and listing.asked_at_s > held.answered_at_s:
+            self._drop(task, RunEnd.LOST, "not listed any more", now_s)
+
+    def _take_listed_end(self, ended: ListedEnd, now_s: float) -> None:
+        if ended.number <= self._seen_cursor:
+            return
+        self._seen_cursor = ended.number
+        key = TaskKey.parse(ended.task)
+        held = self._held.get(key) if key else None
+        if key is None or held is None or held.order.attempt != ended.attempt:
+            return
+        run_s = now_s - (held.started_at_s or held.since_s)
+        self._drop(key, ended.end, held.reason, now_s, run_s=run_s)
+
+    def _stop_strangers(self, runs: list[ListedRun], now_s: float) -> None:
+        """Stops runs that this process did not start, as before its restart."""
+        if not runs:
+            if not self._is_clean:
+                self._is_clean = True
+                self._offer(now_s)
+            return
+        for run in runs:
+            key = TaskKey.parse(run.task)
+            if key is None:
+                continue
+            stopped_at_s = self._strangers.get((run.task, run.attempt), -1e9)
+            if now_s - stopped_at_s >= STOP_AGAIN_S:
+                self._strangers[(run.task, run.attempt)] = now_s
+                _log.warning("stranger_stopped", task=run.task, attempt=run.attempt)
+                self._calls.append(
+                    StopCall(
+                        upstream=self.upstream,
+                        task=key,
+                        attempt=run.attempt,
+                        term=self._term,
+                    )
+                )
+
+    def _report_stalls(self, now_s: float) -> None:
+        stalled = [
+            task
+            for task, held in self._held.items()
+            if held.phase is Phase.RUNNING
+            and now_s - held.progressed_at_s > _stalled_after_s(held.order)
+        ]
+        if stalled and self._is_attached:
+            for task in stalled:
+                self._held[task].progressed_at_s = now_s
+            self._send(
+                WorkerReport(
+                    session=self._session,
+                    is_leaving=self._is_leaving,
+                    ended=[],
+                    stalled=stalled,
+                )
+            )
+
+    # --- time ----------------------------------------------------------------
+
+    def tick(self, now_s: float) -> None:
+        """Lets time pass."""
+        if self._held and now_s > self._lapsed_at_s:
+            self._lapse(now_s)
+        for task, held in self._held.items():
+            is_due = now_s - held.stop_sent_at_s >= STOP_AGAIN_S
+            if held.phase is Phase.STOPPING and is_due:
+                self._call_stop(task, held, now_s)
+        while self._ended and self._ended[0][1].number <= self._noted:
+            if now_s - self._ended[0][0] < ENDED_KEPT_S:
+                break
+            self._ended.popleft()
+        unnoted = self._last_number > self._noted
+        is_due = unnoted and now_s - self._reported_at_s >= REPORT_AGAIN_S
+        if self._is_attached and (self._has_news or is_due):
+            self._report(now_s)
+
+    @property
+    def _lapsed_at_s(self) -> float:
+        """When the upstream has surely ended what was held last."""
+        return self._lease_until_s + (
+            self._timing.lost_after_s - self._timing.run_lease_s
+        )
+
+    def _lapse(self, now_s: float) -> None:
+        """Gives the session up: the upstream has ended what was not held."""
+        _log.warning(
+            "lease_lapsed",
+            term=self._term,
+            dispatcher=self._dispatcher,
+            late_s=round(now_s - self._lease_until_s, 3),
+            held=len(self._held),
+        )
+        self._lose_all("the lease lapsed", now_s)
+        self._end_session()
+
+    def _report(self, now_s: float) -> None:
+        self._has_news = False
+        self._reported_at_s = now_s
+        ended = [ended for _, ended in self._ended if ended.number > self._noted]
+        self._send(
+            WorkerReport(
+                session=self._session, is_leaving=self._is_leaving, ended=ended
+            )
+        )
+
+    def _send(self, message: object) -> None:
+        self._messages.append((self._dispatcher, message))
+
+    # --- sessions and runs ---------------------------------------------------
+
+    def _new_session(self) -> None:
+        self._session = self._generator.getrandbits(_SESSION_BITS) + 1
+        self._offered_at_s = -1e9
+
+    def _end_session(self) -> None:
+        self._is_attached = False
+        self._new_session()
+
+    def _offer(self, now_s: float) -> None:
+        """Offers the worker to the dispatcher, once nothing unknown runs there."""
+        if self._is_attached or not self._dispatcher:
+            return
+        if self._worker is not None and not self._is_clean:
+            return
+        if now_s - self._offered_at_s < REPORT_AGAIN_S:
+            return
+        self._offered_at_s = now_s
+        running = [
+            HeldRun(
+                task=task,
+                attempt=held.order.attempt,
+                needs=held.order.needs,
+                age_s=now_s - held.since_s,
+            )
+            for task, held in self._held.items()
+        ]
+        self._send(
+            AttachWorker(
+                term=self._term,
+                session=self._session,
+                worker=self._worker,
+                is_leaving=self._is_leaving,
+                running=running,
+                ended=[ended for _, ended in self._ended],
+            )
+        )
+
+    def _note_ends(self, number: int) -> None:
+        self._noted = max(self._noted, number)
+
+    def _stop(self, task: TaskKey, end: RunEnd, reason: str, now_s: float) -> None:
+        held = self._held.get(task)
+        if held is None or held.phase is Phase.STOPPING:
+            return
+        if held.phase is Phase.STARTING and end is RunEnd.STOPPED:
+            # Its start is on the way; the stop fences it if it is still to come.
+            held.reason = "stopped while it started"
+        held.phase = Phase.STOPPING
+        held.end = end
+        held.reason = reason
+        self._call_stop(task, held, now_s)
+
+    def _call_stop(self, task: TaskKey, held: _Held, now_s: float) -> None:
+        held.stop_sent_at_s = now_s
+        self._calls.append(
+            StopCall(
+                upstream=self.upstream,
+                task=task,
+                attempt=held.order.attempt,
+                term=self._term,
+            )
+        )
+
+    def _drop(
+        self,
+        task: TaskKey,
+        end: RunEnd,
+        reason: str,
+        now_s: float,
+        *,
+        run_s: float = 0.0,
+    ) -> None:
+        held = self._held.pop(task)
+        self._used = self._used.minus(held.order.needs)
+        self._add_end(held.order, end, now_s, reason=reason, run_s=run_s)
+
+    def _lose_all(self, reason: str, now_s: float) -> None:
+        if self._held:
+            self._is_clean = False
+        for task in list(self._held):
+            self._drop(task, RunEnd.LOST, reason, now_s)
+
+    def _add_end(
+        self,
+        order: StartOrder,
+        end: RunEnd,
+        now_s: float,
+        *,
+        reason: str = "",
+        run_s: float = 0.0,
+    ) -> None:
+        self._last_number += 1
+        ended = EndedRun(
+            number=self._last_number,
+            task=order.task,
+            attempt=order.attempt,
+            end=end,
+            run_s=run_s,
+            reason=reason,
+        )
+        self._ended.append((now_s, ended))
+        self._has_news = True
+        _log.info(
+            "run_ended",
+            task=str(order.task),
+            attempt=order.attempt,
+            upstream=self.upstream,
+            end=end.value,
+            run_s=round(run_s, 3),
+            reason=reason,
+        )
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
@@ -0,0 +1,144 @@
+"""JobRecord: what the dispatcher knows of one job."""
+
+import dataclasses
+
+from hawthornbarrow.cells._messages import JobDocument, JobState, Step
+from hawthornbarrow.queues import Queue
+
+
+@dataclasses.dataclass(kw_only=True)
+class TaskProgress:
+    """What the dispatcher knows of one task.
+
+    Attributes:
+        attempts: Number of the last start.
+        failures: Runs that failed.
+        worker: Agent that holds its run, empty for none.
+        is_done: Whether a run of it ended well.
+        avoided: Agents where it failed.
+    """
+
+    attempts: int = 0
+    failures: int = 0
+    worker: str = ""
+    is_done: bool = False
+    avoided: set[str] = dataclasses.field(default_factory=set)
+
+
+class JobRecord:
+    """One job at the dispatcher.
+
+    Args:
+        document: The job.
+        queue: Its queue.
+        arrived_at_s: When its entry received it.
+        first_attempt: Number from which starts are counted on.
+    """
+
+    def __init__(
+        self,
+        *,
+        document: JobDocument,
+        queue: Queue,
+        arrived_at_s: float,
+        first_attempt: int,
+    ) -> None:
+        """Starts with all tasks waiting."""
+        self.document = document
+        self.queue = queue
+        self.arrived_at_s = arrived_at_s
+        self.start_by_s = arrived_at_s
+        self.give_up_at_s = arrived_at_s + queue.timeout_s
+        self.entries: set[str] = set()
+        self.state = JobState.QUEUED
+        self.ended_at_s = 0.0
+        self.tasks = [
+            [TaskProgress(attempts=first_attempt) for _ in range(step.count)]
+            for step in document.steps
+        ]
+        self._waiting = [list(range(step.count)) for step in document.steps]
+        self._undone = [step.count for step in document.steps]
+        self._running = 0
+
+    @property
+    def job(self) -> str:
+        """Id of the job."""
+        return self.document.job
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all tasks have ended well."""
+        return not any(self._undone)
+
+    @property
+    def running_count(self) -> int:
+        """Number of tasks that an agent holds."""
+        return self._running
+
+    @property
+    def is_all_begun(self) -> bool:
+        """Whether no task waits, its turn come or not."""
+        return not any(self._waiting)
+
+    @property
+    def remaining_work(self) -> float:
+        """Core-seconds of the tasks that wait, by the caller's estimate."""
+        return sum(
+            len(waiting) * step.each.cpu / 1000 * step.estimated_s
+            for step, waiting in zip(self.document.steps, self._waiting, strict=True)
+        )
+
+    @property
+    def longest_chain_s(self) -> float:
+        """Longest chain of steps that depend on one another, in seconds."""
+        ends_s: list[float] = []
+        for step in self.document.steps:
+            before_s = max((ends_s[index] for index in step.after), default=0.0)
+            ends_s.append(before_s + step.estimated_s)
+        return max(ends_s, default=0.0)
+
+    def waiting_steps(self) -> list[int]:
+        """Returns the steps whose turn has come and that have waiting tasks."""
+        return [
+            index
+            for index, step in enumerate(self.document.steps)
+            if self._waiting[index] and self._is_due(step)
+        ]
+
+    def waiting_tasks(self, step: int) -> list[int]:
+        """Returns the waiting tasks of a step."""
+        return self._waiting[step]
+
+    def count_on(self, step: int, worker: str) -> int:
+        """Returns how many tasks of a step an agent holds."""
+        return sum(progress.worker == worker for progress in self.tasks[step])
+
+    def begin(self, step: int, index: int, worker: str) -> TaskProgress:
+        """Notes that a task is at an agent."""
+        progress = self.tasks[step][index]
+        if progress.worker or progress.is_done:
+            raise ValueError(f"task {self.job}.0.{step}.{index} is not waiting")
+        self._waiting[step].remove(index)
+        progress.worker = worker
+        self._running += 1
+        self.state = JobState.RUNNING
+        return progress
+
+    def end(self, step: int, index: int, *, is_done: bool) -> None:
+        """Notes that a task's run is over; it waits again unless it is done."""
+        progress = self.tasks[step][index]
+        if progress.worker:
+            progress.worker = ""
+            self._running -= 1
+        elif progress.is_done:
+            return
+        else:
+            self._waiting[step].remove(index)
+        progress.is_done = is_done
+        if is_done:
+            self._undone[step] -= 1
+        else:
+            self._waiting[step].append(index)
+
+    def _is_due(self, step: Step) -> bool:
+        return not any(self._undone[index] for index in step.after)
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_exchange.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_exchange.py
@@ -1,5 +1,6 @@
 """Requests, responses and RFC 9457 problem details."""
 
+import collections.abc
 import dataclasses
 
 import msgspec
@@ -16,12 +17,14 @@
         path: Path of the target, without the query.
         headers: Header values by lower-case name.
         body: The whole body.
+        is_abandoned: Tells whether the caller has closed its connection since.
     """
 
     method: str
     path: str
     headers: dict[str, str]
     body: bytes
+    is_abandoned: collections.abc.Callable[[], bool] = lambda: False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
@@ -119,6 +119,9 @@
             return False
         if request is None:
             return False
+        request = dataclasses.replace(
+            request, is_abandoned=lambda: _is_closed_by_peer(sock)
+        )
         self._busy_requests += 1
         try:
             response = await self._handler(request)
@@ -225,6 +228,17 @@
             )
 
 
+def _is_closed_by_peer(sock: curio.io.Socket) -> bool:
+    """Tells whether the peer has closed the connection in an orderly way.
+
+    After a reset the answer is False: the peer may not have meant to leave.
+    """
+    try:
+        return not sock._socket.recv(1, socket.MSG_PEEK)
+    except OSError:
+        return False
+
+
 def _request(head: h11.Request, body: bytes) -> Request:
     target = head.target.decode("ascii", "replace")
     headers = {
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/__init__.py
@@ -1,5 +1,8 @@
 """Ledger: the project's own replicated log and the state that it carries."""
 
+import typing
+
+from hawthornbarrow.lazy import lazy_attributes
 from hawthornbarrow.ledger._commands import (
     ApplyConfiguration,
     Claim,
@@ -8,6 +11,7 @@
     ExpireEntry,
     Forget,
     NoOperation,
+    PutConfiguration,
     RegisterAgent,
     RegisterEntry,
     RetireAgent,
@@ -19,8 +23,10 @@
     ReplicaIdentity,
     initialise_folder,
     load_identity,
+    store_founders,
 )
 from hawthornbarrow.ledger._ledger import Applied, Ledger, LedgerLost, LedgerStatus
+from hawthornbarrow.ledger._link_transport import LinkReplicaTransport
 from hawthornbarrow.ledger._messages import (
     AppendEntries,
     AppendReply,
@@ -47,6 +53,7 @@
     EntryRecord,
     LedgerState,
     Outcome,
+    PutRecord,
 )
 from hawthornbarrow.ledger._storage import (
     CorruptLogError,
@@ -57,7 +64,10 @@
     Storage,
     StoredState,
 )
-from hawthornbarrow.ledger._transport import NngReplicaTransport, ReplicaTransport
+from hawthornbarrow.ledger._transport import ReplicaTransport
+
+if typing.TYPE_CHECKING:
+    from hawthornbarrow.ledger._nng_transport import NngReplicaTransport
 
 __all__ = [
     "AgentRecord",
@@ -84,11 +94,14 @@
     "LedgerState",
     "LedgerStatus",
     "LedgerStorageError",
+    "LinkReplicaTransport",
     "LogEntry",
     "Members",
     "NngReplicaTransport",
     "NoOperation",
     "Outcome",
+    "PutConfiguration",
+    "PutRecord",
     "RaftLog",
     "RaftMessage",
     "RaftReplica",
@@ -114,4 +127,7 @@
     "initialise_folder",
     "job_id_of",
     "load_identity",
+    "store_founders",
 ]
+
+__getattr__ = lazy_attributes(__name__, {"NngReplicaTransport": "_nng_transport"})
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_commands.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_commands.py
@@ -116,6 +116,18 @@
     time_s: float
 
 
+class PutConfiguration(_Command, kw_only=True):
+    """An operator offers a whole configuration; the highest version wins.
+
+    Attributes:
+        version: Its version.
+        document: The configuration as the operator sent it.
+    """
+
+    version: int
+    document: bytes
+
+
 class Forget(_Command, kw_only=True):
     """Drops closed claims and operators' requests from before a time."""
 
@@ -132,6 +144,7 @@
     | RegisterAgent
     | RetireAgent
     | ApplyConfiguration
+    | PutConfiguration
     | Forget
 )
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_identity.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_identity.py
@@ -72,3 +72,24 @@
     identity = ReplicaIdentity(name=name, incarnation=secrets.token_hex(4))
     write_atomically(path, msgspec.json.encode(identity))
     return identity
+
+
+def store_founders(folder: pathlib.Path, voters: tuple[str, ...]) -> None:
+    """Stores who founds the ledger, in a folder that holds no ledger yet.
+
+    Args:
+        folder: The replica's data folder.
+        voters: Identities of all founding replicas.
+
+    Raises:
+        FileExistsError: The folder holds a ledger already.
+    """
+    storage = FileStorage(folder=folder)
+    stored = storage.load()
+    if stored.snapshot.members.voters or stored.entries or stored.hard.term:
+        storage.close()
+        raise FileExistsError(f"{folder} holds a ledger already")
+    storage.save_snapshot(
+        Snapshot(index=0, term=0, members=Members(voters=voters), data=b"")
+    )
+    storage.close()
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_messages.py
@@ -62,11 +62,19 @@
 
 
 class RequestVote(_Wire, kw_only=True):
-    """A candidate asks for a vote, or whether it would get one."""
+    """A candidate asks for a vote, or whether it would get one.
+
+    Attributes:
+        last_index: Last index of the candidate's log.
+        last_term: Term of the entry there.
+        is_prevote: Whether it only asks whether it would get the vote.
+        is_transfer: Whether the leader has given up its lease for the candidate.
+    """
 
     last_index: int
     last_term: int
     is_prevote: bool
+    is_transfer: bool = False
 
 
 class VoteReply(_Wire, kw_only=True):
@@ -77,12 +85,21 @@
 
 
 class AppendEntries(_Wire, kw_only=True):
-    """The leader's entries after a position; without entries a heartbeat."""
+    """The leader's entries after a position; without entries a heartbeat.
+
+    Attributes:
+        previous_index: Position that the entries follow.
+        previous_term: Term of the entry there.
+        entries: The entries.
+        commit: The leader's commit index.
+        sent_at_s: Time of sending on the leader's clock.
+    """
 
     previous_index: int
     previous_term: int
     entries: list[LogEntry]
     commit: int
+    sent_at_s: float = 0.0
 
 
 class AppendReply(_Wire, kw_only=True):
@@ -92,11 +109,13 @@
         accepted: Whether the position matched.
         match: Last index known to equal the leader's, synced to disk.
         hint: Where the leader should look next when the position did not match.
+        sent_at_s: The sent_at_s of the message that is answered.
     """
 
     accepted: bool
     match: int
     hint: int
+    sent_at_s: float = 0.0
 
 
 class InstallSnapshot(_Wire, kw_only=True):
@@ -117,6 +136,10 @@
     received: int
 
 
+class TransferLeadership(_Wire, kw_only=True):
+    """The leader has given up its lease and asks the receiver to stand at once."""
+
+
 class ForwardProposal(_Wire, kw_only=True):
     """A proposal on its way to the leader."""
 
@@ -146,6 +169,7 @@
     | AppendReply
     | InstallSnapshot
     | SnapshotReply
+    | TransferLeadership
     | ForwardProposal
     | ReplaceReplica
     | ReplaceReply
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
@@ -6,6 +6,7 @@
 and `persisted`, and after each takes what `take_ready` returns.
 """
 
+import math
 import random
 
 from hawthornbarrow.ledger._messages import (
@@ -20,6 +21,7 @@
     ReplaceReply,
     RequestVote,
     SnapshotReply,
+    TransferLeadership,
     VoteReply,
     stale_reply,
 )
@@ -33,6 +35,8 @@
 from hawthornbarrow.ledger._snapshot_transfer import SnapshotAssembly
 from hawthornbarrow.ledger._storage import HardState, Snapshot, StoredState
 
+LEASE_SHARE = 0.9  # of the shortest election timeout; the rest covers clock drift
+
 
 class RaftReplica:
     """One replica.
@@ -66,10 +70,13 @@
         self._synced = self._log.last_index
         self._role = Role.FOLLOWER
         self._leader: str | None = None
-        self._leader_heard_at_s = -1e9
+        # A replica that has voted or followed before may have promised a leader's
+        # lease just before its restart, so it votes for nobody until that is over.
+        self._leader_heard_at_s = now_s if stored.hard.term else -math.inf
         self._election_at_s = 0.0
         self._votes: set[str] = set()
         self._is_prevote = False
+        self._has_given_up_lease = False
         self._replication: Replication | None = None
         self._assembly: SnapshotAssembly | None = None
         self._clear_ready()
@@ -116,6 +123,39 @@
             return self._replication.hears_quorum(now_s, limit_s)
         return now_s - self._leader_heard_at_s <= limit_s
 
+    def lease_until_s(self, now_s: float) -> float:
+        """Returns until when no other replica can lead; in the past for none."""
+        if self._replication is None or not self.has_applied_own_term:
+            return -math.inf
+        if self._has_given_up_lease:
+            return -math.inf
+        confirmed_at_s = self._replication.confirmed_at_s(now_s)
+        return confirmed_at_s + self._settings.election_min_s * LEASE_SHARE
+
+    def transfer(self, now_s: float) -> bool:
+        """Hands leadership to the follower with the newest log; False for none."""
+        if self._replication is None:
+            return False
+        heard = self._replication.heard(now_s, self._settings.election_min_s)
+        successors = [
+            name
+            for name in self._log.members.voters
+            if name != self._replica
+            and name in heard
+            and self._replication.match_of(name) == self._log.last_index
+        ]
+        if not successors:
+            return False
+        self._has_given_up_lease = True
+        message = TransferLeadership(term=self.term)
+        self._immediate.append((min(successors), message))
+        return True
+
+    @property
+    def has_applied_own_term(self) -> bool:
+        """Whether a leader has committed an entry of its own term."""
+        return self._log.term_at(self._commit) == self.term
+
     def tick(self, now_s: float) -> None:
         """Lets time pass."""
         if self._replication is not None:
@@ -172,11 +212,11 @@
             return
         self._handle(sender, message, now_s)
 
-    def persisted(self) -> None:
+    def persisted(self, now_s: float = 0.0) -> None:
         """Notes that all of the last Ready is durable."""
         self._synced = self._log.last_index
         if self._replication is not None:
-            self._advance_commit(self._replication)
+            self._advance_commit(self._replication, now_s)
 
     def compact(self, snapshot: Snapshot) -> None:
         """Replaces the applied part of the log by a stored snapshot."""
@@ -225,7 +265,8 @@
         if isinstance(message, VoteReply) and message.is_prevote and message.granted:
             return True
         if message.term > self.term:
-            if isinstance(message, RequestVote) and self._has_leader(now_s):
+            is_vote = isinstance(message, RequestVote)
+            if is_vote and not message.is_transfer and self._has_leader(now_s):
                 return False
             leads = isinstance(message, AppendEntries | InstallSnapshot)
             self._become_follower(message.term, now_s, reset_timer=leads)
@@ -243,9 +284,11 @@
                 self._replication.take_append_reply(
                     sender, message, now_s, self._commit
                 )
-                self._advance_commit(self._replication)
+                self._advance_commit(self._replication, now_s)
             case InstallSnapshot():
                 self._on_install_snapshot(sender, message, now_s)
+            case TransferLeadership():
+                self._start_election(now_s, is_prevote=False, is_transfer=True)
             case SnapshotReply() if self._replication is not None:
                 self._replication.take_snapshot_reply(sender, message, now_s)
 
@@ -255,7 +298,9 @@
             return True
         return now_s - self._leader_heard_at_s < self._settings.election_min_s
 
-    def _start_election(self, now_s: float, *, is_prevote: bool) -> None:
+    def _start_election(
+        self, now_s: float, *, is_prevote: bool, is_transfer: bool = False
+    ) -> None:
         self._reset_election_timer(now_s)
         members = self._log.members
         if self._replica not in members.voters:
@@ -272,6 +317,7 @@
             last_index=self._log.last_index,
             last_term=self._log.last_term,
             is_prevote=is_prevote,
+            is_transfer=is_transfer,
         )
         for voter in members.voters:
             if voter != self._replica:
@@ -317,6 +363,7 @@
 
     def _become_leader(self, now_s: float) -> None:
         self._role = Role.LEADER
+        self._has_given_up_lease = False
         self._leader = self._replica
         self._replication = Replication(
             replica=self._replica,
@@ -328,7 +375,7 @@
         )
         self._append()
         self.flush(now_s)
-        self._advance_commit(self._replication)
+        self._advance_commit(self._replication, now_s)
 
     def _become_follower(self, term: int, now_s: float, *, reset_timer: bool) -> None:
         if term > self.term:
@@ -390,13 +437,14 @@
         self._log.append(entry)
         self._to_persist.append(entry)
 
-    def _advance_commit(self, replication: Replication) -> None:
+    def _advance_commit(self, replication: Replication, now_s: float) -> None:
         index = replication.quorum_index(self._synced)
         if index <= self._commit or self._log.term_at(index) != self.term:
             return
         committed = self._log.slice(self._commit + 1, index - self._commit)
         self._commit = index
-        replication.tell_commit([entry.proposer for entry in committed], index)
+        names = [entry.proposer for entry in committed]
+        replication.tell_commit(names, index, now_s)
 
     # --- follower ------------------------------------------------------------
 
@@ -413,16 +461,26 @@
         previous = message.previous_index
         if previous < self._log.base_index:
             known = self._log.base_index
-            self._reply_append(sender, accepted=True, match=known)
+            self._reply_append(
+                sender, accepted=True, match=known, sent_at_s=message.sent_at_s
+            )
             return
         if self._log.term_at(previous) != message.previous_term:
             hint = min(self._log.last_index + 1, previous)
-            self._reply_append(sender, accepted=False, match=0, hint=hint)
+            self._reply_append(
+                sender,
+                accepted=False,
+                match=0,
+                hint=hint,
+                sent_at_s=message.sent_at_s,
+            )
             return
         self._store_entries(message.entries)
         match = previous + len(message.entries)
         self._commit = max(self._commit, min(message.commit, match))
-        self._reply_append(sender, accepted=True, match=match)
+        self._reply_append(
+            sender, accepted=True, match=match, sent_at_s=message.sent_at_s
+        )
 
     def _store_entries(self, entries: list[LogEntry]) -> None:
         for entry in entries:
@@ -441,9 +499,21 @@
             self._truncate_from = index
 
     def _reply_append(
-        self, leader: str, *, accepted: bool, match: int, hint: int = 0
+        self,
+        leader: str,
+        *,
+        accepted: bool,
+        match: int,
+        hint: int = 0,
+        sent_at_s: float = -math.inf,
     ) -> None:
-        reply = AppendReply(term=self.term, accepted=accepted, match=match, hint=hint)
+        reply = AppendReply(
+            term=self.term,
+            accepted=accepted,
+            match=match,
+            hint=hint,
+            sent_at_s=sent_at_s,
+        )
         self._after_sync.append((leader, reply))
 
     def _on_install_snapshot(
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
@@ -7,6 +7,7 @@
 import curio
 import structlog
 
+from hawthornbarrow.clock import steady_s
 from hawthornbarrow.ledger._commands import (
     Command,
     ExpireEntry,
@@ -18,6 +19,7 @@
 from hawthornbarrow.ledger._messages import (
     ForwardProposal,
     LogEntry,
+    Members,
     ReplaceReplica,
     ReplaceReply,
     ReplicaEnvelope,
@@ -35,6 +37,7 @@
 WAITING_INTERVAL_S = 0.05
 FORGET_INTERVAL_S = 60.0
 SNAPSHOT_AFTER_ENTRIES = 5000
+SNAPSHOT_AFTER_BYTES = 8 * 1024 * 1024
 _TICK_S = 0.02
 _NUMBER_BITS = 48
 
@@ -60,6 +63,11 @@
     new: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Resignation:
+    """Hand leadership on."""
+
+
 class ReplicatedLedger(Ledger):
     """One replica with its storage and transport.
 
@@ -97,16 +105,18 @@
         self._proposals: dict[int, _Proposal] = {}
         self._waiting: list[_NewProposal] = []
         self._took_waiting_at_s = 0.0
-        self._forgot_at_s = time.monotonic()
+        self._forgot_at_s = steady_s()
         self._expired_at_s: dict[int, float] = {}
         self._stopped = ""
+        self._applied_bytes = 0
+        self._settled_index = -1
         stored = storage.load()
         self._raft = RaftReplica(
             replica=identity,
             stored=stored,
             settings=settings or RaftSettings(),
             generator=generator,
-            now_s=time.monotonic(),
+            now_s=steady_s(),
         )
         if stored.snapshot.data:
             self._state.restore(stored.snapshot.data)
@@ -136,6 +146,37 @@
             stopped=self._stopped,
         )
 
+    @property
+    def term(self) -> int:
+        """Current term of the replica."""
+        return self._raft.term
+
+    @property
+    def members(self) -> Members:
+        """Voters and learners, as this replica knows them."""
+        return self._raft.log.members
+
+    @property
+    def identity(self) -> str:
+        """Identity of this replica."""
+        return self._identity
+
+    async def resign(self) -> None:
+        """Hands leadership on, if this replica leads, and stays a follower."""
+        await self._inbox.post(_Resignation())
+
+    async def deliver(self, envelope: ReplicaEnvelope) -> None:
+        """Takes an envelope that arrived for this replica."""
+        await self._inbox.post(envelope)
+
+    def leads(self, now_s: float) -> bool:
+        """Tells whether no other replica can lead now."""
+        return not self._stopped and now_s < self._raft.lease_until_s(now_s)
+
+    def has_settled(self) -> bool:
+        """Tells whether all that is committed is applied to the state."""
+        return self._settled_index == self._raft.commit
+
     @property
     def leader_name(self) -> str:
         """Name of the entry whose replica leads, empty when unknown."""
@@ -173,7 +214,7 @@
         try:
             while True:
                 items = await self._inbox.drain(timeout_s=_TICK_S)
-                now_s = time.monotonic()
+                now_s = steady_s()
                 for item in items:
                     await self._take(item, now_s)
                 self._take_waiting(now_s)
@@ -209,6 +250,8 @@
             self._start_proposal(item, now_s)
         elif isinstance(item, _NewReplacement):
             await self._try_replacement(item, now_s)
+        elif isinstance(item, _Resignation):
+            self._raft.transfer(now_s)
 
     async def _settle(self) -> None:
         """Carries out what the replica asks for, until it asks for nothing."""
@@ -216,12 +259,14 @@
             ready = self._raft.take_ready()
             for receiver, message in ready.immediate:
                 self._transport.send(receiver, message)
+            await self._transport.flush()
             if ready.must_sync:
                 async with curio.disable_cancellation():
                     await curio.run_in_thread(self._persist, ready)
-                self._raft.persisted()
+                self._raft.persisted(steady_s())
             for receiver, message in ready.after_sync:
                 self._transport.send(receiver, message)
+            await self._transport.flush()
             if ready.installed is not None:
                 self._state.restore(ready.installed.data)
                 await self._events.post(
@@ -233,6 +278,7 @@
                 await self._events.post(reply)
             await self._compact_if_due()
             if not ready.must_sync and not ready.committed:
+                self._settled_index = self._raft.commit
                 return
 
     def _persist(self, ready: Ready) -> None:
@@ -246,6 +292,7 @@
     async def _apply(self, entry: LogEntry) -> None:
         if not entry.command:
             return
+        self._applied_bytes += len(entry.command)
         command = decode_command(entry.command)
         outcome = self._state.apply(entry.index, command)
         number = entry.number if entry.proposer == self._identity else 0
@@ -261,8 +308,10 @@
 
     async def _compact_if_due(self) -> None:
         log = self._raft.log
-        if self._state.applied - log.base_index < SNAPSHOT_AFTER_ENTRIES:
+        is_long = self._state.applied - log.base_index >= SNAPSHOT_AFTER_ENTRIES
+        if not is_long and self._applied_bytes < SNAPSHOT_AFTER_BYTES:
             return
+        self._applied_bytes = 0
         snapshot: Snapshot = self._raft.snapshot_at(self._state.encode())
         async with curio.disable_cancellation():
             await curio.run_in_thread(self._storage.save_snapshot, snapshot)
@@ -323,10 +372,10 @@
 
     def _heard_at_s(self, entry: str) -> float:
         if entry == self._identity.partition(".")[0]:
-            return time.monotonic()
+            return steady_s()
         replication = self._raft.replication
         if replication is None:
-            return time.monotonic()
+            return steady_s()
         heard_at_s = replication.since_s
         for name, progress in replication.progress.items():
             if name.partition(".")[0] == entry:
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replication.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replication.py
@@ -1,6 +1,7 @@
 """Replication: what a leader sends to each follower, and what it knows of them."""
 
 import collections.abc
+import math
 
 from hawthornbarrow.ledger._messages import (
     AppendEntries,
@@ -70,6 +71,23 @@
         heard = self.heard(now_s, limit_s)
         return sum(voter in heard for voter in members.voters) >= members.quorum
 
+    def confirmed_at_s(self, now_s: float) -> float:
+        """Returns when a quorum was last known to follow.
+
+        A quorum has answered messages that were sent at that time or later, so none
+        of its voters votes for another before its election timeout has passed since.
+        """
+        members = self._log.members
+        times_s = sorted(
+            now_s if voter == self._replica else self._confirmed_by(voter)
+            for voter in members.voters
+        )
+        return times_s[len(times_s) - members.quorum]
+
+    def _confirmed_by(self, voter: str) -> float:
+        progress = self.progress.get(voter)
+        return progress.confirmed_at_s if progress else -math.inf
+
     def sync_members(self, now_s: float) -> None:
         """Follows just the present members."""
         others = set(self._log.members.everyone) - {self._replica}
@@ -85,12 +103,14 @@
         for name in self.progress:
             self._send_to(name, now_s, commit)
 
-    def tell_commit(self, names: collections.abc.Iterable[str], commit: int) -> None:
+    def tell_commit(
+        self, names: collections.abc.Iterable[str], commit: int, now_s: float
+    ) -> None:
         """Sends the commit index at once to those who wait for it."""
         for name in sorted(set(names)):
             progress = self.progress.get(name)
             if progress is not None and progress.next > self._log.base_index:
-                self._send_entries(name, progress, commit)
+                self._send_entries(name, progress, commit, now_s)
 
     def match_of(self, replica: str) -> int:
         """Returns the last index known to be synced at a follower."""
@@ -118,6 +138,7 @@
         if progress is None:
             return
         progress.heard_at_s = now_s
+        progress.confirmed_at_s = max(progress.confirmed_at_s, message.sent_at_s)
         if message.accepted:
             progress.match = max(progress.match, message.match)
             progress.next = max(progress.next, progress.match + 1)
@@ -156,9 +177,11 @@
         if needs_snapshot:
             self._send_snapshot(name, progress)
         else:
-            self._send_entries(name, progress, commit)
+            self._send_entries(name, progress, commit, now_s)
 
-    def _send_entries(self, name: str, progress: Progress, commit: int) -> None:
+    def _send_entries(
+        self, name: str, progress: Progress, commit: int, now_s: float
+    ) -> None:
         previous = progress.next - 1
         previous_term = self._log.term_at(previous)
         assert previous_term is not None
@@ -170,6 +193,7 @@
             previous_term=previous_term,
             entries=entries,
             commit=commit,
+            sent_at_s=now_s,
         )
         self._messages.append((name, message))
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_state.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_state.py
@@ -14,6 +14,7 @@
     ExpireEntry,
     Forget,
     NoOperation,
+    PutConfiguration,
     RegisterAgent,
     RegisterEntry,
     RetireAgent,
@@ -100,6 +101,13 @@
     time_s: float
 
 
+class PutRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The configuration of the highest version that was put."""
+
+    version: int = 0
+    document: bytes = b""
+
+
 class _RequestRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     version: int
     winner: str
@@ -137,6 +145,7 @@
     requests: dict[str, _RequestRecord]
     clock_s: float
     applied: int
+    put: PutRecord = PutRecord()
 
 
 class LedgerState:
@@ -158,6 +167,7 @@
         self._agents: dict[str, AgentRecord] = {}
         self._versions: list[ConfigurationRecord] = []
         self._requests: dict[str, _RequestRecord] = {}
+        self._put = PutRecord()
         self._clock_s = 0.0
         self._applied = 0
 
@@ -191,6 +201,11 @@
         """The configuration in force, or None before the first."""
         return self._versions[-1] if self._versions else None
 
+    @property
+    def put(self) -> PutRecord:
+        """The configuration of the highest version that was put."""
+        return self._put
+
     def claim(self, job: str) -> ClaimRecord | None:
         """Returns the claim of a job, if there is one."""
         return self._claims.get(job)
@@ -223,6 +238,8 @@
                 return self._retire_agent(command)
             case ApplyConfiguration():
                 return self._apply_configuration(command)
+            case PutConfiguration():
+                return self._put_configuration(command)
             case Forget():
                 return self._forget(command)
             case NoOperation():
@@ -238,6 +255,7 @@
             requests=self._requests,
             clock_s=self._clock_s,
             applied=self._applied,
+            put=self._put,
         )
         return msgspec.msgpack.encode(image)
 
@@ -255,6 +273,7 @@
         self._requests = dict(image.requests)
         self._clock_s = image.clock_s
         self._applied = image.applied
+        self._put = image.put
 
     def _claim(self, index: int, command: Claim) -> Outcome:
         self._clock_s = max(self._clock_s, command.time_s)
@@ -306,6 +325,11 @@
         self._open.get((known.owner, known.incarnation), {}).pop(command.job, None)
         return Outcome(accepted=True, claim=record)
 
+    def _put_configuration(self, command: PutConfiguration) -> Outcome:
+        if command.version > self._put.version:
+            self._put = PutRecord(version=command.version, document=command.document)
+        return Outcome(accepted=True, version=self._put.version)
+
     def _register_entry(self, command: RegisterEntry) -> Outcome:
         self._entries[command.name] = EntryRecord(
             name=command.name,
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_messages.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from hawthornbarrow.cells._messages import CellMessage
 from hawthornbarrow.upstreams import Announcement
 
 
@@ -243,6 +244,12 @@
     usage: dict[str, float]
 
 
+class ReplicaPayload(_Wire, kw_only=True):
+    """An encoded message between two replicas of the ledger."""
+
+    data: bytes
+
+
 Message = (
     DispatchBatch
     | SlotDemand
@@ -258,4 +265,6 @@
     | ForwardReply
     | ConfigurationUpdate
     | UsageReport
+    | ReplicaPayload
+    | CellMessage
 )
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
@@ -1,17 +1,22 @@
 """LinkPort: the curio tasks that own a process's link sockets."""
 
 import dataclasses
+import math
 import random
 import secrets
-import time
 
 import curio
 
+from hawthornbarrow.clock import steady_s
 from hawthornbarrow.links._codec import NONCE_BYTES, Codec, LinkError
 from hawthornbarrow.links._frames import Frame, Hello
 from hawthornbarrow.links._mailbox import Mailbox
 from hawthornbarrow.links._messages import Message
-from hawthornbarrow.links._session import LinkSession
+from hawthornbarrow.links._session import (
+    HEARTBEAT_INTERVAL_S,
+    SILENCE_LIMIT_S,
+    LinkSession,
+)
 from hawthornbarrow.links._stream import BlockStream
 
 _POLL_INTERVAL_S = 0.1
@@ -56,6 +61,8 @@
         incarnation: Random number of this run of the process.
         cluster_key: Secret shared by all processes of the deployment.
         mailbox: Where link events are posted.
+        heartbeat_s: Longest time without sending anything on a link.
+        silence_s: Longest time without receiving before a connection is closed.
     """
 
     def __init__(
@@ -66,8 +73,13 @@
         incarnation: int,
         cluster_key: bytes,
         mailbox: Mailbox,
+        heartbeat_s: float = HEARTBEAT_INTERVAL_S,
+        silence_s: float = SILENCE_LIMIT_S,
     ) -> None:
         """Starts without links."""
+        self._heartbeat_s = heartbeat_s
+        self._silence_s = silence_s
+        self._names: dict[str, str] = {}
         self._process = process
         self._role = role
         self._incarnation = incarnation
@@ -110,6 +122,28 @@
         if session is not None and not session.is_up:
             session.forget_unacknowledged()
 
+    def is_up(self, peer: str) -> bool:
+        """Tells whether a link to the peer is usable."""
+        session = self._sessions.get(peer)
+        return session is not None and session.is_up
+
+    def peers_up(self, role: str) -> list[str]:
+        """Returns the peers of a role whose links are usable."""
+        return [
+            name
+            for name, session in self._sessions.items()
+            if session.is_up and session.peer_role == role
+        ]
+
+    def peer_sent_at_s(self, peer: str) -> float:
+        """Returns the peer's own time of sending of the newest frame heard from it."""
+        session = self._sessions.get(peer)
+        return session.peer_sent_at_s if session is not None else -math.inf
+
+    def note_address(self, host: str, port: int, peer: str) -> None:
+        """Tells who listens at an address, so that it is not dialled twice."""
+        self._names[f"{host}:{port}"] = peer
+
     async def flush(self) -> None:
         """Wakes the writers of all links that have something to send."""
         dirty, self._dirty = self._dirty, set()
@@ -120,8 +154,8 @@
 
     async def settle(self, *, limit_s: float) -> None:
         """Waits until the peers have acknowledged all messages, or for the limit."""
-        until_s = time.monotonic() + limit_s
-        while time.monotonic() < until_s:
+        until_s = steady_s() + limit_s
+        while steady_s() < until_s:
             await self.flush()
             waiting = any(
                 session.is_up and session.unacknowledged
@@ -147,6 +181,10 @@
         peer: str | None = None
         delay_s = _REDIAL_MIN_S
         while True:
+            peer = self._names.get(f"{host}:{port}", peer)
+            if peer is not None and self.is_up(peer):
+                await curio.sleep(_REDIAL_MAX_S)
+                continue
             try:
                 peer = await self._dial_once(host, port, peer)
                 delay_s = _REDIAL_MIN_S
@@ -165,9 +203,9 @@
                 peer_nonce = await stream.receive()
             codec = self._codec(own_nonce, peer_nonce or b"", is_dialer=True)
             session = self._sessions.get(peer) if peer else None
-            if session is None:
+            if session is None or session.is_up:
                 session = self._new_session()
-            await stream.send_all([codec.encode(session.connect(time.monotonic()))])
+            await stream.send_all([codec.encode(session.connect(steady_s()))])
             async with curio.timeout_after(_GREETING_LIMIT_S):
                 hello = await self._receive_hello(stream, codec)
             return await self._run(stream, codec, session, hello)
@@ -185,7 +223,7 @@
                 hello = await self._receive_hello(stream, codec)
             session = self._sessions.get(hello.process) or self._new_session()
             await self._drop_connection(hello.process)
-            await stream.send_all([codec.encode(session.connect(time.monotonic()))])
+            await stream.send_all([codec.encode(session.connect(steady_s()))])
             await self._run(stream, codec, session, hello)
         except (OSError, LinkError, curio.TaskTimeout):
             self._counters.refused_connections += 1
@@ -198,12 +236,13 @@
         """Serves one greeted connection until it ends; returns the peer's name."""
         peer = hello.process
         stream.disable_delay()
+        stream.limit_unacknowledged(self._silence_s)
         self._sessions[peer] = session
         connection = _Connection(stream=stream, codec=codec)
         await self._drop_connection(peer)
         self._connections[peer] = connection
         self._counters.connections += 1
-        for event in session.receive(hello, time.monotonic()):
+        for event in session.receive(hello, steady_s()):
             await self._mailbox.post(event)
         writer = await curio.spawn(self._write, connection, session)
         try:
@@ -226,12 +265,12 @@
                 return
             self._counters.frames_received += 1
             frame = connection.codec.decode(block)
-            for event in session.receive(frame, time.monotonic()):
+            for event in session.receive(frame, steady_s()):
                 await self._mailbox.post(event)
 
     async def _write(self, connection: _Connection, session: LinkSession) -> None:
         while not connection.closed:
-            now_s = time.monotonic()
+            now_s = steady_s()
             if session.is_silent(now_s):
                 break
             frames = session.frames_due(now_s)
@@ -283,5 +322,9 @@
 
     def _new_session(self) -> LinkSession:
         return LinkSession(
-            process=self._process, role=self._role, incarnation=self._incarnation
+            process=self._process,
+            role=self._role,
+            incarnation=self._incarnation,
+            heartbeat_s=self._heartbeat_s,
+            silence_s=self._silence_s,
         )
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_session.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_session.py
@@ -100,6 +100,7 @@
         self._heartbeat_s = heartbeat_s
         self._silence_s = silence_s
         self._peer: str | None = None
+        self._peer_role = ""
         self._peer_incarnation = 0
         self._next_sequence = 1
         self._unacknowledged: collections.deque[Message] = collections.deque()
@@ -119,6 +120,11 @@
         """Name of the peer, once it has introduced itself."""
         return self._peer
 
+    @property
+    def peer_role(self) -> str:
+        """Kind of the peer process, empty before it has introduced itself."""
+        return self._peer_role
+
     @property
     def is_up(self) -> bool:
         """Whether both sides have introduced themselves on a connection."""
@@ -134,6 +140,11 @@
         """Number of messages that the peer has not acknowledged."""
         return len(self._unacknowledged)
 
+    @property
+    def peer_sent_at_s(self) -> float:
+        """The peer's own time of sending of the newest frame heard from it."""
+        return self._peer_sent_at_s
+
     @property
     def heard_at_s(self) -> float:
         """Time at which the peer was last heard."""
@@ -234,6 +245,7 @@
             self._next_sequence = 1
         self._peer_sent_at_s = hello.sent_at_s
         self._peer = hello.process
+        self._peer_role = hello.role
         self._peer_incarnation = hello.incarnation
         self._unsent = len(self._unacknowledged)
         self._greeted = True
--- a/packages/hawthornbarrow/src/hawthornbarrow/observability/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/__init__.py
@@ -1,13 +1,18 @@
 """What the processes tell of themselves: logs, metrics, burn of objectives."""
 
-from hawthornbarrow.observability._burn import (
-    BurnBook,
-    BurnRow,
-    render_burn_plot,
-    render_burn_text,
-)
-from hawthornbarrow.observability._logs import configure_logs
-from hawthornbarrow.observability._metrics import Metrics
+import typing
+
+from hawthornbarrow.lazy import lazy_attributes
+
+if typing.TYPE_CHECKING:
+    from hawthornbarrow.observability._burn import (
+        BurnBook,
+        BurnRow,
+        render_burn_plot,
+        render_burn_text,
+    )
+    from hawthornbarrow.observability._logs import configure_logs
+    from hawthornbarrow.observability._metrics import Metrics
 
 __all__ = [
     "BurnBook",
@@ -17,3 +22,15 @@
     "render_burn_plot",
     "render_burn_text",
 ]
+
+__getattr__ = lazy_attributes(
+    __name__,
+    {
+        "BurnBook": "_burn",
+        "BurnRow": "_burn",
+        "Metrics": "_metrics",
+        "configure_logs": "_logs",
+        "render_burn_plot": "_burn",
+        "render_burn_text": "_burn",
+    },
+)
