Prove the cell's leases by random faults under virtual time

Change: a cell of real decisions with fake upstreams; the oracle looks at upstreams only (no task twice at once, no room exceeded) and expects an answer for each job at the end. Ruled out: jobs left without an answer in the first runs were refusals counted as missing, and messages that the fake link dropped where the real one sends them again.

--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell.py
@@ -0,0 +1,380 @@
+"""A cell under virtual time: real decisions, fake upstreams, links and leadership.
+
+The oracle looks at the fake upstreams only: no task runs twice at the same time, and no
+upstream holds more than its capacity.
+"""
+
+import heapq
+import itertools
+import random
+
+from hawthornbarrow.cells import (
+    AttachWorker,
+    Custodian,
+    Dispatcher,
+    JobAnswer,
+    JobDocument,
+    ListedEnd,
+    ListedRun,
+    Listing,
+    Pulse,
+    Resources,
+    RunEnd,
+    RunLeaseTiming,
+    StartCall,
+    StartTasks,
+    StartVerdict,
+    Step,
+    StopTasks,
+    SubmitJob,
+    WorkerRecord,
+    WorkerReport,
+)
+from hawthornbarrow.queues import Queue, QueueTable, Service
+
+STEP_S = 0.01
+HOLD_S = 0.1
+TIMING = RunLeaseTiming(run_lease_s=1.0, stop_s=0.05)
+CAPACITY = Resources(cpu=4000, memory_mb=4000)
+
+
+class ViolationError(AssertionError):
+    """A promise was broken."""
+
+
+def table(max_attempts=3):
+    queue = Queue(
+        name="q",
+        host="h",
+        prefix="/q/",
+        service="s",
+        max_attempts=max_attempts,
+        slack_factor=1.6,
+        objective_s=60.0,
+    )
+    return QueueTable(version=1, queues=[queue], services=[Service(name="s")])
+
+
+def job(name, *, count=3, cpu=1000, run_s=0.3):
+    step = Step(
+        count=count, each=Resources(cpu=cpu, memory_mb=10), estimated_s=run_s
+    )
+    return JobDocument(job=name, queue="q", spec="x", steps=(step,))
+
+
+class FakeUpstream:
+    """What the upstream does, on a steady clock that may be two in a hundred slow."""
+
+    def __init__(self, name, rate, generator):
+        self.name = name
+        self.rate = rate
+        self.generator = generator
+        self.incarnation = 0
+        self.restart()
+
+    def restart(self):
+        self.incarnation += 1
+        self.is_up = True
+        self.fails_all = False
+        self.hangs = False
+        self.fence = 0
+        self.lease_until = -1.0
+        self.runs = {}
+        self.closed = {}
+        self.ended = []
+        self.number = 0
+
+    @property
+    def id(self):
+        return f"{self.name}-{self.incarnation}"
+
+    def clock(self, now_s):
+        return now_s * self.rate
+
+    def extend(self, until, now_s):
+        most = self.clock(now_s) + TIMING.run_lease_s
+        self.lease_until = max(self.lease_until, min(until, most))
+
+    def start(self, order, until, token, now_s):
+        if token < self.fence:
+            return StartVerdict.FENCED
+        self.fence = token
+        key = str(order.task)
+        if key in self.runs and self.runs[key]["attempt"] == order.attempt:
+            return StartVerdict.STARTED
+        if until <= self.clock(now_s):
+            return StartVerdict.TOO_LATE
+        self.extend(until, now_s)
+        if order.attempt <= self.closed.get(key, 0) or key in self.runs:
+            return StartVerdict.SUPERSEDED
+        run_s = self.generator.uniform(0.05, 0.6)
+        self.runs[key] = {
+            "attempt": order.attempt,
+            "needs": order.needs,
+            "began_s": now_s,
+            "ends_s": now_s + run_s,
+        }
+        return StartVerdict.STARTED
+
+    def stop(self, task, attempt, token, now_s):
+        if token < self.fence:
+            return
+        self.fence = token
+        self.closed[task] = max(self.closed.get(task, 0), attempt)
+        if task in self.runs and self.runs[task]["attempt"] <= attempt:
+            self.end(task, RunEnd.STOPPED)
+
+    def end(self, task, end):
+        run = self.runs.pop(task)
+        self.closed[task] = max(self.closed.get(task, 0), run["attempt"])
+        self.number += 1
+        self.ended.append(
+            ListedEnd(number=self.number, task=task, attempt=run["attempt"], end=end)
+        )
+
+    def tick(self, now_s):
+        if self.runs and self.clock(now_s) > self.lease_until:
+            for task in list(self.runs):
+                self.end(task, RunEnd.LOST)
+        for task, run in list(self.runs.items()):
+            if now_s >= run["ends_s"] and not self.hangs:
+                self.end(task, RunEnd.FAILED if self.fails_all else RunEnd.DONE)
+
+    def listing(self, token, acknowledged, until, now_s):
+        if token >= self.fence:
+            self.fence = token
+            self.ended = [end for end in self.ended if end.number > acknowledged]
+            if until is not None:
+                self.extend(until, now_s)
+        running = [
+            ListedRun(
+                task=task,
+                attempt=run["attempt"],
+                percent=0.0 if self.hangs else round(100 * (now_s - run["began_s"])),
+            )
+            for task, run in self.runs.items()
+        ]
+        return Listing(
+            upstream=self.id, asked_at_s=now_s, running=running, ended=list(self.ended)
+        )
+
+
+class Cell:
+    """Agents with fake upstreams, and a sequence of dispatchers."""
+
+    def __init__(self, *, seed, agents=4):
+        self.generator = random.Random(seed)
+        self.now_s = 100.0
+        self.counter = itertools.count()
+        self.wire = []
+        self.late = []
+        self.cut = set()
+        self.frozen = set()
+        self.silent_orders = set()
+        self.upstreams = {}
+        self.agents = {}
+        self.held_at_s = {}
+        for index in range(agents):
+            name = f"a{index}"
+            rate = self.generator.choice([1.0, 0.98])
+            self.upstreams[name] = FakeUpstream(name, rate, self.generator)
+            self.start_agent(name)
+        self.term = 0
+        self.dispatcher = None
+        self.leader = ""
+        self.heard = {}
+        self.pulsed_at_s = -1.0
+        self.known = set()
+        self.jobs = {}
+        self.answers = {}
+        self.offered = {}
+        self.take_over()
+
+    def start_agent(self, name):
+        self.agents[name] = Custodian(timing=TIMING, generator=self.generator)
+        self.held_at_s[name] = 0.0
+        self.announce(name)
+
+    def announce(self, name):
+        upstream = self.upstreams[name]
+        record = WorkerRecord(
+            upstream=upstream.id,
+            service="s",
+            data_centre="d",
+            labels=(),
+            capacity=CAPACITY,
+        )
+        self.agents[name].announce(record, False, self.now_s)
+
+    def take_over(self):
+        """A new dispatcher begins; the former one has lost its lease just before."""
+        self.term += 1
+        self.leader = f"e{self.term}"
+        self.dispatcher = Dispatcher(
+            term=self.term, timing=TIMING, expected=self.known, now_s=self.now_s
+        )
+        self.dispatcher.set_table(table())
+        self.heard = {}
+        for name, document in self.jobs.items():
+            if name not in self.answers:
+                self.offer(document)
+
+    def submit(self, document):
+        self.jobs[document.job] = document
+        self.offer(document)
+
+    def offer(self, document):
+        was_offered = document.job in self.offered
+        self.offered[document.job] = self.term
+        message = SubmitJob(document=document, age_s=0.0, was_offered=was_offered)
+        self.dispatcher.submit("entry", message, self.now_s)
+
+    def send(self, source, target, message, sent_s):
+        delay_s = self.generator.choice([0.002, 0.002, 0.01, 0.2])
+        item = (self.now_s + delay_s, next(self.counter), source, target, message)
+        heapq.heappush(self.wire, (*item, sent_s))
+
+    def run(self, seconds):
+        until_s = self.now_s + seconds
+        while self.now_s < until_s:
+            self.step()
+
+    def step(self):
+        self.now_s = round(self.now_s + STEP_S, 4)
+        for upstream in self.upstreams.values():
+            if upstream.is_up:
+                upstream.tick(self.now_s)
+        self.deliver_late_orders()
+        self.deliver()
+        self.step_dispatcher()
+        for name in self.agents:
+            if name not in self.frozen:
+                self.step_agent(name)
+        self.check()
+
+    def deliver(self):
+        while self.wire and self.wire[0][0] <= self.now_s:
+            _, _, source, target, message, sent_s = heapq.heappop(self.wire)
+            agent = target if target in self.agents else source
+            if agent in self.cut or target in self.frozen:
+                # Links send again what a cut held up.
+                if not isinstance(message, Pulse | None):
+                    self.send(source, target, message, sent_s)
+                continue
+            if target in self.agents:
+                self.deliver_to_agent(source, target, message)
+            elif target == self.leader:
+                self.deliver_to_dispatcher(source, message, sent_s)
+
+    def deliver_to_agent(self, source, name, message):
+        agent = self.agents[name]
+        if isinstance(message, Pulse):
+            agent.take_pulse(source, message, self.now_s)
+        elif isinstance(message, StartTasks | StopTasks):
+            agent.take_orders(message, self.now_s)
+
+    def deliver_to_dispatcher(self, agent, message, sent_s):
+        self.heard[agent] = max(self.heard.get(agent, 0.0), sent_s)
+        self.dispatcher.heard(agent, self.now_s)
+        if isinstance(message, AttachWorker):
+            self.dispatcher.attach(agent, message, self.now_s)
+        elif isinstance(message, WorkerReport):
+            self.dispatcher.report(agent, message, self.now_s)
+
+    def step_dispatcher(self):
+        if self.now_s - self.pulsed_at_s >= TIMING.pulse_s:
+            self.pulsed_at_s = self.now_s
+            pulse = self.dispatcher.pulse_for_entry(0.0, 1, self.now_s)
+            self.known = set(pulse.workers)
+            for name in self.agents:
+                heard_s = self.heard.get(name, -1e9)
+                message = self.dispatcher.pulse_for_agent(name, heard_s)
+                self.send(self.leader, name, message, self.now_s)
+        self.dispatcher.tick(self.now_s)
+        for receiver, message in self.dispatcher.take_messages():
+            if isinstance(message, JobAnswer):
+                self.answers.setdefault(message.job, message.state)
+            else:
+                self.send(self.leader, receiver, message, self.now_s)
+
+    def step_agent(self, name):
+        agent, upstream = self.agents[name], self.upstreams[name]
+        agent.tick(self.now_s)
+        for call in agent.take_calls():
+            self.call(agent, upstream, call)
+        if self.now_s - self.held_at_s[name] >= HOLD_S and upstream.is_up:
+            self.held_at_s[name] = self.now_s
+            self.hold(agent, upstream)
+        for receiver, message in agent.take_messages():
+            self.send(name, receiver, message, self.now_s)
+        self.send(name, self.leader, None, self.now_s)
+
+    def until(self, upstream, lease_until_s):
+        return upstream.clock(self.now_s) + (lease_until_s - self.now_s)
+
+    def call(self, agent, upstream, call):
+        if call.upstream != upstream.id or not upstream.is_up:
+            if isinstance(call, StartCall):
+                agent.start_answered(call, StartVerdict.GONE, self.now_s)
+            return
+        is_mute = upstream.name in self.silent_orders and self.generator.random() < 0.5
+        if isinstance(call, StartCall):
+            if not agent.may_hold(self.now_s) or agent.term != call.term:
+                agent.start_answered(call, StartVerdict.TOO_LATE, self.now_s)
+                return
+            until = self.until(upstream, agent.lease_until_s)
+            if is_mute:
+                self.late.append((self.late_at_s(), upstream, call, until))
+                agent.start_answered(call, StartVerdict.NO_ANSWER, self.now_s)
+                return
+            verdict = upstream.start(call.order, until, call.term, self.now_s)
+            agent.start_answered(call, verdict, self.now_s)
+            return
+        if is_mute:
+            agent.stop_answered(call, False, self.now_s)
+            return
+        upstream.stop(str(call.task), call.attempt, call.term, self.now_s)
+        agent.stop_answered(call, True, self.now_s)
+
+    def late_at_s(self):
+        return self.now_s + self.generator.uniform(1.5, 4.0)
+
+    def deliver_late_orders(self):
+        for item in list(self.late):
+            at_s, upstream, call, until = item
+            if at_s <= self.now_s:
+                self.late.remove(item)
+                if upstream.id == call.upstream:
+                    upstream.start(call.order, until, call.term, self.now_s)
+
+    def hold(self, agent, upstream):
+        if agent.upstream != upstream.id:
+            return
+        may_hold = agent.may_hold(self.now_s)
+        if not may_hold and not agent.must_look:
+            return
+        until = self.until(upstream, agent.lease_until_s) if may_hold else None
+        listing = upstream.listing(agent.term, agent.acknowledged, until, self.now_s)
+        agent.take_listing(listing, self.now_s)
+
+    def crash_upstream(self, name):
+        upstream = self.upstreams[name]
+        upstream.restart()
+        self.announce(name)
+
+    def check(self):
+        seen = {}
+        for upstream in self.upstreams.values():
+            if not upstream.is_up:
+                continue
+            used = Resources()
+            for task, run in upstream.runs.items():
+                used = used.plus(run["needs"])
+                if task in seen:
+                    raise ViolationError(
+                        f"{task} runs at {seen[task]} and {upstream.name} "
+                        f"at {self.now_s}"
+                    )
+                seen[task] = upstream.name
+            if not used.fits_into(CAPACITY):
+                raise ViolationError(f"{upstream.name} holds {used} at {self.now_s}")
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
@@ -0,0 +1,131 @@
+"""Dispatcher and custodians together, under faults and virtual time."""
+
+import random
+import unittest
+
+from hawthornbarrow.cells import JobState
+from hawthornbarrow.cells.tests._cell import Cell, job
+
+SEEDS = range(24)
+FAULTS_A_RUN = 14
+
+
+class CellTest(unittest.TestCase):
+    def test_jobs_complete_on_a_calm_cell(self):
+        cell = Cell(seed=1)
+        cell.run(0.5)
+        for index in range(12):
+            cell.submit(job(f"j{index}"))
+        cell.run(5.0)
+        self.assertEqual({JobState.COMPLETE}, set(cell.answers.values()))
+        self.assertEqual(12, len(cell.answers))
+
+    def test_takeover_adopts_what_runs(self):
+        cell = Cell(seed=2)
+        cell.run(0.5)
+        for index in range(4):
+            cell.submit(job(f"j{index}", run_s=0.5))
+        cell.run(0.1)
+        started = sum(len(upstream.runs) for upstream in cell.upstreams.values())
+        cell.take_over()
+        cell.run(0.2)
+        still = sum(len(upstream.runs) for upstream in cell.upstreams.values())
+        self.assertGreater(started, 0)
+        self.assertGreater(still, 0)
+        cell.run(5.0)
+        self.assertEqual(4, len(cell.answers))
+
+    def test_takeover_with_an_agent_cut_off_waits_for_its_lease(self):
+        cell = Cell(seed=3)
+        cell.run(0.5)
+        cell.submit(job("j", count=8, run_s=0.5))
+        cell.run(0.08)
+        for upstream in cell.upstreams.values():
+            upstream.hangs = True
+        cell.cut.add("a0")
+        cell.take_over()
+        cell.run(1.5)
+        for upstream in cell.upstreams.values():
+            upstream.hangs = False
+        cell.run(6.0)
+        self.assertEqual({"j": JobState.COMPLETE}, cell.answers)
+
+    def test_orders_carried_out_late_never_run_beside_their_successors(self):
+        for seed in range(6):
+            cell = Cell(seed=100 + seed)
+            cell.silent_orders = set(cell.upstreams)
+            cell.run(0.5)
+            for index in range(10):
+                cell.submit(job(f"j{index}"))
+                cell.run(0.2)
+            cell.run(8.0)
+            cell.silent_orders = set()
+            cell.run(6.0)
+            self.assertEqual(10, len(cell.answers), seed)
+
+    def test_worker_that_fails_all_gets_little_work(self):
+        cell = Cell(seed=5)
+        cell.upstreams["a1"].fails_all = True
+        cell.run(0.5)
+        for index in range(30):
+            cell.submit(job(f"j{index}", count=2))
+            cell.run(0.1)
+        cell.run(3.0)
+        self.assertEqual({JobState.COMPLETE}, set(cell.answers.values()))
+        self.assertLess(cell.upstreams["a1"].number, 15)
+
+    def test_stalled_runs_go_on_elsewhere(self):
+        cell = Cell(seed=6)
+        cell.run(0.5)
+        cell.upstreams["a2"].hangs = True
+        for index in range(6):
+            cell.submit(job(f"j{index}", count=3))
+        cell.run(8.0)
+        self.assertEqual(6, len(cell.answers))
+
+    def test_random_faults_break_no_promise(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.play(seed)
+
+    def play(self, seed):
+        generator = random.Random(seed)
+        cell = Cell(seed=seed)
+        cell.run(0.4)
+        for number in range(FAULTS_A_RUN):
+            for index in range(generator.randint(0, 3)):
+                count = generator.randint(1, 6)
+                cell.submit(job(f"s{seed}n{number}j{index}", count=count))
+            self.disturb(cell, generator)
+            cell.run(generator.choice([0.05, 0.3, 1.2, 2.0]))
+        cell.cut.clear()
+        cell.frozen.clear()
+        cell.silent_orders.clear()
+        for upstream in cell.upstreams.values():
+            upstream.hangs = False
+            upstream.fails_all = False
+        cell.run(25.0)
+        self.assertEqual(set(cell.jobs), set(cell.answers))
+
+    def disturb(self, cell, generator):
+        name = generator.choice(list(cell.agents))
+        match generator.choice(
+            ["over", "cut", "heal", "crash", "restart", "mute", "freeze", "hang"]
+        ):
+            case "over":
+                cell.take_over()
+            case "cut":
+                cell.cut.add(name)
+            case "heal":
+                cell.cut.clear()
+                cell.frozen.clear()
+            case "crash":
+                cell.crash_upstream(name)
+            case "restart":
+                cell.start_agent(name)
+            case "mute":
+                cell.silent_orders ^= {name}
+            case "freeze":
+                cell.frozen ^= {name}
+            case "hang":
+                cell.upstreams[name].hangs = not cell.upstreams[name].hangs
