--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -29,7 +29,8 @@
     Received,
 )
 
-_HEARTBEAT_S = 0.15
+_HEARTBEAT_S = 0.4
+_POLL_S = 0.2
 _SILENCE_S = 1.5
 _TICK_S = 0.05
 _LOOK_AGAIN_S = 0.1
@@ -152,6 +153,7 @@
             mailbox=self._mailbox,
             heartbeat_s=_HEARTBEAT_S,
             silence_s=_SILENCE_S,
+            poll_s=_POLL_S,
         )
         self._custodian = Custodian(
             timing=settings.timing, generator=random.Random(incarnation)
@@ -160,6 +162,20 @@
         self._dials: list[str] = []
         self._calls: curio.Queue = curio.Queue()
 
+    @property
+    def counts(self) -> dict[str, int]:
+        """Events since the start, by kind."""
+        return dict(self._custodian.counts)
+
+    @property
+    def states(self) -> dict[str, int]:
+        """Present values, by name."""
+        return {
+            "held_runs": self._custodian.held_count,
+            "attached": int(self._custodian.is_attached),
+            "term": self._custodian.term,
+        }
+
     def announce(self, worker: WorkerRecord, address: str, is_leaving: bool) -> None:
         """Takes the upstream's announcement of itself."""
         self._client.set_address(address)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -52,7 +52,8 @@
 
 ENTRY_ROLE = "entry"
 AGENT_ROLE = "agent"
-_HEARTBEAT_S = 0.2
+_HEARTBEAT_S = 0.4
+_POLL_S = 0.2
 _SILENCE_S = 1.5
 _TICK_S = 0.05
 _SWEEP_S = 0.1
@@ -94,6 +95,7 @@
             mailbox=self._mailbox,
             heartbeat_s=_HEARTBEAT_S,
             silence_s=_SILENCE_S,
+            poll_s=_POLL_S,
         )
         self._replica = ReplicaKeeper(
             settings=settings,
@@ -147,6 +149,25 @@
         """Whether this entry is the dispatcher."""
         return self._leadership.dispatcher is not None
 
+    @property
+    def counts(self) -> dict[str, int]:
+        """Events since the start, by kind."""
+        dispatcher = self._leadership.dispatcher
+        return dict(dispatcher.counts) if dispatcher else {}
+
+    @property
+    def states(self) -> dict[str, int]:
+        """Present values, by name."""
+        dispatcher = self._leadership.dispatcher
+        return {
+            "held_jobs": self._intake.held_count,
+            "term": self._intake.term,
+            "configuration_version": self._table.version if self._table else 0,
+            "dispatching": int(dispatcher is not None),
+            "attached_workers": len(dispatcher.workers) if dispatcher else 0,
+            "waiting_jobs": dispatcher.waiting_count if dispatcher else 0,
+        }
+
     # --- what callers and operators ask ---------------------------------------
 
     def find_queue(self, host: str, path: str) -> Queue | None:
@@ -263,14 +284,13 @@
         _log.info("entry_stopping", held=self._intake.held_count)
         await self._replica.resign()
 
-    async def replace_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Takes other seeds from changed settings."""
+    def add_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Takes seeds from the settings, at the start or changed ones."""
         for address in seeds:
             self._add_dial(address)
 
     async def _serve(self) -> None:
-        for address in self._settings.seeds:
-            self._add_dial(address)
+        self.add_seeds(self._settings.seeds)
         while True:
             items = await self._mailbox.drain(timeout_s=_TICK_S)
             now_s = steady_s()
--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_intake.py
@@ -0,0 +1,93 @@
+"""What callers are told, whoever dispatches."""
+
+import unittest
+
+from hawthornbarrow.cells import (
+    JobAnswer,
+    JobDocument,
+    JobState,
+    Pulse,
+    Resources,
+    Step,
+    SubmitJob,
+    WithdrawJob,
+)
+
+from hawthornbarrow_entry.fleet import Intake, OutcomeKind
+from hawthornbarrow_entry.fleet._intake import Waiter
+
+STEP = Step(count=1, each=Resources(cpu=1), estimated_s=0.1)
+JOB = JobDocument(job="j", queue="q", spec="", steps=(STEP,))
+
+
+def waiter(*, give_up_at_s=100.0, is_abandoned=lambda: False):
+    return Waiter(give_up_at_s=give_up_at_s, is_abandoned=is_abandoned)
+
+
+class IntakeTest(unittest.TestCase):
+    def setUp(self):
+        self.intake = Intake(entry="e")
+
+    def pulse(self, term, now_s, peer="d"):
+        pulse = Pulse(term=term, heard_at_s=now_s, version=1)
+        self.intake.take_pulse(peer, pulse, now_s)
+
+    def test_without_a_dispatcher_a_job_is_refused_at_once(self):
+        outcome = self.intake.submit(JOB, waiter(), 10.0)
+        self.assertEqual(OutcomeKind.REFUSED, outcome.kind)
+        self.assertGreater(outcome.retry_after_s, 0)
+        self.assertEqual([], self.intake.take_messages())
+
+    def test_stale_information_refuses_too(self):
+        self.pulse(1, 10.0)
+        self.assertIsNotNone(self.intake.submit(JOB, waiter(), 12.0))
+
+    def test_a_new_dispatcher_is_offered_what_is_held(self):
+        self.pulse(1, 10.0)
+        self.assertIsNone(self.intake.submit(JOB, waiter(), 10.0))
+        self.pulse(2, 11.0, peer="d2")
+        first, second = self.intake.take_messages()
+        self.assertEqual(("d", False), (first[0], first[1].was_offered))
+        self.assertEqual(("d2", True), (second[0], second[1].was_offered))
+
+    def test_an_older_dispatcher_is_ignored(self):
+        self.pulse(2, 10.0, peer="d2")
+        self.pulse(1, 10.1, peer="d")
+        self.assertEqual("d2", self.intake.dispatcher)
+
+    def test_a_refusal_after_an_earlier_offer_is_not_called_one(self):
+        held = waiter()
+        self.pulse(1, 10.0)
+        self.intake.submit(JOB, held, 10.0)
+        self.pulse(2, 11.0)
+        answer = JobAnswer(job="j", state=JobState.UNKNOWN, reason="no room")
+        self.intake.take_answer(answer, 11.1)
+        self.assertEqual([held], self.intake.take_finished())
+        self.assertEqual(OutcomeKind.UNKNOWN, held.outcome.kind)
+
+    def test_a_second_submission_at_the_same_entry_joins(self):
+        self.pulse(1, 10.0)
+        waiters = [waiter(), waiter()]
+        for one in waiters:
+            self.intake.submit(JOB, one, 10.0)
+        self.assertEqual(1, len(self.intake.take_messages()))
+        answer = JobAnswer(job="j", state=JobState.COMPLETE)
+        self.intake.take_answer(answer, 10.5)
+        self.assertEqual(waiters, self.intake.take_finished())
+
+    def test_a_job_that_its_caller_left_is_withdrawn(self):
+        self.pulse(1, 10.0)
+        self.intake.submit(JOB, waiter(is_abandoned=lambda: True), 10.0)
+        self.intake.tick(10.1)
+        messages = [message for _, message in self.intake.take_messages()]
+        self.assertIsInstance(messages[0], SubmitJob)
+        self.assertEqual(WithdrawJob(job="j"), messages[1])
+        self.assertEqual(0, self.intake.held_count)
+
+    def test_the_time_limit_ends_the_wait_as_unknown(self):
+        held = waiter(give_up_at_s=11.0)
+        self.pulse(1, 10.0)
+        self.intake.submit(JOB, held, 10.0)
+        self.intake.tick(11.0)
+        self.assertEqual([held], self.intake.take_finished())
+        self.assertEqual(OutcomeKind.UNKNOWN, held.outcome.kind)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_custodian.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_custodian.py
@@ -165,6 +165,12 @@
         self._strangers: dict[tuple[str, int], float] = {}
         self._has_news = False
         self._offered_at_s = -1e9
+        self._counts: collections.Counter[str] = collections.Counter()
+
+    @property
+    def counts(self) -> collections.Counter[str]:
+        """Number of events of each kind."""
+        return self._counts
 
     @property
     def term(self) -> int:
@@ -494,6 +500,7 @@
 
     def _lapse(self, now_s: float) -> None:
         """Gives the session up: the upstream has ended what was not held."""
+        self._counts["lease_lapsed"] += 1
         _log.warning(
             "lease_lapsed",
             term=self._term,
@@ -611,6 +618,7 @@
         run_s: float = 0.0,
     ) -> None:
         self._last_number += 1
+        self._counts[f"run_{end.value}"] += 1
         ended = EndedRun(
             number=self._last_number,
             task=order.task,
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -90,6 +90,12 @@
         self._stops: dict[str, list[TaskKey]] = {}
         self._swept_at_s = now_s
         self._has_news = True
+        self._counts: collections.Counter[str] = collections.Counter()
+
+    @property
+    def counts(self) -> collections.Counter[str]:
+        """Number of events of each kind in this term."""
+        return self._counts
 
     @property
     def term(self) -> int:
@@ -237,6 +243,7 @@
 
     def _detach(self, worker: WorkerView, reason: str, now_s: float) -> None:
         """Gives an agent up; nothing of its session runs any more."""
+        self._counts["worker_lost"] += 1
         del self._workers[worker.agent]
         self._starts.pop(worker.agent, None)
         self._stops.pop(worker.agent, None)
@@ -365,6 +372,7 @@
         verdict = self._admission.judge(record, self._waiting.values(), workers, now_s)
         if verdict.is_admitted:
             return False
+        self._counts["job_refused"] += 1
         _log.info(
             "job_refused",
             job=record.job,
@@ -411,6 +419,7 @@
         self, record: JobRecord, state: JobState, reason: str, now_s: float
     ) -> None:
         has_run = record.state is not JobState.QUEUED
+        self._counts[f"job_{state.value}"] += 1
         record.state = state
         record.ended_at_s = now_s
         self._waiting.pop(record.job, None)
@@ -466,6 +475,7 @@
         if run is None or run.attempt != ended.attempt:
             return
         worker.remove(ended.task)
+        self._counts[f"run_{ended.end.value}"] += 1
         self._orphans.pop(ended.task, None)
         record = self._jobs.get(ended.task.job)
         self._judge_worker(worker, run, ended, record, now_s)
@@ -672,6 +682,7 @@
     def _start(
         self, job: JobRecord, step: int, index: int, worker: WorkerView, now_s: float
     ) -> None:
+        self._counts["run_started"] += 1
         progress = job.begin(step, index, worker.agent)
         progress.attempts += 1
         wanted = job.document.steps[step]
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell.py
@@ -56,9 +56,7 @@
 
 
 def job(name, *, count=3, cpu=1000, run_s=0.3):
-    step = Step(
-        count=count, each=Resources(cpu=cpu, memory_mb=10), estimated_s=run_s
-    )
+    step = Step(count=count, each=Resources(cpu=cpu, memory_mb=10), estimated_s=run_s)
     return JobDocument(job=name, queue="q", spec="x", steps=(step,))
 
 
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_lease.py
@@ -0,0 +1,139 @@
+"""The leader's lease, handing on leadership, and the highest version."""
+
+import random
+import unittest
+
+from hawthornbarrow.ledger import (
+    LedgerState,
+    Members,
+    PutConfiguration,
+    RaftReplica,
+    RaftSettings,
+    Role,
+)
+from hawthornbarrow.ledger.tests._cluster import MemoryStorage
+
+NAMES = ("a.1", "b.1", "c.1")
+
+
+class Replicas:
+    """Three replicas whose messages arrive at once, unless they are cut off."""
+
+    def __init__(self):
+        self.now_s = 0.0
+        self.cut = set()
+        self.storages = {name: MemoryStorage(Members(voters=NAMES)) for name in NAMES}
+        self.rafts = {}
+        for index, name in enumerate(NAMES):
+            self.start(name, index)
+
+    def start(self, name, seed=0):
+        self.rafts[name] = RaftReplica(
+            replica=name,
+            stored=self.storages[name].load(),
+            settings=RaftSettings(),
+            generator=random.Random(seed),
+            now_s=self.now_s,
+        )
+
+    def run(self, seconds, *, tick=True):
+        until_s = self.now_s + seconds
+        while self.now_s < until_s:
+            self.now_s = round(self.now_s + 0.01, 4)
+            for raft in self.rafts.values():
+                if tick:
+                    raft.tick(self.now_s)
+            self.settle()
+
+    def settle(self):
+        for _ in range(20):
+            for name, raft in self.rafts.items():
+                ready = raft.take_ready()
+                storage = self.storages[name]
+                if ready.hard_state is not None:
+                    storage.save_hard_state(ready.hard_state)
+                if ready.entries or ready.truncate_from:
+                    storage.append(ready.truncate_from, ready.entries)
+                raft.persisted(self.now_s)
+                for target, message in ready.immediate + ready.after_sync:
+                    if name not in self.cut and target not in self.cut:
+                        self.rafts[target].receive(name, message, self.now_s)
+
+    def leader(self):
+        leaders = [r for r in self.rafts.values() if r.role is Role.LEADER]
+        return max(leaders, key=lambda raft: raft.term)
+
+
+class LeaseTest(unittest.TestCase):
+    def test_a_leader_that_is_cut_off_loses_its_lease_before_another_leads(self):
+        for seed in range(5):
+            replicas = Replicas()
+            replicas.run(2.0 + seed / 10)
+            old = replicas.leader()
+            self.assertGreater(old.lease_until_s(replicas.now_s), replicas.now_s)
+            replicas.cut.add(old.replica)
+            while True:
+                replicas.run(0.01)
+                others = [
+                    raft
+                    for raft in replicas.rafts.values()
+                    if raft is not old and raft.role is Role.LEADER
+                ]
+                if others:
+                    break
+            self.assertLess(old.lease_until_s(replicas.now_s), replicas.now_s)
+
+    def test_a_restarted_voter_gives_no_vote_while_the_lease_may_last(self):
+        replicas = Replicas()
+        replicas.run(2.0)
+        old = replicas.leader()
+        followers = [n for n in NAMES if n != old.replica]
+        lease_until_s = old.lease_until_s(replicas.now_s)
+        replicas.cut.add(old.replica)
+        for name in followers:
+            replicas.start(name, seed=9)
+        while replicas.now_s < lease_until_s:
+            replicas.run(0.01)
+            for name in followers:
+                self.assertIsNot(Role.LEADER, replicas.rafts[name].role)
+
+    def test_leadership_is_handed_on_at_once(self):
+        replicas = Replicas()
+        replicas.run(2.0)
+        old = replicas.leader()
+        self.assertTrue(old.transfer(replicas.now_s))
+        self.assertLess(old.lease_until_s(replicas.now_s), replicas.now_s)
+        replicas.run(0.05)
+        new = replicas.leader()
+        self.assertIsNot(old, new)
+        self.assertGreater(new.lease_until_s(replicas.now_s), replicas.now_s)
+
+    def test_a_leader_without_a_quorum_has_nobody_to_hand_on_to(self):
+        replicas = Replicas()
+        replicas.run(2.0)
+        old = replicas.leader()
+        replicas.cut.update(name for name in NAMES if name != old.replica)
+        replicas.run(0.6)
+        self.assertFalse(old.transfer(replicas.now_s))
+
+
+class PutConfigurationTest(unittest.TestCase):
+    def test_the_highest_version_stays_in_force(self):
+        state = LedgerState()
+        state.apply(1, PutConfiguration(version=5, document=b"five"))
+        outcome = state.apply(2, PutConfiguration(version=3, document=b"three"))
+        self.assertEqual(5, outcome.version)
+        self.assertEqual(b"five", state.put.document)
+
+    def test_other_content_under_the_version_held_changes_nothing(self):
+        state = LedgerState()
+        state.apply(1, PutConfiguration(version=5, document=b"five"))
+        state.apply(2, PutConfiguration(version=5, document=b"other"))
+        self.assertEqual(b"five", state.put.document)
+
+    def test_a_snapshot_keeps_it(self):
+        state = LedgerState()
+        state.apply(1, PutConfiguration(version=5, document=b"five"))
+        copy = LedgerState()
+        copy.restore(state.encode())
+        self.assertEqual(state.put, copy.put)
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
@@ -21,6 +21,7 @@
 
 _POLL_INTERVAL_S = 0.1
 _GREETING_LIMIT_S = 2.0
+_SHORTEST_WAIT_S = 0.01
 _REDIAL_MIN_S = 0.05
 _REDIAL_MAX_S = 1.0
 
@@ -63,6 +64,7 @@
         mailbox: Where link events are posted.
         heartbeat_s: Longest time without sending anything on a link.
         silence_s: Longest time without receiving before a connection is closed.
+        poll_s: Longest wait of what is not urgent.
     """
 
     def __init__(
@@ -75,10 +77,12 @@
         mailbox: Mailbox,
         heartbeat_s: float = HEARTBEAT_INTERVAL_S,
         silence_s: float = SILENCE_LIMIT_S,
+        poll_s: float = _POLL_INTERVAL_S,
     ) -> None:
         """Starts without links."""
         self._heartbeat_s = heartbeat_s
         self._silence_s = silence_s
+        self._poll_s = poll_s
         self._names: dict[str, str] = {}
         self._process = process
         self._role = role
@@ -276,7 +280,8 @@
             frames = session.frames_due(now_s)
             if frames:
                 await self._send_frames(connection, frames)
-            await curio.ignore_after(_POLL_INTERVAL_S, connection.wake.wait)
+            due_s = max(_SHORTEST_WAIT_S, session.seconds_until_due(steady_s()))
+            await curio.ignore_after(min(due_s, self._poll_s), connection.wake.wait)
             connection.wake.clear()
         connection.closed = True
         connection.stream.shut_down()
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_session.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_session.py
@@ -207,6 +207,15 @@
             self._acknowledgement_due = False
         return frames
 
+    def seconds_until_due(self, now_s: float) -> float:
+        """Returns when to look again, unless a message is sent before that."""
+        interval_s = self._heartbeat_s
+        if self._acknowledgement_due:
+            interval_s /= 2
+        frame_due_s = self._sent_at_s + interval_s
+        silent_s = self._heard_at_s + self._silence_s
+        return max(0.0, min(frame_due_s, silent_s) - now_s)
+
     def is_silent(self, now_s: float) -> bool:
         """Tells whether the connection must be closed for silence."""
         return self._connected and now_s - self._heard_at_s > self._silence_s
--- a/packages/hawthornbarrow/src/hawthornbarrow/observability/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/__init__.py
@@ -11,12 +11,14 @@
         render_burn_plot,
         render_burn_text,
     )
+    from hawthornbarrow.observability._cell_metrics import CellMetrics
     from hawthornbarrow.observability._logs import configure_logs
     from hawthornbarrow.observability._metrics import Metrics
 
 __all__ = [
     "BurnBook",
     "BurnRow",
+    "CellMetrics",
     "Metrics",
     "configure_logs",
     "render_burn_plot",
@@ -28,6 +30,7 @@
     {
         "BurnBook": "_burn",
         "BurnRow": "_burn",
+        "CellMetrics": "_cell_metrics",
         "Metrics": "_metrics",
         "configure_logs": "_logs",
         "render_burn_plot": "_burn",
