Give up an upstream that is gone or silent; answer callers when the dispatcher is silent

Ruled out: ejection by failures alone (the agent knows better that nothing listens). Change: an agent whose upstream is gone offers no worker until one announces itself; one whose upstream gives no listing for 0.7 s tells so, holds no longer and gives its runs up when the last lease is over; runs lost in a row eject a worker. A stopping entry refuses jobs that come 2.4 s after its request to stop and answers all before its end. Agents are named in the ledger before they get work, so the next dispatcher knows whom to wait for.

--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -269,18 +269,20 @@
             now_s = steady_s()
             lease_until_s = self._custodian.lease_until_s
             may_hold = self._custodian.may_hold(now_s)
-            if not may_hold and not self._custodian.must_look:
+            if not may_hold and not self._custodian.may_look(now_s):
                 await curio.sleep(_LOOK_AGAIN_S)
                 continue
             upstream = self._custodian.upstream
             is_idle = not self._custodian.held_count
+            if may_hold:
+                self._custodian.note_held(lease_until_s)
             try:
                 listing = await self._client.hold(
                     upstream,
                     self._custodian.term,
                     self._custodian.acknowledged,
                     lease_until_s if may_hold else None,
-                    _HOLD_WAIT_S if may_hold and not self._custodian.must_look else 0.0,
+                    _HOLD_WAIT_S if may_hold else 0.0,
                 )
                 await self._mailbox.post(_Listed(listing=listing))
                 if is_idle or not may_hold:
@@ -306,5 +308,7 @@
         now_s = steady_s()
         verdict = StartVerdict.TOO_LATE
         if self._custodian.may_hold(now_s) and self._custodian.term == call.term:
-            verdict = await self._client.start(call, self._custodian.lease_until_s)
+            lease_until_s = self._custodian.lease_until_s
+            self._custodian.note_held(lease_until_s)
+            verdict = await self._client.start(call, lease_until_s)
         await self._mailbox.post(_Started(call=call, verdict=verdict))
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_intake.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_intake.py
@@ -93,7 +93,6 @@
         self._version = 0
         self._heard_at_s = -1e9
         self._waiting: dict[str, int] = {}
-        self._workers: set[str] = set()
         self._jobs: dict[str, _HeldJob] = {}
         self._messages: list[tuple[str, SubmitJob | WithdrawJob]] = []
         self._finished: list[Waiter] = []
@@ -113,11 +112,6 @@
         """Version in force by the dispatcher's last pulse."""
         return self._version
 
-    @property
-    def workers(self) -> set[str]:
-        """Agents that may hold work of the dispatcher."""
-        return self._workers
-
     @property
     def held_count(self) -> int:
         """Jobs that callers wait for."""
@@ -163,11 +157,8 @@
                 held=len(self._jobs),
             )
             self._dispatcher = peer
-            self._workers |= set(pulse.workers)
             for job in self._jobs.values():
                 self._offer(job, now_s)
-        else:
-            self._workers = set(pulse.workers)
 
     def submit(
         self, document: JobDocument, waiter: Waiter, now_s: float
@@ -224,7 +215,13 @@
         self._finish(held, outcome, now_s)
 
     def tick(self, now_s: float) -> None:
-        """Answers callers that wait no longer, and drops jobs that nobody wants."""
+        """Answers callers that wait no longer, and drops jobs that nobody wants.
+
+        When the dispatcher has been silent for too long, its runs have lost their
+        leases. Whether a job has run is not known then, so the caller may ask again.
+        """
+        if self._jobs and not self.is_informed(now_s):
+            self.end_all("the dispatcher is silent", now_s)
         for held in list(self._jobs.values()):
             held.waiters = [
                 waiter for waiter in held.waiters if not waiter.is_abandoned()
@@ -245,6 +242,13 @@
                 )
                 self._finish(held, outcome, now_s)
 
+    def end_all(self, reason: str, now_s: float) -> None:
+        """Tells all callers that it is not known what became of their jobs."""
+        jobs, self._jobs = self._jobs, {}
+        for held in jobs.values():
+            outcome = CallerOutcome(kind=OutcomeKind.UNKNOWN, reason=reason)
+            self._finish(held, outcome, now_s)
+
     def _offer(self, held: _HeldJob, now_s: float) -> None:
         held.offers += 1
         held.offered_term = self._term
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_leadership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_leadership.py
@@ -17,7 +17,12 @@
     WithdrawJob,
     WorkerReport,
 )
-from hawthornbarrow.ledger import Applied, PutConfiguration
+from hawthornbarrow.ledger import (
+    Applied,
+    PutConfiguration,
+    RegisterAgent,
+    RetireAgent,
+)
 from hawthornbarrow.links import LinkPort
 from hawthornbarrow.queues import QueueTable
 
@@ -27,7 +32,7 @@
 
 REPLACED_AFTER_S = 6.0  # silence after which a voter's place goes to a spare disk
 
-UNKNOWN_WORKER = "?"  # stands for agents that this entry has not been told of
+REGISTERED_FOR_S = 30.0  # silence after which the ledger forgets an agent
 
 _log = structlog.get_logger()
 
@@ -61,11 +66,12 @@
         self._send = send
         self._dispatcher: Dispatcher | None = None
         self._table: QueueTable | None = None
-        self._audience: set[str] = set()
         self._offers: dict[int, tuple[str, int]] = {}
         self._pulsed_at_s = -1e9
         self._pulsed_version = -1
         self._silent_since_s: dict[str, float] = {}
+        self._absent_since_s: dict[str, float] = {}
+        self._registering: set[str] = set()
 
     @property
     def dispatcher(self) -> Dispatcher | None:
@@ -82,18 +88,11 @@
         if self._dispatcher is not None:
             self._dispatcher.heard(peer, now_s)
 
-    async def tick(
-        self,
-        now_s: float,
-        known_workers: collections.abc.Collection[str] | None,
-        table: QueueTable | None,
-    ) -> None:
+    async def tick(self, now_s: float, table: QueueTable | None) -> None:
         """Begins or ends to lead, pulses, and carries out the decisions.
 
         Args:
             now_s: Current time.
-            known_workers: Agents that may hold work of the former dispatcher, or None
-                when that is not known here.
             table: Configuration in force at this entry.
         """
         ledger = self._replica.ledger
@@ -101,7 +100,7 @@
             await self._pause(now_s)
             return
         if self._dispatcher is None or self._dispatcher.term != ledger.term:
-            self._begin(ledger.term, known_workers, now_s)
+            self._begin(ledger.term, set(ledger.state.agents), now_s)
         assert self._dispatcher is not None
         if table is not None and table is not self._table:
             self._table = table
@@ -116,8 +115,7 @@
             return
         match message:
             case AttachWorker():
-                self._dispatcher.attach(peer, message, now_s)
-                self._pulsed_at_s = -1e9
+                await self._take_attach(peer, message, now_s)
             case WorkerReport():
                 self._dispatcher.report(peer, message, now_s)
             case SubmitJob():
@@ -125,6 +123,42 @@
             case WithdrawJob():
                 self._dispatcher.withdraw(message.job, now_s)
 
+    async def _take_attach(
+        self, agent: str, message: AttachWorker, now_s: float
+    ) -> None:
+        """Attaches an agent once the ledger names it.
+
+        The next dispatcher finds there whose work it must wait for, so an agent that
+        the ledger does not name yet holds none; it offers itself again.
+        """
+        ledger = self._replica.ledger
+        assert self._dispatcher is not None and ledger is not None
+        if agent not in ledger.state.agents:
+            if ledger.leads(now_s) and agent not in self._registering:
+                self._registering.add(agent)
+                await ledger.propose(RegisterAgent(name=agent, incarnation=0))
+            return
+        self._registering.discard(agent)
+        self._dispatcher.attach(agent, message, now_s)
+        self._pulsed_at_s = -1e9
+
+    async def forget_agents(self, now_s: float) -> None:
+        """Strikes agents from the ledger that have been silent for long."""
+        ledger = self._replica.ledger
+        if ledger is None or self._dispatcher is None or not ledger.leads(now_s):
+            return
+        for agent, record in list(ledger.state.agents.items()):
+            if agent in self._dispatcher.workers or self._port.is_up(agent):
+                self._absent_since_s.pop(agent, None)
+                continue
+            since_s = self._absent_since_s.setdefault(agent, now_s)
+            if now_s - since_s > REGISTERED_FOR_S:
+                del self._absent_since_s[agent]
+                _log.info("agent_forgotten", agent=agent)
+                await ledger.propose(
+                    RetireAgent(name=agent, incarnation=record.incarnation)
+                )
+
     async def take_question(
         self, peer: str, message: CellMessage, now_s: float
     ) -> None:
@@ -195,11 +229,9 @@
     def _begin(
         self,
         term: int,
-        known_workers: collections.abc.Collection[str] | None,
+        known_workers: collections.abc.Collection[str],
         now_s: float,
     ) -> None:
-        if known_workers is None:
-            known_workers = {UNKNOWN_WORKER}
         self._dispatcher = Dispatcher(
             term=term,
             timing=self._settings.timing,
@@ -207,6 +239,7 @@
             now_s=now_s,
         )
         self._table = None
+        self._registering.clear()
         self._pulsed_at_s = -1e9
         _log.info(
             "dispatcher_began", term=term, expected=",".join(sorted(known_workers))
@@ -248,7 +281,7 @@
         for peer in [*self._port.peers_up("entry"), self._settings.name]:
             is_own = peer == self._settings.name
             heard_at_s = now_s if is_own else self._port.peer_sent_at_s(peer)
-            pulse = self._dispatcher.pulse_for_entry(heard_at_s, version, now_s)
+            pulse = self._dispatcher.pulse_for_entry(heard_at_s, version)
             await self._send(peer, pulse)
 
     async def _carry_out(self) -> None:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -44,7 +44,13 @@
     QueueTable,
 )
 
-from hawthornbarrow_entry.fleet._intake import CallerOutcome, Intake, Waiter
+from hawthornbarrow_entry.fleet._intake import (
+    RETRY_SOON_S,
+    CallerOutcome,
+    Intake,
+    OutcomeKind,
+    Waiter,
+)
 from hawthornbarrow_entry.fleet._leadership import Leadership
 from hawthornbarrow_entry.fleet._membership import Membership
 from hawthornbarrow_entry.fleet._replica_keeper import ReplicaKeeper
@@ -62,6 +68,7 @@
 _READ_LIMIT_S = 0.8
 _OFFER_LIMIT_S = 0.9
 _STATE_LIMIT_S = 0.8
+TAKES_JOBS_FOR_S = 2.4  # after the request to stop; callers may still arrive so long
 
 _log = structlog.get_logger()
 
@@ -128,6 +135,7 @@
         self._swept_at_s = -1e9
         self._kept_house_at_s = -1e9
         self._is_stopping = False
+        self._stopping_at_s = 0.0
 
     @property
     def is_ready(self) -> bool:
@@ -195,6 +203,13 @@
             is_abandoned: Tells whether the caller has left.
         """
         now_s = steady_s()
+        if self._is_stopping and now_s - self._stopping_at_s > TAKES_JOBS_FOR_S:
+            _log.info("job_refused", job=document.job, reason="the entry is stopping")
+            return CallerOutcome(
+                kind=OutcomeKind.REFUSED,
+                reason="the entry is stopping",
+                retry_after_s=RETRY_SOON_S,
+            )
         waiter = Waiter(give_up_at_s=now_s + limit_s, is_abandoned=is_abandoned)
         outcome = self._intake.submit(document, waiter, now_s)
         if outcome is not None:
@@ -281,9 +296,15 @@
     async def stop(self) -> None:
         """Prepares for the end: hands leadership on, takes no new callers."""
         self._is_stopping = True
+        self._stopping_at_s = steady_s()
         _log.info("entry_stopping", held=self._intake.held_count)
         await self._replica.resign()
 
+    async def end_waiting(self) -> None:
+        """Answers all callers that still wait, just before the end."""
+        self._intake.end_all("the entry stops", steady_s())
+        await self._flush()
+
     def add_seeds(self, seeds: tuple[str, ...]) -> None:
         """Takes seeds from the settings, at the start or changed ones."""
         for address in seeds:
@@ -296,8 +317,7 @@
             now_s = steady_s()
             for item in items:
                 await self._take(item, now_s)
-            workers = self._intake.workers if self._is_told(now_s) else None
-            await self._leadership.tick(now_s, workers, self._table)
+            await self._leadership.tick(now_s, self._table)
             if now_s - self._swept_at_s >= _SWEEP_S:
                 self._swept_at_s = now_s
                 self._intake.tick(now_s)
@@ -315,6 +335,7 @@
             for member in self._membership.alive:
                 await self._send(member.name, FoundLedger(voters=founders))
         await self._leadership.repair(self._membership, now_s)
+        await self._leadership.forget_agents(now_s)
 
     async def _dial_members(self) -> None:
         """Starts a task for each address that is to be dialled."""
@@ -408,10 +429,6 @@
             and self._table.version >= self._intake.version
         )
 
-    def _is_told(self, now_s: float) -> bool:
-        """Tells whether the former dispatcher's agents are known here."""
-        return self._intake.term > 0 and self._intake.is_informed(now_s)
-
     async def _pull_configuration(self, now_s: float) -> None:
         held = self._table.version if self._table else 0
         is_due = now_s - self._asked_at_s >= _ASK_AGAIN_S
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_intake.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_intake.py
@@ -91,3 +91,13 @@
         self.intake.tick(11.0)
         self.assertEqual([held], self.intake.take_finished())
         self.assertEqual(OutcomeKind.UNKNOWN, held.outcome.kind)
+
+    def test_a_silent_dispatcher_leaves_no_caller_waiting(self):
+        held = waiter()
+        self.pulse(1, 10.0)
+        self.intake.submit(JOB, held, 10.0)
+        self.intake.tick(11.0)
+        self.assertIsNone(held.outcome)
+        self.intake.tick(11.3)
+        self.assertEqual(OutcomeKind.UNKNOWN, held.outcome.kind)
+        self.assertEqual(0, self.intake.held_count)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_custodian.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_custodian.py
@@ -31,6 +31,7 @@
 ENDED_KEPT_S = 4.0
 REPORT_AGAIN_S = 0.4
 STOP_AGAIN_S = 0.25
+SILENT_AFTER_S = 0.7
 STALLED_LEAST_S = 0.8
 STALLED_SHARE = 0.1  # of the expected run time
 _SESSION_BITS = 48
@@ -153,6 +154,9 @@
         self._is_attached = False
         self._is_clean = False
         self._lease_until_s = -1e9
+        self._held_until_s = -1e9
+        self._listed_at_s = -1e9
+        self._was_silent = False
         self._used = Resources()
         self._held: dict[TaskKey, _Held] = {}
         self._ended: collections.deque[tuple[float, EndedRun]] = collections.deque()
@@ -206,14 +210,25 @@
         """Runs that are started, held or being stopped."""
         return len(self._held)
 
-    @property
-    def must_look(self) -> bool:
-        """Whether the upstream must be asked what runs there before it is offered."""
-        return self._worker is not None and self._term > 0 and not self._is_clean
+    def is_silent(self, now_s: float) -> bool:
+        """Tells whether the upstream has given no listing for too long."""
+        return now_s - self._listed_at_s > SILENT_AFTER_S
+
+    def may_look(self, now_s: float) -> bool:
+        """Tells whether to ask the upstream what runs there, without holding it."""
+        if self._worker is None or not self._term:
+            return False
+        return not self._is_clean or self.is_silent(now_s)
 
     def may_hold(self, now_s: float) -> bool:
         """Tells whether the upstream's runs may be held now."""
-        return self._worker is not None and now_s < self._lease_until_s
+        if self._worker is None or now_s >= self._lease_until_s:
+            return False
+        return not self.is_silent(now_s)
+
+    def note_held(self, until_s: float) -> None:
+        """Notes until when a call that is about to be made lets runs go on."""
+        self._held_until_s = max(self._held_until_s, until_s)
 
     def take_messages(self) -> list[tuple[str, object]]:
         """Returns the messages to send, by receiver, and forgets them."""
@@ -245,10 +260,15 @@
             self._end_session()
 
     def upstream_is_gone(self, upstream: str, now_s: float) -> None:
-        """Notes that nothing listens at the upstream's address any more."""
-        if self.upstream == upstream and self._held:
+        """Notes that nothing listens at the upstream's address any more.
+
+        The worker is offered again once an upstream announces itself.
+        """
+        if self._worker is not None and self._worker.upstream == upstream:
             _log.warning("upstream_gone", upstream=upstream, held=len(self._held))
             self._lose_all("the upstream is gone", now_s)
+            self._worker = None
+            self._end_session()
 
     def _replace_upstream(self, worker: WorkerRecord, now_s: float) -> None:
         _log.info(
@@ -261,6 +281,7 @@
         self._worker = worker
         self._is_leaving = False
         self._is_clean = False
+        self._listed_at_s = -1e9
         self._seen_cursor = 0
         self._strangers.clear()
         self._end_session()
@@ -319,7 +340,7 @@
         reason = self._refusal(order, now_s)
         if reason:
             _log.info("start_refused", task=str(order.task), reason=reason)
-            self._add_end(order, RunEnd.STOPPED, now_s, reason=reason)
+            self._add_end(order, RunEnd.LOST, now_s, reason=reason)
             return
         self._held[order.task] = _Held(order=order, phase=Phase.STARTING, since_s=now_s)
         self._used = self._used.plus(order.needs)
@@ -362,6 +383,9 @@
             attempt=call.order.attempt,
             verdict=verdict.value,
         )
+        if verdict is StartVerdict.GONE:
+            self.upstream_is_gone(call.upstream, now_s)
+            return
         if verdict is StartVerdict.NO_ANSWER:
             self._stop(task, RunEnd.LOST, "no answer to the start", now_s)
             return
@@ -388,6 +412,7 @@
         """Takes what the upstream says of itself."""
         if listing.upstream != self.upstream:
             return
+        self._listed_at_s = max(self._listed_at_s, listing.asked_at_s)
         for ended in listing.ended:
             self._take_listed_end(ended, now_s)
         running = {run.task: run for run in listing.running}
@@ -469,6 +494,7 @@
                     is_leaving=self._is_leaving,
                     ended=[],
                     stalled=stalled,
+                    is_silent=self._was_silent,
                 )
             )
 
@@ -478,6 +504,7 @@
         """Lets time pass."""
         if self._held and now_s > self._lapsed_at_s:
             self._lapse(now_s)
+        self._watch_silence(now_s)
         for task, held in self._held.items():
             is_due = now_s - held.stop_sent_at_s >= STOP_AGAIN_S
             if held.phase is Phase.STOPPING and is_due:
@@ -498,6 +525,28 @@
             self._timing.lost_after_s - self._timing.run_lease_s
         )
 
+    def _watch_silence(self, now_s: float) -> None:
+        """Tells of an upstream that stops or begins to answer.
+
+        A silent upstream is not held any more, so its runs end with the last lease.
+        """
+        if self._worker is None or not self._is_attached:
+            return
+        is_silent = self.is_silent(now_s)
+        if is_silent != self._was_silent:
+            self._was_silent = is_silent
+            self._has_news = True
+            _log.warning(
+                "upstream_silent" if is_silent else "upstream_answers_again",
+                upstream=self.upstream,
+                held=len(self._held),
+                silent_s=round(now_s - self._listed_at_s, 3),
+            )
+        grace_s = self._timing.lost_after_s - self._timing.run_lease_s
+        if is_silent and self._held and now_s > self._held_until_s + grace_s:
+            self._lose_all("the upstream is silent", now_s)
+            self._end_session()
+
     def _lapse(self, now_s: float) -> None:
         """Gives the session up: the upstream has ended what was not held."""
         self._counts["lease_lapsed"] += 1
@@ -517,7 +566,10 @@
         ended = [ended for _, ended in self._ended if ended.number > self._noted]
         self._send(
             WorkerReport(
-                session=self._session, is_leaving=self._is_leaving, ended=ended
+                session=self._session,
+                is_leaving=self._is_leaving,
+                ended=ended,
+                is_silent=self._was_silent,
             )
         )
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -163,7 +163,6 @@
             heard_at_s=heard_at_s,
             version=version,
             waiting=self.waiting_by_queue(),
-            workers=sorted(workers),
         )
 
     def take_messages(self) -> list[tuple[str, CellMessage]]:
@@ -225,6 +224,7 @@
         if message.is_leaving and not worker.is_leaving:
             worker.is_leaving = True
             _log.info("worker_leaving", agent=agent, upstream=worker.record.upstream)
+        worker.is_silent = message.is_silent
         for ended in message.ended:
             if ended.number > worker.noted:
                 worker.noted = ended.number
@@ -503,7 +503,7 @@
                     step.estimated_s,
                     ended.run_s,
                 )
-        elif ended.end in (RunEnd.FAILED, RunEnd.REFUSED):
+        elif ended.end in (RunEnd.FAILED, RunEnd.REFUSED, RunEnd.LOST):
             is_ejected = worker.health.note_failure(ended.task.job, now_s)
             _log.warning(
                 "run_failed",
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
@@ -231,7 +231,6 @@
         session: For an agent, the session in which it is attached, or zero.
         noted: For an agent, number of the last end taken note of.
         waiting: For an entry, jobs not begun, by queue.
-        workers: For an entry, names of the agents that may hold work.
     """
 
     term: int
@@ -240,7 +239,6 @@
     session: int = 0
     noted: int = 0
     waiting: dict[str, int] = {}
-    workers: list[str] = []
 
 
 class AttachWorker(_Wire, kw_only=True):
@@ -271,12 +269,14 @@
         is_leaving: Whether it takes nothing new.
         ended: Ends not yet noted that are new.
         stalled: Runs that made no progress for a while.
+        is_silent: Whether its upstream gives no answers.
     """
 
     session: int
     is_leaving: bool
     ended: list[EndedRun]
     stalled: list[TaskKey] = []
+    is_silent: bool = False
 
 
 class StartTasks(_Wire, kw_only=True):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_view.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_view.py
@@ -46,6 +46,7 @@
         self.record = record
         self.heard_at_s = now_s
         self.is_leaving = False
+        self.is_silent = False
         self.noted = 0
         self.health = WorkerHealth()
         self.runs: dict[TaskKey, Run] = {}
@@ -70,7 +71,7 @@
 
     def may_take(self, now_s: float, doubted_after_s: float) -> bool:
         """Tells whether the worker gets new work now."""
-        if self.is_leaving or self.health.is_ejected(now_s):
+        if self.is_leaving or self.is_silent or self.health.is_ejected(now_s):
             return False
         if now_s - self.heard_at_s > doubted_after_s:
             return False
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell.py
@@ -169,6 +169,7 @@
         self.cut = set()
         self.frozen = set()
         self.silent_orders = set()
+        self.deaf = set()
         self.upstreams = {}
         self.agents = {}
         self.held_at_s = {}
@@ -275,6 +276,7 @@
         self.heard[agent] = max(self.heard.get(agent, 0.0), sent_s)
         self.dispatcher.heard(agent, self.now_s)
         if isinstance(message, AttachWorker):
+            self.known.add(agent)
             self.dispatcher.attach(agent, message, self.now_s)
         elif isinstance(message, WorkerReport):
             self.dispatcher.report(agent, message, self.now_s)
@@ -282,8 +284,6 @@
     def step_dispatcher(self):
         if self.now_s - self.pulsed_at_s >= TIMING.pulse_s:
             self.pulsed_at_s = self.now_s
-            pulse = self.dispatcher.pulse_for_entry(0.0, 1, self.now_s)
-            self.known = set(pulse.workers)
             for name in self.agents:
                 heard_s = self.heard.get(name, -1e9)
                 message = self.dispatcher.pulse_for_agent(name, heard_s)
@@ -300,7 +300,8 @@
         agent.tick(self.now_s)
         for call in agent.take_calls():
             self.call(agent, upstream, call)
-        if self.now_s - self.held_at_s[name] >= HOLD_S and upstream.is_up:
+        is_due = self.now_s - self.held_at_s[name] >= HOLD_S
+        if is_due and upstream.is_up and name not in self.deaf:
             self.held_at_s[name] = self.now_s
             self.hold(agent, upstream)
         for receiver, message in agent.take_messages():
@@ -316,11 +317,13 @@
                 agent.start_answered(call, StartVerdict.GONE, self.now_s)
             return
         is_mute = upstream.name in self.silent_orders and self.generator.random() < 0.5
+        is_mute = is_mute or upstream.name in self.deaf
         if isinstance(call, StartCall):
             if not agent.may_hold(self.now_s) or agent.term != call.term:
                 agent.start_answered(call, StartVerdict.TOO_LATE, self.now_s)
                 return
             until = self.until(upstream, agent.lease_until_s)
+            agent.note_held(agent.lease_until_s)
             if is_mute:
                 self.late.append((self.late_at_s(), upstream, call, until))
                 agent.start_answered(call, StartVerdict.NO_ANSWER, self.now_s)
@@ -349,8 +352,10 @@
         if agent.upstream != upstream.id:
             return
         may_hold = agent.may_hold(self.now_s)
-        if not may_hold and not agent.must_look:
+        if not may_hold and not agent.may_look(self.now_s):
             return
+        if may_hold:
+            agent.note_held(agent.lease_until_s)
         until = self.until(upstream, agent.lease_until_s) if may_hold else None
         listing = upstream.listing(agent.term, agent.acknowledged, until, self.now_s)
         agent.take_listing(listing, self.now_s)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
@@ -83,6 +83,29 @@
         cell.run(8.0)
         self.assertEqual(6, len(cell.answers))
 
+    def test_an_upstream_that_is_gone_draws_no_work(self):
+        cell = Cell(seed=7)
+        cell.run(0.5)
+        cell.upstreams["a1"].is_up = False
+        for index in range(30):
+            cell.submit(job(f"j{index}", count=2))
+            cell.run(0.1)
+        cell.run(3.0)
+        self.assertEqual({JobState.COMPLETE}, set(cell.answers.values()))
+        self.assertLess(cell.dispatcher.counts["run_lost"], 10)
+
+    def test_an_upstream_that_answers_nothing_draws_no_work(self):
+        cell = Cell(seed=8)
+        cell.run(0.5)
+        cell.submit(job("first", count=8, run_s=0.5))
+        cell.deaf.add("a1")
+        for index in range(30):
+            cell.submit(job(f"j{index}", count=2))
+            cell.run(0.1)
+        cell.run(4.0)
+        self.assertEqual({JobState.COMPLETE}, set(cell.answers.values()))
+        self.assertLess(cell.dispatcher.counts["run_lost"], 25)
+
     def test_random_faults_break_no_promise(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
@@ -101,6 +124,7 @@
         cell.cut.clear()
         cell.frozen.clear()
         cell.silent_orders.clear()
+        cell.deaf.clear()
         for upstream in cell.upstreams.values():
             upstream.hangs = False
             upstream.fails_all = False
@@ -110,7 +134,17 @@
     def disturb(self, cell, generator):
         name = generator.choice(list(cell.agents))
         match generator.choice(
-            ["over", "cut", "heal", "crash", "restart", "mute", "freeze", "hang"]
+            [
+                "over",
+                "cut",
+                "heal",
+                "crash",
+                "restart",
+                "mute",
+                "freeze",
+                "hang",
+                "deaf",
+            ]
         ):
             case "over":
                 cell.take_over()
@@ -127,5 +161,7 @@
                 cell.silent_orders ^= {name}
             case "freeze":
                 cell.frozen ^= {name}
+            case "deaf":
+                cell.deaf ^= {name}
             case "hang":
                 cell.upstreams[name].hangs = not cell.upstreams[name].hangs
