--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -157,6 +157,12 @@
         """Whether this entry is the dispatcher."""
         return self._leadership.dispatcher is not None
 
+    @property
+    def is_voter(self) -> bool:
+        """Whether this entry's replica counts towards a majority."""
+        ledger = self._replica.ledger
+        return ledger is not None and self._replica.identity in ledger.members.voters
+
     @property
     def counts(self) -> dict[str, int]:
         """Events since the start, by kind."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -153,11 +153,8 @@
             noted=worker.noted if worker else 0,
         )
 
-    def pulse_for_entry(self, heard_at_s: float, version: int, now_s: float) -> Pulse:
+    def pulse_for_entry(self, heard_at_s: float, version: int) -> Pulse:
         """Returns the pulse for an entry, with the version in force."""
-        workers = set(self._workers)
-        if now_s < self._recovers_until_s:
-            workers |= self._expected
         return Pulse(
             term=self._term,
             heard_at_s=heard_at_s,
