Refuse truly what was never offered; serve on while a newer configuration is fetched

Ruled out: saying refused of offered jobs (they may run); holding them for the next dispatcher without end.

--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -29,8 +29,8 @@
     Received,
 )
 
-_HEARTBEAT_S = 0.4
-_POLL_S = 0.2
+_HEARTBEAT_S = 0.5
+_POLL_S = 0.5
 _SILENCE_S = 1.5
 _TICK_S = 0.05
 _LOOK_AGAIN_S = 0.1
@@ -239,6 +239,7 @@
         match message:
             case Pulse():
                 self._custodian.take_pulse(peer, message, now_s)
+                self._port.acknowledge(peer)
             case StartTasks() | StopTasks():
                 self._custodian.take_orders(message, now_s)
             case Directory():
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/cli/_jobs.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/cli/_jobs.py
@@ -1,11 +1,14 @@
 """`hawthornbarrow job submit|show|cancel` and `hawthornbarrow explain`."""
 
 import argparse
+import itertools
 import pathlib
+import sys
 import urllib.parse
 import uuid
 
 import msgspec
+from hawthornbarrow.observability import story_of
 
 from hawthornbarrow_entry.cli._client import add_connection_flags, call, finish
 
@@ -30,6 +33,14 @@
         parser.set_defaults(run=_on_job, method=method)
     explain = commands.add_parser("explain", help="tell what happened to a job")
     explain.add_argument("key")
+    explain.add_argument(
+        "--logs",
+        nargs="+",
+        type=pathlib.Path,
+        default=[],
+        metavar="FILE",
+        help="tell it from the logs of the processes instead of asking an entry",
+    )
     add_connection_flags(explain, token="member")
     explain.set_defaults(run=_explain)
 
@@ -51,7 +62,21 @@
     return finish(arguments, call(arguments, arguments.method, _path(arguments)))
 
 
+def _explain_from_logs(key: str, files: list[pathlib.Path]) -> int:
+    lines = itertools.chain.from_iterable(
+        file.read_text("utf-8", "replace").splitlines() for file in files
+    )
+    story = story_of(key, lines)
+    for line in story:
+        print(f"{line.timestamp}  {line.process:<16} {line.event:<18} {line.text}")
+    if not story:
+        print(f"{key}: no line of the logs names it", file=sys.stderr)
+    return 0 if story else 1
+
+
 def _explain(arguments: argparse.Namespace) -> int:
+    if arguments.logs:
+        return _explain_from_logs(arguments.key, arguments.logs)
     response = call(arguments, "GET", _path(arguments) + "/explain")
     if response is None or response.status != 200 or arguments.json:
         return finish(arguments, response)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_intake.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_intake.py
@@ -15,6 +15,9 @@
 )
 
 INFORMATION_LEASE_S = 1.2  # what a dispatcher told earlier is not acted on any more
+PULSE_LATE_S = 0.4  # without a pulse for longer, jobs wait here and are not offered
+UNOFFERED_LIMIT_S = 0.35  # longest such wait; a takeover that is under way may end it
+VERSION_LAG_S = 0.6  # a newer configuration must be in force here so soon
 RETRY_SOON_S = 1.0
 
 _log = structlog.get_logger()
@@ -91,7 +94,9 @@
         self._dispatcher = ""
         self._term = 0
         self._version = 0
+        self._version_learnt_at_s = -1e9
         self._heard_at_s = -1e9
+        self._pulsed_at_s = -1e9
         self._waiting: dict[str, int] = {}
         self._jobs: dict[str, _HeldJob] = {}
         self._messages: list[tuple[str, SubmitJob | WithdrawJob]] = []
@@ -125,6 +130,12 @@
         """Returns the age of what the dispatcher told."""
         return now_s - self._heard_at_s
 
+    def tolerates(self, version: int, now_s: float) -> bool:
+        """Tells whether requests may be handled by a version of the configuration."""
+        if version >= self._version:
+            return True
+        return now_s - self._version_learnt_at_s < VERSION_LAG_S
+
     def waiting(self, queue: str) -> int:
         """Returns the number of a queue's jobs not begun, by the last pulse."""
         return self._waiting.get(queue, 0)
@@ -145,7 +156,10 @@
             return
         is_new = pulse.term > self._term
         self._term = pulse.term
-        self._version = max(self._version, pulse.version)
+        self._pulsed_at_s = now_s
+        if pulse.version > self._version:
+            self._version_learnt_at_s = now_s
+            self._version = pulse.version
         self._heard_at_s = max(self._heard_at_s, pulse.heard_at_s)
         self._waiting = pulse.waiting
         if is_new:
@@ -157,7 +171,8 @@
                 held=len(self._jobs),
             )
             self._dispatcher = peer
-            for job in self._jobs.values():
+        for job in self._jobs.values():
+            if job.offered_term < self._term:
                 self._offer(job, now_s)
 
     def submit(
@@ -190,7 +205,8 @@
             waiters=[waiter],
         )
         self._jobs[document.job] = held
-        self._offer(held, now_s)
+        if now_s - self._pulsed_at_s <= PULSE_LATE_S:
+            self._offer(held, now_s)
         return None
 
     def withdraw(self, job: str) -> None:
@@ -223,6 +239,10 @@
         if self._jobs and not self.is_informed(now_s):
             self.end_all("the dispatcher is silent", now_s)
         for held in list(self._jobs.values()):
+            waited_s = now_s - held.received_at_s
+            if not held.offers and waited_s > UNOFFERED_LIMIT_S:
+                self._refuse_unoffered(held, now_s)
+                continue
             held.waiters = [
                 waiter for waiter in held.waiters if not waiter.is_abandoned()
             ]
@@ -242,11 +262,26 @@
                 )
                 self._finish(held, outcome, now_s)
 
+    def _refuse_unoffered(self, held: _HeldJob, now_s: float) -> None:
+        """Refuses a job that no dispatcher was there for; it has surely not run."""
+        del self._jobs[held.document.job]
+        outcome = CallerOutcome(
+            kind=OutcomeKind.REFUSED,
+            reason="no dispatcher",
+            retry_after_s=RETRY_SOON_S,
+        )
+        self._finish(held, outcome, now_s)
+
     def end_all(self, reason: str, now_s: float) -> None:
         """Tells all callers that it is not known what became of their jobs."""
         jobs, self._jobs = self._jobs, {}
         for held in jobs.values():
-            outcome = CallerOutcome(kind=OutcomeKind.UNKNOWN, reason=reason)
+            kind = OutcomeKind.UNKNOWN if held.offers else OutcomeKind.REFUSED
+            outcome = CallerOutcome(
+                kind=kind,
+                reason=reason,
+                retry_after_s=0.0 if held.offers else RETRY_SOON_S,
+            )
             self._finish(held, outcome, now_s)
 
     def _offer(self, held: _HeldJob, now_s: float) -> None:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -58,8 +58,8 @@
 
 ENTRY_ROLE = "entry"
 AGENT_ROLE = "agent"
-_HEARTBEAT_S = 0.4
-_POLL_S = 0.2
+_HEARTBEAT_S = 0.5
+_POLL_S = 0.5
 _SILENCE_S = 1.5
 _TICK_S = 0.05
 _SWEEP_S = 0.1
@@ -132,6 +132,7 @@
         self._replies: dict[int, _Reply] = {}
         self._next_number = 1
         self._asked_at_s = -1e9
+        self._asked_version = 0
         self._swept_at_s = -1e9
         self._kept_house_at_s = -1e9
         self._is_stopping = False
@@ -190,7 +191,16 @@
         Raises:
             NotSureError: The configuration here may not be the one in force.
         """
-        if self._table is None or not self._is_serving(steady_s()):
+        now_s = steady_s()
+        if self._table is None or not self._is_serving(now_s):
+            _log.info(
+                "request_refused",
+                path=path,
+                reason="the configuration here may be out of date",
+                version=self._table.version if self._table else 0,
+                known_version=self._intake.version,
+                information_age_s=round(self._intake.information_age_s(now_s), 3),
+            )
             raise NotSureError("the configuration here may be out of date")
         return self._table.find(host, path)
 
@@ -432,14 +442,16 @@
         return (
             self._table is not None
             and self._intake.is_informed(now_s)
-            and self._table.version >= self._intake.version
+            and self._intake.tolerates(self._table.version, now_s)
         )
 
     async def _pull_configuration(self, now_s: float) -> None:
         held = self._table.version if self._table else 0
         is_due = now_s - self._asked_at_s >= _ASK_AGAIN_S
-        if self._intake.version > held and is_due:
+        is_news = self._intake.version > self._asked_version
+        if self._intake.version > held and (is_due or is_news):
             self._asked_at_s = now_s
+            self._asked_version = self._intake.version
             await self._send(self._intake.dispatcher, AskConfiguration(number=0))
 
     def _take_configuration(self, message: NewestConfiguration) -> None:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_intake.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_intake.py
@@ -101,3 +101,28 @@
         self.intake.tick(11.3)
         self.assertEqual(OutcomeKind.UNKNOWN, held.outcome.kind)
         self.assertEqual(0, self.intake.held_count)
+
+    def test_a_job_that_was_never_offered_is_refused_truly_and_soon(self):
+        held = waiter()
+        self.pulse(1, 10.0)
+        self.intake.submit(JOB, held, 10.6)
+        self.assertEqual([], self.intake.take_messages())
+        self.intake.tick(11.0)
+        self.assertEqual(OutcomeKind.REFUSED, held.outcome.kind)
+        self.assertGreater(held.outcome.retry_after_s, 0)
+
+    def test_a_job_kept_during_a_takeover_is_offered_once(self):
+        self.pulse(1, 10.0)
+        self.intake.submit(JOB, waiter(), 10.6)
+        self.pulse(2, 10.8, peer="d2")
+        self.pulse(2, 10.9, peer="d2")
+        (message,) = self.intake.take_messages()
+        self.assertEqual(("d2", False), (message[0], message[1].was_offered))
+
+    def test_an_older_configuration_serves_for_a_moment_only(self):
+        self.pulse(1, 10.0)
+        pulse = Pulse(term=1, heard_at_s=11.0, version=5)
+        self.intake.take_pulse("d", pulse, 11.0)
+        self.assertTrue(self.intake.tolerates(4, 11.3))
+        self.assertFalse(self.intake.tolerates(4, 11.7))
+        self.assertTrue(self.intake.tolerates(5, 11.7))
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_timing.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_timing.py
@@ -15,6 +15,7 @@
 import dataclasses
 
 CLOCK_DRIFT = 0.02  # an upstream's steady clock may be this much slow
+DOUBTED_PULSES = 2.5  # an agent answers each pulse at once
 MARGIN_S = 0.05  # tick of the processes that act on the leases
 
 
@@ -51,4 +52,4 @@
     @property
     def doubted_after_s(self) -> float:
         """Silence after which an agent gets no new work."""
-        return 3 * self.pulse_s
+        return DOUBTED_PULSES * self.pulse_s
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
@@ -120,6 +120,13 @@
             self._dirty.add(peer)
         return True
 
+    def acknowledge(self, peer: str) -> None:
+        """Makes the next flush send a frame to the peer, with messages or without."""
+        session = self._sessions.get(peer)
+        if session is not None:
+            session.request_frame()
+            self._dirty.add(peer)
+
     def forget(self, peer: str) -> None:
         """Drops what a peer whose link is down has not acknowledged."""
         session = self._sessions.get(peer)
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_session.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_session.py
@@ -107,6 +107,7 @@
         self._unsent = 0
         self._received = 0
         self._acknowledgement_due = False
+        self._is_frame_requested = False
         self._connected = False
         self._greeted = False
         self._heard_at_s = 0.0
@@ -180,6 +181,10 @@
         self._unacknowledged.append(message)
         self._unsent += 1
 
+    def request_frame(self) -> None:
+        """Asks for a frame now, even without messages, to show that this side lives."""
+        self._is_frame_requested = True
+
     def forget_unacknowledged(self) -> None:
         """Drops what the peer has not acknowledged, as it must not act on it now."""
         self._unacknowledged.clear()
@@ -200,11 +205,13 @@
         while self._unsent:
             frames.append(self._next_frame(now_s))
         is_idle = now_s - self._sent_at_s >= self._heartbeat_s
-        if not frames and (is_idle or self._acknowledgement_is_late(now_s)):
+        is_due = is_idle or self._is_frame_requested
+        if not frames and (is_due or self._acknowledgement_is_late(now_s)):
             frames.append(self._frame(0, [], now_s))
         if frames:
             self._sent_at_s = now_s
             self._acknowledgement_due = False
+            self._is_frame_requested = False
         return frames
 
     def seconds_until_due(self, now_s: float) -> float:
--- a/packages/hawthornbarrow/src/hawthornbarrow/observability/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/__init__.py
@@ -14,20 +14,27 @@
     from hawthornbarrow.observability._cell_metrics import CellMetrics
     from hawthornbarrow.observability._logs import configure_logs
     from hawthornbarrow.observability._metrics import Metrics
+    from hawthornbarrow.observability._story import LogLine, parse_line, story_of
 
 __all__ = [
     "BurnBook",
     "BurnRow",
     "CellMetrics",
+    "LogLine",
     "Metrics",
     "configure_logs",
+    "parse_line",
     "render_burn_plot",
     "render_burn_text",
+    "story_of",
 ]
 
 __getattr__ = lazy_attributes(
     __name__,
     {
+        "LogLine": "_story",
+        "parse_line": "_story",
+        "story_of": "_story",
         "BurnBook": "_burn",
         "BurnRow": "_burn",
         "CellMetrics": "_cell_metrics",
