--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -304,7 +304,8 @@
         )
         host, _, port = self._settings.address.rpartition(":")
         async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self._port.listen, host, int(port))
+            listen_host = self._settings.listen_host or host
+            await group.spawn(self._port.listen, listen_host, int(port))
             await group.spawn(self._dial_members)
             await group.spawn(self._replica.run)
             await group.spawn(self._serve)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_settings.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_settings.py
@@ -22,6 +22,7 @@
         timing: Lengths of the leases.
         cluster_key: Secret shared by all processes of the deployment.
         grace_s: Time from the request to stop until the process is killed.
+        listen_host: IP number to listen at, where it is not that of the address.
     """
 
     name: str
@@ -34,3 +35,4 @@
     timing: RunLeaseTiming
     cluster_key: bytes
     grace_s: float = 6.0
+    listen_host: str = ""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the developers."""
