Refuse what can not begin in time as soon as it shows; tell truly what never ran

Change: the queue is looked through every 0.1 s in its order; a job not begun whose start is predicted later than 0.4 of its objective after its last timely start is refused. A new dispatcher that has heard all agents of the ledger tells which jobs never ran, so their refusals are true ones.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_intake.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_intake.py
@@ -220,7 +220,7 @@
         if held is None:
             return
         kind = _OUTCOMES.get(answer.state)
-        if kind is None and held.offers > 1:
+        if kind is None and held.offers > 1 and not answer.has_not_run:
             # An earlier dispatcher may have run it, so "refused" would not be true.
             kind = OutcomeKind.UNKNOWN
         outcome = CallerOutcome(
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_intake.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_intake.py
@@ -126,3 +126,12 @@
         self.assertTrue(self.intake.tolerates(4, 11.3))
         self.assertFalse(self.intake.tolerates(4, 11.7))
         self.assertTrue(self.intake.tolerates(5, 11.7))
+
+    def test_a_refusal_that_knows_of_no_run_is_called_one(self):
+        held = waiter()
+        self.pulse(1, 10.0)
+        self.intake.submit(JOB, held, 10.0)
+        self.pulse(2, 11.0)
+        answer = JobAnswer(job="j", state=JobState.UNKNOWN, has_not_run=True)
+        self.intake.take_answer(answer, 11.1)
+        self.assertEqual(OutcomeKind.REFUSED, held.outcome.kind)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_admission.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_admission.py
@@ -8,6 +8,7 @@
 from hawthornbarrow.cells._worker_view import WorkerView
 
 _USABLE_SHARE = 0.92  # of the capacity; the rest is lost between tasks of odd sizes
+_LEAST_RATE = 0.001
 _LEAST_RETRY_S = 1.0
 _MOST_RETRY_S = 5.0
 
@@ -59,12 +60,7 @@
             now_s: Current time.
         """
         workers = list(workers)
-        rate = sum(
-            worker.record.capacity.cpu
-            / 1000
-            / self._run_times.slowness(worker.record.upstream)
-            for worker in workers
-        )
+        rate = self._rate(workers)
         free = sum(max(0, worker.free.cpu) for worker in workers) / 1000
         ahead = sum(
             self._work(other)
@@ -73,7 +69,7 @@
         )
         wait_s = 0.0
         if ahead > 0 or free < self._cores(job):
-            wait_s = (ahead + self._work(job) / 2) / max(rate * _USABLE_SHARE, 0.001)
+            wait_s = (ahead + self._work(job) / 2) / rate
         slack_s = job.start_by_s - now_s
         return Verdict(
             is_admitted=wait_s <= slack_s,
@@ -82,6 +78,39 @@
             retry_after_s=max(_LEAST_RETRY_S, min(_MOST_RETRY_S, wait_s)),
         )
 
+    def hopeless(
+        self,
+        waiting: collections.abc.Iterable[JobRecord],
+        workers: collections.abc.Iterable[WorkerView],
+        now_s: float,
+    ) -> list[JobRecord]:
+        """Returns jobs not begun that the work ahead of them keeps for too long.
+
+        Args:
+            waiting: Jobs that wait for room, in the order in which they get it.
+            workers: Workers that may take them.
+            now_s: Current time.
+        """
+        rate = self._rate(workers)
+        ahead = 0.0
+        hopeless = []
+        for job in waiting:
+            if not job.has_begun and now_s + ahead / rate > job.refuse_by_s:
+                hopeless.append(job)
+            else:
+                ahead += self._work(job)
+        return hopeless
+
+    def _rate(self, workers: collections.abc.Iterable[WorkerView]) -> float:
+        """Returns the core-seconds of work that workers do in a second."""
+        cores = sum(
+            worker.record.capacity.cpu
+            / 1000
+            / self._run_times.slowness(worker.record.upstream)
+            for worker in workers
+        )
+        return max(cores * _USABLE_SHARE, _LEAST_RATE)
+
     def _work(self, job: JobRecord) -> float:
         return self._run_times.expected_s(job.queue.name, job.remaining_work)
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -36,6 +36,7 @@
 
 ENDED_JOB_KEPT_S = 60.0
 ORPHAN_KEPT_S = 2.5
+LATE_SHARE = 0.4  # of the objective, by which a start may be late before a refusal
 LATE_FACTOR = 3.0  # of the objective; a later answer is of no use to its caller
 ATTEMPTS_A_TERM = 8
 _OVERHEAD_S = 0.03
@@ -85,6 +86,8 @@
         )
         self._orphans: dict[TaskKey, tuple[str, float]] = {}
         self._done_before: dict[TaskKey, float] = {}
+        self._ran_before: set[str] = set()
+        self._was_offered: set[str] = set()
         self._messages: list[tuple[str, CellMessage]] = []
         self._starts: dict[str, list[StartOrder]] = {}
         self._stops: dict[str, list[TaskKey]] = {}
@@ -266,6 +269,7 @@
             started_at_s=now_s - held.age_s,
         )
         worker.add(run)
+        self._ran_before.add(held.task.job)
         record = self._jobs.get(held.task.job)
         if record is not None and not record.state.is_final:
             self._join_run(record, worker, run)
@@ -274,6 +278,7 @@
 
     def _adopt_end(self, worker: WorkerView, ended: EndedRun, now_s: float) -> None:
         worker.noted = max(worker.noted, ended.number)
+        self._ran_before.add(ended.task.job)
         if ended.end is not RunEnd.DONE:
             return
         record = self._jobs.get(ended.task.job)
@@ -304,6 +309,8 @@
     def submit(self, entry: str, message: SubmitJob, now_s: float) -> None:
         """Takes a job, or joins a submission of one that is known."""
         job = message.document.job
+        if message.was_offered:
+            self._was_offered.add(job)
         known = self._jobs.get(job)
         if known is not None and known.state is not JobState.CANCELLED:
             known.entries.add(entry)
@@ -353,6 +360,7 @@
         chain_s = self._run_times.expected_s(queue.name, record.longest_chain_s)
         objective_s = queue.slack_factor * chain_s + queue.objective_s
         record.start_by_s = record.arrived_at_s + objective_s - chain_s - _OVERHEAD_S
+        record.refuse_by_s = record.start_by_s + LATE_SHARE * objective_s
         record.give_up_at_s = record.arrived_at_s + LATE_FACTOR * objective_s
 
     def _is_refused(
@@ -360,12 +368,8 @@
     ) -> bool:
         if message.was_offered or self.is_recovering(now_s):
             return False
-        workers = [
-            worker
-            for worker in self._workers.values()
-            if worker.record.service == record.queue.service
-            and worker.may_take(now_s, self._timing.doubted_after_s)
-        ]
+        offered = self._workers_by_service(now_s).get(record.queue.service, ())
+        workers = [worker for _, worker in offered]
         verdict = self._admission.judge(record, self._waiting.values(), workers, now_s)
         if verdict.is_admitted:
             return False
@@ -388,9 +392,20 @@
             state=JobState.UNKNOWN,
             reason=reason,
             retry_after_s=retry_after_s,
+            has_not_run=self._has_not_run(job),
         )
         self._messages.append((entry, answer))
 
+    def _has_not_run(self, job: str) -> bool:
+        """Tells whether no task of a job that is not begun here has ever started.
+
+        Of a job that an earlier dispatcher was offered that is known once all agents
+        that may hold its work have told what they hold and held.
+        """
+        if job not in self._was_offered:
+            return True
+        return not self._expected and job not in self._ran_before
+
     def _claim_orphans(self, record: JobRecord) -> None:
         for step, tasks in enumerate(record.tasks):
             for index in range(len(tasks)):
@@ -589,6 +604,8 @@
                 self._detach(worker, "silent", now_s)
             else:
                 self._sweep_runs(worker, now_s)
+        if not self.is_recovering(now_s):
+            self._refuse_hopeless(now_s)
         for job in list(self._waiting.values()):
             if now_s > job.give_up_at_s and not job.running_count:
                 self._give_up(job, now_s)
@@ -623,6 +640,17 @@
             if now_s - found_at_s > ENDED_JOB_KEPT_S:
                 del self._done_before[task]
 
+    def _refuse_hopeless(self, now_s: float) -> None:
+        """Refuses jobs as soon as it shows that they can not begin in time."""
+        services = self._workers_by_service(now_s)
+        jobs: dict[str, list[JobRecord]] = {}
+        for job in self._in_order(now_s):
+            jobs.setdefault(self._service_of(job), []).append(job)
+        for service, waiting in jobs.items():
+            workers = [worker for _, worker in services.get(service, ())]
+            for job in self._admission.hopeless(waiting, workers, now_s):
+                self._give_up(job, now_s)
+
     def _give_up(self, record: JobRecord, now_s: float) -> None:
         """Answers a job that waited until its answer would be of no use."""
         if record.state is JobState.QUEUED:
@@ -633,20 +661,30 @@
 
     def _place_waiting(self, now_s: float) -> None:
         """Starts waiting tasks in order, as far as there is room."""
+        services = self._workers_by_service(now_s)
+        for job in self._in_order(now_s):
+            workers = services.get(self._service_of(job))
+            if workers:
+                self._place_job(job, workers, now_s)
+            if job.is_all_begun:
+                self._waiting.pop(job.job, None)
+
+    def _workers_by_service(
+        self, now_s: float
+    ) -> dict[str, list[tuple[int, WorkerView]]]:
+        """Returns the workers that may take work, each after its speed class."""
         services: dict[str, list[tuple[int, WorkerView]]] = {}
         for worker in self._workers.values():
             if worker.may_take(now_s, self._timing.doubted_after_s):
                 entry = (self._placement.speed_class(worker), worker)
                 services.setdefault(worker.record.service, []).append(entry)
-        jobs = sorted(
+        return services
+
+    def _in_order(self, now_s: float) -> list[JobRecord]:
+        """Returns the waiting jobs in the order in which they get room."""
+        return sorted(
             self._waiting.values(), key=lambda job: self._order.key(job, now_s)
         )
-        for job in jobs:
-            workers = services.get(self._service_of(job))
-            if workers:
-                self._place_job(job, workers, now_s)
-            if job.is_all_begun:
-                self._waiting.pop(job.job, None)
 
     def _service_of(self, job: JobRecord) -> str:
         """Returns the service by the configuration in force, empty for none."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
@@ -48,6 +48,7 @@
         self.queue = queue
         self.arrived_at_s = arrived_at_s
         self.start_by_s = arrived_at_s
+        self.refuse_by_s = arrived_at_s
         self.give_up_at_s = arrived_at_s + queue.timeout_s
         self.entries: set[str] = set()
         self.state = JobState.QUEUED
@@ -65,6 +66,11 @@
         """Id of the job."""
         return self.document.job
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether any task was ordered to start."""
+        return self.state is not JobState.QUEUED
+
     @property
     def is_done(self) -> bool:
         """Whether all tasks have ended well."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
@@ -323,12 +323,14 @@
         state: Its state; UNKNOWN when it was refused.
         reason: Why it was refused, empty else.
         retry_after_s: When the caller may come back after a refusal.
+        has_not_run: Whether no dispatcher has had a task of it started.
     """
 
     job: str
     state: JobState
     reason: str = ""
     retry_after_s: float = 0.0
+    has_not_run: bool = False
 
 
 class AskJobState(_Wire, kw_only=True):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell.py
@@ -42,7 +42,7 @@
     """A promise was broken."""
 
 
-def table(max_attempts=3):
+def table(max_attempts=3, objective_s=60.0):
     queue = Queue(
         name="q",
         host="h",
@@ -50,7 +50,7 @@
         service="s",
         max_attempts=max_attempts,
         slack_factor=1.6,
-        objective_s=60.0,
+        objective_s=objective_s,
     )
     return QueueTable(version=1, queues=[queue], services=[Service(name="s")])
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
@@ -4,7 +4,7 @@
 import unittest
 
 from hawthornbarrow.cells import JobState
-from hawthornbarrow.cells.tests._cell import Cell, job
+from hawthornbarrow.cells.tests._cell import Cell, job, table
 
 SEEDS = range(24)
 FAULTS_A_RUN = 14
@@ -165,3 +165,43 @@
                 cell.deaf ^= {name}
             case "hang":
                 cell.upstreams[name].hangs = not cell.upstreams[name].hangs
+
+
+class RefusalTest(unittest.TestCase):
+    def setUp(self):
+        self.cell = Cell(seed=9)
+        self.cell.run(0.5)
+        self.cell.submit(job("ran", count=2, run_s=0.5))
+        self.cell.run(0.1)
+
+    def refusals(self):
+        for name in ("ran", "new"):
+            self.cell.dispatcher._was_offered.add(name)
+        return {
+            name: self.cell.dispatcher._has_not_run(name) for name in ("ran", "new")
+        }
+
+    def test_a_new_dispatcher_knows_what_never_ran(self):
+        self.cell.take_over()
+        self.cell.run(1.0)
+        self.assertEqual({"ran": False, "new": True}, self.refusals())
+
+    def test_it_does_not_know_while_an_agent_is_missing(self):
+        self.cell.cut.add("a0")
+        self.cell.take_over()
+        self.cell.run(1.0)
+        self.assertEqual({"ran": False, "new": False}, self.refusals())
+
+    def test_jobs_that_can_not_begin_in_time_are_refused_early(self):
+        cell = Cell(seed=10)
+        cell.run(0.5)
+        for upstream in cell.upstreams.values():
+            upstream.hangs = True
+        for index in range(8):
+            cell.submit(job(f"full{index}", count=2, run_s=30.0))
+        cell.run(0.2)
+        cell.dispatcher.set_table(table(objective_s=0.06))
+        cell.submit(job("late", run_s=0.1))
+        self.assertNotIn("late", cell.answers)
+        cell.run(0.6)
+        self.assertIs(JobState.UNKNOWN, cell.answers.get("late"))
