Open a replica anew after its disk refused a write

Cause: a disk error ended the replica until the process restarted; disks that fill up or stall for a while are among the troubles of the grown sites. Ruled out: going on with the replica in memory (it could vote on what is not on disk). Change: the keeper closes the storage, waits a second and loads what is there, as after a restart. Test: a write refused at the leader while a configuration is put.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -158,6 +158,11 @@
         """Whether this entry is the dispatcher."""
         return self._leadership.dispatcher is not None
 
+    @property
+    def has_replica(self) -> bool:
+        """Whether this entry's replica is open."""
+        return self._replica.ledger is not None
+
     @property
     def is_voter(self) -> bool:
         """Whether this entry's replica counts towards a majority."""
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_replica_keeper.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_replica_keeper.py
@@ -6,6 +6,7 @@
 import structlog
 from hawthornbarrow.ledger import (
     FileStorage,
+    LedgerStorageError,
     LinkReplicaTransport,
     ReplicatedLedger,
     load_identity,
@@ -22,6 +23,7 @@
 
 SETTLED_AFTER_S = 1.0  # without news of other entries, all that start are known
 FOUND_ANYWAY_AFTER_S = 5.0
+REOPENED_AFTER_S = 1.0
 
 _log = structlog.get_logger()
 
@@ -55,6 +57,7 @@
         self._generator = generator
         self._ledger: ReplicatedLedger | None = None
         self._transport: LinkReplicaTransport | None = None
+        self._storage: FileStorage | None = None
         self._opened = curio.Event()
         self._began_at_s = 0.0
         self._founders: tuple[str, ...] = ()
@@ -78,14 +81,32 @@
             await curio.Event().wait()
         if not self._settings.is_first_start or self._holds_ledger():
             await self._open()
-        await self._opened.wait()
-        assert self._ledger is not None
-        await self._ledger.run()
-        await curio.Event().wait()
+        while True:
+            await self._opened.wait()
+            assert self._ledger is not None
+            await self._ledger.run()
+            await self._reopen()
+
+    async def _reopen(self) -> None:
+        """Opens the replica anew after its disk refused or failed a write.
+
+        What was not synced is dropped, as at a restart of the process.
+        """
+        self._ledger = None
+        self._transport = None
+        self._opened.clear()
+        if self._storage is not None:
+            self._storage.close()
+        while self._ledger is None:
+            await curio.sleep(REOPENED_AFTER_S)
+            try:
+                await self._open()
+            except (LedgerStorageError, OSError) as error:
+                _log.warning("replica_not_opened", reason=str(error))
 
     async def deliver(self, payload: ReplicaPayload) -> None:
         """Takes a message of another replica."""
-        if self._ledger is None:
+        if self._ledger is None and self._storage is None:
             await self._open_as_learner()
         if self._transport is not None:
             await self._transport.deliver(payload)
@@ -145,13 +166,15 @@
         if self._ledger is not None:
             return
         assert self._settings.data_dir is not None
-        self._transport = LinkReplicaTransport(identity=self._identity, port=self._port)
+        transport = LinkReplicaTransport(identity=self._identity, port=self._port)
+        self._storage = FileStorage(folder=self._settings.data_dir)
         self._ledger = ReplicatedLedger(
             identity=self._identity,
-            storage=FileStorage(folder=self._settings.data_dir),
-            transport=self._transport,
+            storage=self._storage,
+            transport=transport,
             events=self._events,
             generator=self._generator,
         )
+        self._transport = transport
         _log.info("replica_opened", replica=self._identity)
         await self._opened.set()
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
@@ -4,6 +4,7 @@
 import socket
 import tempfile
 import unittest
+from unittest import mock
 
 import curio
 from hawthornbarrow.cells import (
@@ -19,6 +20,7 @@
     WorkerRecord,
 )
 from hawthornbarrow.clock import steady_s
+from hawthornbarrow.ledger import LedgerStorageError
 from hawthornbarrow.queues import ConfigurationFormat, Queue, QueueTable, Service
 from hawthornbarrow_agent.fleet import FleetAgent, FleetAgentSettings, UpstreamClient
 
@@ -276,6 +278,23 @@
 
         self.play(scenario)
 
+    def test_a_replica_comes_back_after_its_disk_refused_a_write(self):
+        async def scenario(fleet):
+            lost = fleet.leader()
+            storage = fleet.entries[lost]._replica._storage
+            with mock.patch.object(
+                storage, "append", side_effect=LedgerStorageError("no space left")
+            ):
+                other = next(i for i in fleet.entries if i != lost)
+                await fleet.offer(other, 9)
+                await fleet.until(lambda: not fleet.entries[lost].has_replica)
+            back = fleet.entries[lost]
+            await fleet.until(lambda: back.has_replica)
+            await fleet.until(lambda: back.states["configuration_version"] == 9)
+            await fleet.submit(lost, "after")
+
+        self.play(scenario)
+
     async def version(self, entry):
         while True:
             try:
