--- a/benchmarks/cell_load.py
+++ b/benchmarks/cell_load.py
@@ -159,6 +159,11 @@
         for index in range(len(site.cores)):
             self._attach(index)
 
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """The dispatcher that is played against."""
+        return self._dispatcher
+
     def play(self, seconds: float) -> dict[str, float]:
         """Plays the load and returns the share of the worth that was earned."""
         begin_s = self._now_s
