Split the dispatcher and the custodian by subject

Change: attached agents and their orders (WorkerPool), jobs and answers (JobBoard), what an earlier dispatcher left (FormerRuns, which now forgets what is old) and the calls to an upstream in modules of their own; a job sets its own times.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -1,15 +1,7 @@
 """Cells: one dispatcher and the agents that run the tasks of its jobs."""
 
 from hawthornbarrow.cells._admission import Admission, Verdict
-from hawthornbarrow.cells._custodian import (
-    Custodian,
-    ListedEnd,
-    ListedRun,
-    Listing,
-    StartCall,
-    StartVerdict,
-    StopCall,
-)
+from hawthornbarrow.cells._custodian import Custodian
 from hawthornbarrow.cells._dispatcher import Dispatcher
 from hawthornbarrow.cells._job_record import JobRecord
 from hawthornbarrow.cells._messages import (
@@ -50,6 +42,14 @@
 )
 from hawthornbarrow.cells._run_times import RunTimes
 from hawthornbarrow.cells._timing import RunLeaseTiming
+from hawthornbarrow.cells._upstream_calls import (
+    ListedEnd,
+    ListedRun,
+    Listing,
+    StartCall,
+    StartVerdict,
+    StopCall,
+)
 
 __all__ = [
     "Admission",
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_custodian.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_custodian.py
@@ -27,6 +27,14 @@
     WorkerReport,
 )
 from hawthornbarrow.cells._timing import RunLeaseTiming
+from hawthornbarrow.cells._upstream_calls import (
+    ListedEnd,
+    ListedRun,
+    Listing,
+    StartCall,
+    StartVerdict,
+    StopCall,
+)
 
 ENDED_KEPT_S = 4.0
 REPORT_AGAIN_S = 0.4
@@ -47,74 +55,6 @@
     STOPPING = "stopping"
 
 
-class StartVerdict(enum.StrEnum):
-    """What the upstream answered to a start."""
-
-    STARTED = "started"
-    NO_ROOM = "no_room"
-    FENCED = "fenced"
-    SUPERSEDED = "superseded"
-    TOO_LATE = "too_late"
-    DECLINED = "declined"
-    NO_ANSWER = "no_answer"
-    GONE = "gone"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class StartCall:
-    """Start a run at the upstream."""
-
-    upstream: str
-    order: StartOrder
-    term: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class StopCall:
-    """Stop a run at the upstream."""
-
-    upstream: str
-    task: TaskKey
-    attempt: int
-    term: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ListedRun:
-    """A run in the upstream's listing; percent is its progress."""
-
-    task: str
-    attempt: int
-    percent: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ListedEnd:
-    """An end in the upstream's listing."""
-
-    number: int
-    task: str
-    attempt: int
-    end: RunEnd
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Listing:
-    """What the upstream says of itself.
-
-    Attributes:
-        upstream: Incarnation that answered.
-        asked_at_s: When it was asked.
-        running: Runs at work.
-        ended: Ends that were not acknowledged.
-    """
-
-    upstream: str
-    asked_at_s: float
-    running: list[ListedRun]
-    ended: list[ListedEnd]
-
-
 @dataclasses.dataclass(kw_only=True)
 class _Held:
     order: StartOrder
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -10,7 +10,9 @@
 import structlog
 
 from hawthornbarrow.cells._admission import Admission
-from hawthornbarrow.cells._job_record import JobRecord, TaskProgress
+from hawthornbarrow.cells._former_runs import FormerRuns
+from hawthornbarrow.cells._job_board import JobBoard
+from hawthornbarrow.cells._job_record import JobRecord
 from hawthornbarrow.cells._messages import (
     AttachWorker,
     CellMessage,
@@ -21,8 +23,6 @@
     Pulse,
     RunEnd,
     StartOrder,
-    StartTasks,
-    StopTasks,
     SubmitJob,
     TaskKey,
     WorkerReport,
@@ -31,18 +31,16 @@
 from hawthornbarrow.cells._placement import Placement
 from hawthornbarrow.cells._run_times import RunTimes
 from hawthornbarrow.cells._timing import RunLeaseTiming
+from hawthornbarrow.cells._worker_pool import WorkerPool
 from hawthornbarrow.cells._worker_view import Run, WorkerView
 from hawthornbarrow.queues import QueueTable
 
-ENDED_JOB_KEPT_S = 60.0
-ORPHAN_KEPT_S = 2.5
-LATE_SHARE = 0.4  # of the objective, by which a start may be late before a refusal
-LATE_FACTOR = 3.0  # of the objective; a later answer is of no use to its caller
-ATTEMPTS_A_TERM = 8
-_OVERHEAD_S = 0.03
-_STALL_FACTOR = 3.5
+ATTEMPTS_A_TERM = 8  # starts of a task that an earlier dispatcher may have ordered
+_RETRY_SOON_S = 1.0
+_STALL_FACTOR = 3.5  # of the expected run time
 _STALL_LEAST_S = 0.6
 _SWEEP_S = 0.1
+_LEAST_EXPECTED_S = 0.001
 
 _log = structlog.get_logger()
 
@@ -69,28 +67,16 @@
     ) -> None:
         """Starts without agents, waiting for those that are expected."""
         self._term = term
-        self._timing = timing
-        self._began_at_s = now_s
-        self._expected = set(expected)
-        self._recovers_until_s = now_s + timing.lost_after_s
         self._order = order or TimelyPriorityOrder()
         self._run_times = RunTimes()
         self._admission = Admission(run_times=self._run_times)
         self._placement = Placement(run_times=self._run_times)
-        self._table: QueueTable | None = None
-        self._workers: dict[str, WorkerView] = {}
-        self._jobs: dict[str, JobRecord] = {}
-        self._waiting: dict[str, JobRecord] = {}
-        self._ended: collections.deque[tuple[float, str, JobRecord]] = (
-            collections.deque()
+        self._pool = WorkerPool(
+            term=term, timing=timing, expected=expected, now_s=now_s
         )
-        self._orphans: dict[TaskKey, tuple[str, float]] = {}
-        self._done_before: dict[TaskKey, float] = {}
-        self._ran_before: set[str] = set()
-        self._was_offered: set[str] = set()
-        self._messages: list[tuple[str, CellMessage]] = []
-        self._starts: dict[str, list[StartOrder]] = {}
-        self._stops: dict[str, list[TaskKey]] = {}
+        self._board = JobBoard()
+        self._former = FormerRuns(kept_from_s=self._pool.recovers_until_s)
+        self._table: QueueTable | None = None
         self._swept_at_s = now_s
         self._has_news = True
         self._counts: collections.Counter[str] = collections.Counter()
@@ -108,23 +94,21 @@
     @property
     def workers(self) -> dict[str, WorkerView]:
         """Attached agents by name."""
-        return self._workers
+        return self._pool.workers
 
     @property
     def jobs(self) -> dict[str, JobRecord]:
         """Jobs by id, ended ones for a while."""
-        return self._jobs
+        return self._board.jobs
 
     @property
     def waiting_count(self) -> int:
         """Jobs with tasks that wait."""
-        return len(self._waiting)
+        return len(self._board.waiting)
 
     def is_recovering(self, now_s: float) -> bool:
         """Tells whether work of an earlier dispatcher may run unseen."""
-        return now_s < self._recovers_until_s and bool(
-            self._expected - set(self._workers)
-        )
+        return self._pool.is_recovering(now_s)
 
     def set_table(self, table: QueueTable) -> None:
         """Takes the configuration in force."""
@@ -133,21 +117,11 @@
 
     def state_of(self, job: str) -> JobState:
         """Returns what callers see of a job."""
-        record = self._jobs.get(job)
-        return record.state if record else JobState.UNKNOWN
-
-    def waiting_by_queue(self) -> dict[str, int]:
-        """Returns the number of jobs not begun, by queue."""
-        counts = collections.Counter(
-            job.queue.name
-            for job in self._waiting.values()
-            if job.state is JobState.QUEUED
-        )
-        return dict(counts)
+        return self._board.state_of(job)
 
     def pulse_for_agent(self, agent: str, heard_at_s: float) -> Pulse:
         """Returns the pulse for an agent."""
-        worker = self._workers.get(agent)
+        worker = self._pool.workers.get(agent)
         return Pulse(
             term=self._term,
             heard_at_s=heard_at_s,
@@ -162,23 +136,12 @@
             term=self._term,
             heard_at_s=heard_at_s,
             version=version,
-            waiting=self.waiting_by_queue(),
+            waiting=self._board.not_begun_by_queue(),
         )
 
     def take_messages(self) -> list[tuple[str, CellMessage]]:
         """Returns the messages to send, by receiver, and forgets them."""
-        messages, self._messages = self._messages, []
-        for agent, orders in self._starts.items():
-            session = self._workers[agent].session
-            message = StartTasks(term=self._term, session=session, orders=orders)
-            messages.append((agent, message))
-        for agent, tasks in self._stops.items():
-            session = self._workers[agent].session
-            message = StopTasks(term=self._term, session=session, tasks=tasks)
-            messages.append((agent, message))
-        self._starts = {}
-        self._stops = {}
-        return messages
+        return self._board.take_answers() + self._pool.take_orders()
 
     # --- agents --------------------------------------------------------------
 
@@ -186,38 +149,24 @@
         """Takes an agent's offer and learns what it holds."""
         if message.term != self._term:
             return
-        known = self._workers.get(agent)
+        known = self._pool.workers.get(agent)
         if known is not None and known.session == message.session:
             known.heard_at_s = now_s
             return
         if known is not None:
             self._detach(known, "attached anew", now_s)
-        self._expected.discard(agent)
-        if message.worker is None:
+        worker = self._pool.attach(agent, message, now_s)
+        if worker is None:
             return
-        worker = WorkerView(
-            agent=agent, session=message.session, record=message.worker, now_s=now_s
-        )
-        worker.is_leaving = message.is_leaving
-        self._workers[agent] = worker
         for run in message.running:
             self._adopt_run(worker, run, now_s)
         for ended in message.ended:
             self._adopt_end(worker, ended, now_s)
         self._has_news = True
-        _log.info(
-            "worker_attached",
-            agent=agent,
-            upstream=message.worker.upstream,
-            session=message.session,
-            term=self._term,
-            running=len(message.running),
-            leaving=message.is_leaving,
-        )
 
     def report(self, agent: str, message: WorkerReport, now_s: float) -> None:
         """Takes news of an attached worker."""
-        worker = self._workers.get(agent)
+        worker = self._pool.workers.get(agent)
         if worker is None or worker.session != message.session:
             return
         worker.heard_at_s = now_s
@@ -235,27 +184,13 @@
 
     def heard(self, agent: str, now_s: float) -> None:
         """Notes that a frame of an agent arrived."""
-        worker = self._workers.get(agent)
-        if worker is not None:
-            if now_s - worker.heard_at_s > self._timing.doubted_after_s:
-                self._has_news = True
-            worker.heard_at_s = now_s
+        if self._pool.heard(agent, now_s):
+            self._has_news = True
 
     def _detach(self, worker: WorkerView, reason: str, now_s: float) -> None:
-        """Gives an agent up; nothing of its session runs any more."""
+        """Gives an agent up; its tasks wait again."""
         self._counts["worker_lost"] += 1
-        del self._workers[worker.agent]
-        self._starts.pop(worker.agent, None)
-        self._stops.pop(worker.agent, None)
-        _log.warning(
-            "worker_lost",
-            agent=worker.agent,
-            upstream=worker.record.upstream,
-            session=worker.session,
-            reason=reason,
-            silent_s=round(now_s - worker.heard_at_s, 3),
-            lost_runs=len(worker.runs),
-        )
+        self._pool.detach(worker, reason, now_s)
         for task in list(worker.runs):
             worker.remove(task)
             self._requeue(worker, task, RunEnd.LOST, now_s)
@@ -269,30 +204,30 @@
             started_at_s=now_s - held.age_s,
         )
         worker.add(run)
-        self._ran_before.add(held.task.job)
-        record = self._jobs.get(held.task.job)
+        self._former.note_trace(held.task.job, now_s)
+        record = self._board.jobs.get(held.task.job)
         if record is not None and not record.state.is_final:
             self._join_run(record, worker, run)
         else:
-            self._orphans[held.task] = (worker.agent, now_s)
+            self._former.note_run(held.task, worker.agent, now_s)
 
     def _adopt_end(self, worker: WorkerView, ended: EndedRun, now_s: float) -> None:
         worker.noted = max(worker.noted, ended.number)
-        self._ran_before.add(ended.task.job)
+        self._former.note_trace(ended.task.job, now_s)
         if ended.end is not RunEnd.DONE:
             return
-        record = self._jobs.get(ended.task.job)
+        record = self._board.jobs.get(ended.task.job)
         if record is None:
-            self._done_before[ended.task] = now_s
+            self._former.note_done(ended.task, now_s)
             return
         self._end_task(record, worker, ended, now_s)
 
     def _join_run(self, record: JobRecord, worker: WorkerView, run: Run) -> None:
         """Gives a run that an earlier dispatcher started its place in its job."""
         key = run.task
-        progress = self._progress(record, key)
+        progress = record.progress(key)
         if progress is None or progress.worker or progress.is_done:
-            self._order_stop(worker, run)
+            self._pool.order_stop(worker, run)
             return
         record.begin(key.step, key.index, worker.agent)
         progress.attempts = max(progress.attempts, run.attempt)
@@ -310,20 +245,20 @@
         """Takes a job, or joins a submission of one that is known."""
         job = message.document.job
         if message.was_offered:
-            self._was_offered.add(job)
-        known = self._jobs.get(job)
+            self._former.note_offered(job, now_s)
+        known = self._board.jobs.get(job)
         if known is not None and known.state is not JobState.CANCELLED:
             known.entries.add(entry)
             if known.state.is_final:
-                self._answer(known)
+                self._board.answer(known)
             return
         queue = self._table.queues.get(message.document.queue) if self._table else None
         if queue is None:
-            self._refuse(entry, job, "the queue is not in force", 1.0)
+            self._refuse(entry, job, "the queue is not in force", _RETRY_SOON_S)
             return
         if known is not None and known.running_count:
             # Its runs are being stopped: it may not begin before they have ended.
-            self._refuse(entry, job, "its cancelled runs have not ended", 1.0)
+            self._refuse(entry, job, "its cancelled runs have not ended", _RETRY_SOON_S)
             return
         record = JobRecord(
             document=message.document,
@@ -331,18 +266,18 @@
             arrived_at_s=now_s - message.age_s,
             first_attempt=self._first_attempt(message, known),
         )
-        self._set_times(record)
+        chain_s = self._run_times.expected_s(queue.name, record.longest_chain_s)
+        record.set_times(chain_s)
         record.entries.add(entry)
         if self._is_refused(entry, record, message, now_s):
             return
-        self._jobs[job] = record
-        self._claim_orphans(record)
-        self._waiting[job] = record
+        self._board.add(record)
+        self._claim_runs(record, now_s)
         self._has_news = True
 
     def withdraw(self, job: str, now_s: float) -> None:
         """Cancels a job; its runs are stopped."""
-        record = self._jobs.get(job)
+        record = self._board.jobs.get(job)
         if record is None or record.state.is_final:
             return
         self._close(record, JobState.CANCELLED, "withdrawn", now_s)
@@ -355,14 +290,6 @@
             )
         return self._term * ATTEMPTS_A_TERM if message.was_offered else 0
 
-    def _set_times(self, record: JobRecord) -> None:
-        queue = record.queue
-        chain_s = self._run_times.expected_s(queue.name, record.longest_chain_s)
-        objective_s = queue.slack_factor * chain_s + queue.objective_s
-        record.start_by_s = record.arrived_at_s + objective_s - chain_s - _OVERHEAD_S
-        record.refuse_by_s = record.start_by_s + LATE_SHARE * objective_s
-        record.give_up_at_s = record.arrived_at_s + LATE_FACTOR * objective_s
-
     def _is_refused(
         self, entry: str, record: JobRecord, message: SubmitJob, now_s: float
     ) -> bool:
@@ -370,7 +297,9 @@
             return False
         offered = self._workers_by_service(now_s).get(record.queue.service, ())
         workers = [worker for _, worker in offered]
-        verdict = self._admission.judge(record, self._waiting.values(), workers, now_s)
+        verdict = self._admission.judge(
+            record, self._board.waiting.values(), workers, now_s
+        )
         if verdict.is_admitted:
             return False
         self._counts["job_refused"] += 1
@@ -380,7 +309,7 @@
             queue=record.queue.name,
             predicted_wait_s=round(verdict.predicted_wait_s, 3),
             slack_s=round(verdict.slack_s, 3),
-            waiting=len(self._waiting),
+            waiting=len(self._board.waiting),
             workers=len(workers),
         )
         self._refuse(entry, record.job, "no room in time", verdict.retry_after_s)
@@ -392,76 +321,41 @@
             state=JobState.UNKNOWN,
             reason=reason,
             retry_after_s=retry_after_s,
-            has_not_run=self._has_not_run(job),
+            has_not_run=self.has_not_run(job),
         )
-        self._messages.append((entry, answer))
+        self._board.refuse(entry, answer)
 
-    def _has_not_run(self, job: str) -> bool:
+    def has_not_run(self, job: str) -> bool:
         """Tells whether no task of a job that is not begun here has ever started.
 
         Of a job that an earlier dispatcher was offered that is known once all agents
         that may hold its work have told what they hold and held.
         """
-        if job not in self._was_offered:
-            return True
-        return not self._expected and job not in self._ran_before
+        return not self._former.may_have_run(job, all_told=self._pool.all_told)
 
-    def _claim_orphans(self, record: JobRecord) -> None:
+    def _claim_runs(self, record: JobRecord, now_s: float) -> None:
+        """Gives a job what an earlier dispatcher has begun of it."""
         for step, tasks in enumerate(record.tasks):
             for index in range(len(tasks)):
                 key = TaskKey(job=record.job, step=step, index=index)
-                if key in self._done_before:
+                if self._former.take_done(key):
                     record.end(step, index, is_done=True)
-                    del self._done_before[key]
                     continue
-                agent, _ = self._orphans.pop(key, ("", 0.0))
-                worker = self._workers.get(agent)
+                worker = self._pool.workers.get(self._former.take_run(key))
                 if worker is not None and key in worker.runs:
                     self._join_run(record, worker, worker.runs[key])
         if record.is_done:
-            self._close(record, JobState.COMPLETE, "done before", record.arrived_at_s)
-
-    def _answer(self, record: JobRecord) -> None:
-        answer = JobAnswer(job=record.job, state=record.state)
-        for entry in record.entries:
-            self._messages.append((entry, answer))
-        record.entries.clear()
+            self._close(record, JobState.COMPLETE, "done before", now_s)
 
     def _close(
         self, record: JobRecord, state: JobState, reason: str, now_s: float
     ) -> None:
-        has_run = record.state is not JobState.QUEUED
         self._counts[f"job_{state.value}"] += 1
-        record.state = state
-        record.ended_at_s = now_s
-        self._waiting.pop(record.job, None)
-        self._ended.append((now_s, record.job, record))
-        for worker in self._workers.values():
-            for run in worker.runs.values():
-                if run.task.job == record.job and not run.is_stopping:
-                    self._order_stop(worker, run)
-        _log.info(
-            "job_ended",
-            job=record.job,
-            queue=record.queue.name,
-            state=state.value,
-            reason=reason,
-            has_run=has_run,
-            took_s=round(now_s - record.arrived_at_s, 3),
-        )
-        self._answer(record)
+        self._board.close(record, state, reason, now_s)
+        self._pool.stop_job(record.job)
 
     # --- runs ----------------------------------------------------------------
 
-    def _progress(self, record: JobRecord, key: TaskKey) -> TaskProgress | None:
-        if key.step >= len(record.tasks) or key.index >= len(record.tasks[key.step]):
-            return None
-        return record.tasks[key.step][key.index]
-
-    def _order_stop(self, worker: WorkerView, run: Run) -> None:
-        run.is_stopping = True
-        self._stops.setdefault(worker.agent, []).append(run.task)
-
     def _stop_stalled(self, worker: WorkerView, task: TaskKey, now_s: float) -> None:
         run = worker.runs.get(task)
         if run is None or run.is_stopping:
@@ -476,11 +370,11 @@
             ran_s=round(now_s - run.started_at_s, 3),
             ejected=is_ejected,
         )
-        record = self._jobs.get(task.job)
-        progress = self._progress(record, task) if record else None
+        record = self._board.jobs.get(task.job)
+        progress = record.progress(task) if record else None
         if progress is not None:
             progress.avoided.add(worker.agent)
-        self._order_stop(worker, run)
+        self._pool.order_stop(worker, run)
 
     def _end_run(self, worker: WorkerView, ended: EndedRun, now_s: float) -> None:
         run = worker.runs.get(ended.task)
@@ -488,12 +382,12 @@
             return
         worker.remove(ended.task)
         self._counts[f"run_{ended.end.value}"] += 1
-        self._orphans.pop(ended.task, None)
-        record = self._jobs.get(ended.task.job)
+        self._former.forget_run(ended.task)
+        record = self._board.jobs.get(ended.task.job)
         self._judge_worker(worker, run, ended, record, now_s)
         if record is None:
             if ended.end is RunEnd.DONE:
-                self._done_before[ended.task] = now_s
+                self._former.note_done(ended.task, now_s)
             return
         self._end_task(record, worker, ended, now_s)
 
@@ -532,7 +426,7 @@
         self, record: JobRecord, worker: WorkerView, ended: EndedRun, now_s: float
     ) -> None:
         key = ended.task
-        progress = self._progress(record, key)
+        progress = record.progress(key)
         if progress is None or progress.is_done:
             return
         is_done = ended.end is RunEnd.DONE
@@ -559,8 +453,8 @@
         reason: str = "",
     ) -> None:
         """Lets a task wait again after a run that did not end well."""
-        record = self._jobs.get(key.job)
-        progress = self._progress(record, key) if record else None
+        record = self._board.jobs.get(key.job)
+        progress = record.progress(key) if record else None
         if record is None or progress is None or progress.worker != worker.agent:
             return
         record.end(key.step, key.index, is_done=False)
@@ -585,7 +479,7 @@
         if progress.failures >= record.queue.max_attempts:
             self._close(record, JobState.FAILED, f"task {key} failed", now_s)
             return
-        self._waiting[record.job] = record
+        self._board.wait_again(record)
 
     # --- time ----------------------------------------------------------------
 
@@ -599,25 +493,25 @@
             self._place_waiting(now_s)
 
     def _sweep(self, now_s: float) -> None:
-        for worker in list(self._workers.values()):
-            if now_s - worker.heard_at_s > self._timing.lost_after_s:
-                self._detach(worker, "silent", now_s)
-            else:
-                self._sweep_runs(worker, now_s)
+        for worker in self._pool.silent(now_s):
+            self._detach(worker, "silent", now_s)
+        for worker in self._pool.workers.values():
+            self._suspect_slow(worker, now_s)
         if not self.is_recovering(now_s):
             self._refuse_hopeless(now_s)
-        for job in list(self._waiting.values()):
+        for job in list(self._board.waiting.values()):
             if now_s > job.give_up_at_s and not job.running_count:
                 self._give_up(job, now_s)
-        while self._ended and now_s - self._ended[0][0] > ENDED_JOB_KEPT_S:
-            _, job, record = self._ended.popleft()
-            if self._jobs.get(job) is record:
-                del self._jobs[job]
-        self._sweep_orphans(now_s)
+        self._board.forget_ended(now_s)
+        for task, agent in self._former.take_unclaimed(now_s):
+            worker = self._pool.workers.get(agent)
+            if worker is not None and task in worker.runs:
+                self._pool.order_stop(worker, worker.runs[task])
         self._has_news = True
 
-    def _sweep_runs(self, worker: WorkerView, now_s: float) -> None:
-        for run in list(worker.runs.values()):
+    def _suspect_slow(self, worker: WorkerView, now_s: float) -> None:
+        """Takes note of runs that last far longer than expected."""
+        for run in worker.runs.values():
             if not run.expected_s or run.is_stopping:
                 continue
             slowness = self._run_times.slowness(worker.record.upstream)
@@ -626,20 +520,6 @@
             if ran_s > limit_s:
                 self._run_times.suspect(worker.record.upstream, ran_s / run.expected_s)
 
-    def _sweep_orphans(self, now_s: float) -> None:
-        kept_from_s = self._began_at_s + self._timing.lost_after_s
-        for task, (agent, found_at_s) in list(self._orphans.items()):
-            if now_s - max(found_at_s, kept_from_s) < ORPHAN_KEPT_S:
-                continue
-            del self._orphans[task]
-            worker = self._workers.get(agent)
-            run = worker.runs.get(task) if worker else None
-            if worker is not None and run is not None:
-                self._order_stop(worker, run)
-        for task, found_at_s in list(self._done_before.items()):
-            if now_s - found_at_s > ENDED_JOB_KEPT_S:
-                del self._done_before[task]
-
     def _refuse_hopeless(self, now_s: float) -> None:
         """Refuses jobs as soon as it shows that they can not begin in time."""
         services = self._workers_by_service(now_s)
@@ -653,9 +533,9 @@
 
     def _give_up(self, record: JobRecord, now_s: float) -> None:
         """Answers a job that waited until its answer would be of no use."""
-        if record.state is JobState.QUEUED:
+        if not record.has_begun:
             for entry in record.entries:
-                self._refuse(entry, record.job, "waited too long", 1.0)
+                self._refuse(entry, record.job, "waited too long", _RETRY_SOON_S)
             record.entries.clear()
         self._close(record, JobState.CANCELLED, "waited too long", now_s)
 
@@ -666,24 +546,22 @@
             workers = services.get(self._service_of(job))
             if workers:
                 self._place_job(job, workers, now_s)
-            if job.is_all_begun:
-                self._waiting.pop(job.job, None)
+            self._board.drop_begun(job)
 
     def _workers_by_service(
         self, now_s: float
     ) -> dict[str, list[tuple[int, WorkerView]]]:
         """Returns the workers that may take work, each after its speed class."""
         services: dict[str, list[tuple[int, WorkerView]]] = {}
-        for worker in self._workers.values():
-            if worker.may_take(now_s, self._timing.doubted_after_s):
-                entry = (self._placement.speed_class(worker), worker)
-                services.setdefault(worker.record.service, []).append(entry)
+        for worker in self._pool.ready(now_s):
+            entry = (self._placement.speed_class(worker), worker)
+            services.setdefault(worker.record.service, []).append(entry)
         return services
 
     def _in_order(self, now_s: float) -> list[JobRecord]:
         """Returns the waiting jobs in the order in which they get room."""
         return sorted(
-            self._waiting.values(), key=lambda job: self._order.key(job, now_s)
+            self._board.waiting.values(), key=lambda job: self._order.key(job, now_s)
         )
 
     def _service_of(self, job: JobRecord) -> str:
@@ -711,7 +589,7 @@
                 tasks=" ".join(placed),
                 waited_s=round(now_s - job.arrived_at_s, 3),
                 slack_s=round(job.start_by_s - now_s, 3),
-                waiting=len(self._waiting),
+                waiting=len(self._board.waiting),
             )
 
     def _start(
@@ -729,7 +607,7 @@
                 attempt=progress.attempts,
                 needs=wanted.each,
                 started_at_s=now_s,
-                expected_s=max(expected_s, 0.001),
+                expected_s=max(expected_s, _LEAST_EXPECTED_S),
             )
         )
         order = StartOrder(
@@ -739,4 +617,4 @@
             needs=wanted.each,
             expected_s=expected_s,
         )
-        self._starts.setdefault(worker.agent, []).append(order)
+        self._pool.order_start(worker, order)
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_board.py
@@ -0,0 +1,101 @@
+"""JobBoard: all jobs of a dispatcher, and the answers that wait for their entries."""
+
+import collections
+
+import structlog
+
+from hawthornbarrow.cells._job_record import JobRecord
+from hawthornbarrow.cells._messages import CellMessage, JobAnswer, JobState
+
+ENDED_JOB_KEPT_S = 60.0
+
+_log = structlog.get_logger()
+
+
+class JobBoard:
+    """Keeps jobs by id, those that wait, and ended ones for a while."""
+
+    def __init__(self) -> None:
+        """Starts without jobs."""
+        self._jobs: dict[str, JobRecord] = {}
+        self._waiting: dict[str, JobRecord] = {}
+        self._ended: collections.deque[tuple[float, JobRecord]] = collections.deque()
+        self._answers: list[tuple[str, CellMessage]] = []
+
+    @property
+    def jobs(self) -> dict[str, JobRecord]:
+        """Jobs by id, ended ones for a while."""
+        return self._jobs
+
+    @property
+    def waiting(self) -> dict[str, JobRecord]:
+        """Jobs with tasks that wait, by id."""
+        return self._waiting
+
+    def state_of(self, job: str) -> JobState:
+        """Returns what callers see of a job."""
+        record = self._jobs.get(job)
+        return record.state if record else JobState.UNKNOWN
+
+    def not_begun_by_queue(self) -> dict[str, int]:
+        """Returns the number of jobs not begun, by queue."""
+        return dict(
+            collections.Counter(
+                job.queue.name for job in self._waiting.values() if not job.has_begun
+            )
+        )
+
+    def add(self, record: JobRecord) -> None:
+        """Takes a job whose tasks wait."""
+        self._jobs[record.job] = record
+        self._waiting[record.job] = record
+
+    def wait_again(self, record: JobRecord) -> None:
+        """Notes that tasks of a job wait again."""
+        self._waiting[record.job] = record
+
+    def drop_begun(self, record: JobRecord) -> None:
+        """Notes that no task of a job waits any more."""
+        if record.is_all_begun:
+            self._waiting.pop(record.job, None)
+
+    def close(
+        self, record: JobRecord, state: JobState, reason: str, now_s: float
+    ) -> None:
+        """Ends a job and answers its entries."""
+        _log.info(
+            "job_ended",
+            job=record.job,
+            queue=record.queue.name,
+            state=state.value,
+            reason=reason,
+            has_run=record.has_begun,
+            took_s=round(now_s - record.arrived_at_s, 3),
+        )
+        record.state = state
+        self._waiting.pop(record.job, None)
+        self._ended.append((now_s, record))
+        self.answer(record)
+
+    def answer(self, record: JobRecord) -> None:
+        """Tells a job's state to the entries that wait for it."""
+        answer = JobAnswer(job=record.job, state=record.state)
+        for entry in record.entries:
+            self._answers.append((entry, answer))
+        record.entries.clear()
+
+    def refuse(self, entry: str, answer: JobAnswer) -> None:
+        """Tells an entry that a job was refused."""
+        self._answers.append((entry, answer))
+
+    def forget_ended(self, now_s: float) -> None:
+        """Forgets jobs that ended long ago."""
+        while self._ended and now_s - self._ended[0][0] > ENDED_JOB_KEPT_S:
+            _, record = self._ended.popleft()
+            if self._jobs.get(record.job) is record:
+                del self._jobs[record.job]
+
+    def take_answers(self) -> list[tuple[str, CellMessage]]:
+        """Returns the answers to send, by entry, and forgets them."""
+        answers, self._answers = self._answers, []
+        return answers
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
@@ -2,9 +2,13 @@
 
 import dataclasses
 
-from hawthornbarrow.cells._messages import JobDocument, JobState, Step
+from hawthornbarrow.cells._messages import JobDocument, JobState, Step, TaskKey
 from hawthornbarrow.queues import Queue
 
+LATE_SHARE = 0.4  # of the objective, by which a start may be late before a refusal
+LATE_FACTOR = 3.0  # of the objective; a later answer is of no use to its caller
+OVERHEAD_S = 0.03  # of an order and the news of its end
+
 
 @dataclasses.dataclass(kw_only=True)
 class TaskProgress:
@@ -52,7 +56,6 @@
         self.give_up_at_s = arrived_at_s + queue.timeout_s
         self.entries: set[str] = set()
         self.state = JobState.QUEUED
-        self.ended_at_s = 0.0
         self.tasks = [
             [TaskProgress(attempts=first_attempt) for _ in range(step.count)]
             for step in document.steps
@@ -103,6 +106,23 @@
             ends_s.append(before_s + step.estimated_s)
         return max(ends_s, default=0.0)
 
+    def set_times(self, chain_s: float) -> None:
+        """Sets the job's latest times.
+
+        Args:
+            chain_s: Expected time of its longest chain of steps.
+        """
+        objective_s = self.queue.slack_factor * chain_s + self.queue.objective_s
+        self.start_by_s = self.arrived_at_s + objective_s - chain_s - OVERHEAD_S
+        self.refuse_by_s = self.start_by_s + LATE_SHARE * objective_s
+        self.give_up_at_s = self.arrived_at_s + LATE_FACTOR * objective_s
+
+    def progress(self, key: TaskKey) -> TaskProgress | None:
+        """Returns what is known of a task, or None when the job has no such task."""
+        if key.step >= len(self.tasks) or key.index >= len(self.tasks[key.step]):
+            return None
+        return self.tasks[key.step][key.index]
+
     def waiting_steps(self) -> list[int]:
         """Returns the steps whose turn has come and that have waiting tasks."""
         return [
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
@@ -175,11 +175,10 @@
         self.cell.run(0.1)
 
     def refusals(self):
+        dispatcher = self.cell.dispatcher
         for name in ("ran", "new"):
-            self.cell.dispatcher._was_offered.add(name)
-        return {
-            name: self.cell.dispatcher._has_not_run(name) for name in ("ran", "new")
-        }
+            dispatcher._former.note_offered(name, self.cell.now_s)
+        return {name: dispatcher.has_not_run(name) for name in ("ran", "new")}
 
     def test_a_new_dispatcher_knows_what_never_ran(self):
         self.cell.take_over()
