--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -68,6 +68,9 @@
 _READ_LIMIT_S = 0.8
 _OFFER_LIMIT_S = 0.9
 _STATE_LIMIT_S = 0.8
+_EXIT_MARGIN_S = 0.6
+_LAST_ANSWERS_S = 0.2
+STAYS_FOR_S = 2.6  # after the request to stop; a balancer may need so long to notice
 TAKES_JOBS_FOR_S = 2.4  # after the request to stop; callers may still arrive so long
 
 _log = structlog.get_logger()
@@ -322,10 +325,20 @@
         _log.info("entry_stopping", held=self._intake.held_count)
         await self._replica.resign()
 
-    async def end_waiting(self) -> None:
-        """Answers all callers that still wait, just before the end."""
+    async def drain(self, busy: collections.abc.Callable[[], int]) -> None:
+        """Stops within the grace: callers leave first, then what waits is answered.
+
+        Args:
+            busy: Returns the number of requests that are being served.
+        """
+        await self.stop()
+        until_s = self._stopping_at_s + self._settings.grace_s - _EXIT_MARGIN_S
+        stays_until_s = self._stopping_at_s + STAYS_FOR_S
+        while steady_s() < until_s and (steady_s() < stays_until_s or busy()):
+            await curio.sleep(_TICK_S)
         self._intake.end_all("the entry stops", steady_s())
         await self._flush()
+        await curio.sleep(_LAST_ANSWERS_S)
 
     def add_seeds(self, seeds: tuple[str, ...]) -> None:
         """Takes seeds from the settings, at the start or changed ones."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
@@ -72,6 +72,11 @@
         """Closes each connection after its next answer."""
         self._is_draining = True
 
+    async def serve_address(self, address: str) -> None:
+        """Accepts connections at `IP:PORT` until cancelled."""
+        host, _, port = address.rpartition(":")
+        await self.serve(host, int(port))
+
     async def serve(self, host: str, port: int) -> None:
         """Accepts connections until cancelled."""
         sock = curio.network.tcp_server_socket(
--- a/packages/hawthornbarrow/src/hawthornbarrow/observability/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/__init__.py
@@ -12,6 +12,7 @@
         render_burn_text,
     )
     from hawthornbarrow.observability._cell_metrics import CellMetrics
+    from hawthornbarrow.observability._endpoint import MetricsEndpoint
     from hawthornbarrow.observability._logs import configure_logs
     from hawthornbarrow.observability._metrics import Metrics
     from hawthornbarrow.observability._story import LogLine, parse_line, story_of
@@ -22,6 +23,7 @@
     "CellMetrics",
     "LogLine",
     "Metrics",
+    "MetricsEndpoint",
     "configure_logs",
     "parse_line",
     "render_burn_plot",
@@ -39,6 +41,7 @@
         "BurnRow": "_burn",
         "CellMetrics": "_cell_metrics",
         "Metrics": "_metrics",
+        "MetricsEndpoint": "_endpoint",
         "configure_logs": "_logs",
         "render_burn_plot": "_burn",
         "render_burn_text": "_burn",
--- a/packages/hawthornbarrow/src/hawthornbarrow/shutdown/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/shutdown/__init__.py
@@ -1,5 +1,6 @@
-"""Graceful shutdown of a process on SIGTERM or SIGINT."""
+"""Graceful shutdown of a process on SIGTERM or SIGINT, and the tasks it runs."""
 
 from hawthornbarrow.shutdown._signals import serve_until_signalled
+from hawthornbarrow.shutdown._tasks import Task, run_all
 
-__all__ = ["serve_until_signalled"]
+__all__ = ["Task", "run_all", "serve_until_signalled"]
