--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -24,8 +24,6 @@
 
 ENTRIES = 4
 DISKS = 3
-RECOVERY_LIMIT_S = 30.0
-START_LIMIT_S = 30.0
 
 
 async def play(
@@ -36,6 +34,7 @@
     agents: int,
     rate: float,
     base: int,
+    patience_s: float,
 ) -> list[str]:
     """Plays one seed and returns the broken promises."""
     generator = random.Random(seed)
@@ -94,7 +93,15 @@
                     await group.spawn(part.run)
                 for node in entries + beside:
                     node.start(faults.seeds, is_first=True)
-                await _play_parts(seconds, oracle, operator, clients, faults, rate=rate)
+                await _play_parts(
+                    seconds,
+                    oracle,
+                    operator,
+                    clients,
+                    faults,
+                    rate=rate,
+                    patience_s=patience_s,
+                )
         finally:
             for node in entries + beside:
                 node.kill()
@@ -115,9 +122,10 @@
     faults: Faults,
     *,
     rate: float,
+    patience_s: float,
 ) -> None:
     await operator.put()
-    if not await clients.recovers(START_LIMIT_S):
+    if not await clients.recovers(patience_s):
         oracle.violate("no job completed after the first start")
         return
     until = curio.Event()
@@ -128,7 +136,7 @@
         await curio.sleep(seconds)
         await until.set()
         await series.join()
-        if not await clients.recovers(RECOVERY_LIMIT_S):
+        if not await clients.recovers(patience_s):
             oracle.violate("no jobs complete after the last fault")
         for _ in range(50):
             if await operator.read():
@@ -149,6 +157,9 @@
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--agents", type=int, default=4)
     parser.add_argument("--rate", type=float, default=8.0, help="jobs a second")
+    parser.add_argument(
+        "--patience", type=float, default=30.0, help="seconds until jobs complete"
+    )
     parser.add_argument("--base", type=int, default=77, help="second address byte")
     parser.add_argument("--out", type=pathlib.Path, default=pathlib.Path("out/soak"))
     arguments = parser.parse_args()
@@ -162,6 +173,7 @@
                 agents=arguments.agents,
                 rate=arguments.rate,
                 base=arguments.base,
+                patience_s=arguments.patience,
             )
         )
         if violations:
