Soak: keep the stand-in's heartbeat alive through a timeout

Three of four agents had no executor: the stand-in's heartbeat task had ended at its first timeout, which is no Exception in curio and is not logged when it ends a task. Change: the harness catches the timeout by name.

--- a/tools/soak/_executor.py
+++ b/tools/soak/_executor.py
@@ -7,7 +7,13 @@
 import curio
 import msgspec
 from hawthornbarrow.clock import steady_s
-from hawthornbarrow.http import HttpServer, PooledClient, Request, Response
+from hawthornbarrow.http import (
+    HttpClientError,
+    HttpServer,
+    PooledClient,
+    Request,
+    Response,
+)
 
 LONGEST_LEASE_S = 1.0
 CAPACITY_CPU = 4000
@@ -142,7 +148,7 @@
                         {"Content-Type": "application/json"},
                         msgspec.json.encode(beat),
                     )
-            except Exception:  # noqa: BLE001 - the agent may be down in any way
+            except (HttpClientError, curio.TaskTimeout):
                 await client.close()
             await curio.sleep(_BEAT_S)
 
