Count a run until its stop has taken effect, also one that was never seen

A start whose answer was lost had begun; the agent stopped it and, as it had never been listed, took the confirmed stop for its end. The run went on for up to the stop's 50 ms: its room was given away and its task started elsewhere. Change: a stop's confirmation only starts a wait; the run is dropped when its end is listed, or by a listing asked for after the stop must have taken effect.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_custodian.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_custodian.py
@@ -8,6 +8,7 @@
 import collections
 import dataclasses
 import enum
+import math
 import random
 
 import structlog
@@ -63,6 +64,7 @@
     started_at_s: float = 0.0
     answered_at_s: float = 0.0
     stop_sent_at_s: float = -1e9
+    stop_confirmed_at_s: float = math.inf
     progressed_at_s: float = 0.0
     percent: float = -1.0
     end: RunEnd = RunEnd.STOPPED
@@ -339,14 +341,12 @@
     def stop_answered(self, call: StopCall, is_confirmed: bool, now_s: float) -> None:
         """Takes the upstream's answer to a stop.
 
-        A run that was never listed can not begin after a confirmed stop, so it ends
-        here; one that was at work ends when the upstream lists its end.
+        A confirmed stop fences starts that are still to come, but a run that has begun
+        unseen takes a moment to end; the next listing after that tells.
         """
         held = self._held.get(call.task)
-        if held is None or held.order.attempt != call.attempt or not is_confirmed:
-            return
-        if not held.started_at_s:
-            self._drop(call.task, held.end, held.reason, now_s)
+        if held is not None and held.order.attempt == call.attempt and is_confirmed:
+            held.stop_confirmed_at_s = min(held.stop_confirmed_at_s, now_s)
 
     def take_listing(self, listing: Listing, now_s: float) -> None:
         """Takes what the upstream says of itself."""
@@ -379,6 +379,10 @@
                 held.percent = run.percent
                 held.progressed_at_s = now_s
             return
+        stopped_at_s = held.stop_confirmed_at_s + self._timing.stop_s
+        if listing.asked_at_s > stopped_at_s:
+            self._drop(task, held.end, held.reason, now_s)
+            return
         was_known = held.started_at_s and held.answered_at_s
         if was_known and listing.asked_at_s > held.answered_at_s:
             self._drop(task, RunEnd.LOST, "not listed any more", now_s)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell.py
@@ -120,7 +120,8 @@
         self.fence = token
         self.closed[task] = max(self.closed.get(task, 0), attempt)
         if task in self.runs and self.runs[task]["attempt"] <= attempt:
-            self.end(task, RunEnd.STOPPED)
+            run = self.runs[task]
+            run.setdefault("stops_s", now_s + self.generator.uniform(0, TIMING.stop_s))
 
     def end(self, task, end):
         run = self.runs.pop(task)
@@ -135,7 +136,9 @@
             for task in list(self.runs):
                 self.end(task, RunEnd.LOST)
         for task, run in list(self.runs.items()):
-            if now_s >= run["ends_s"] and not self.hangs:
+            if now_s >= run.get("stops_s", now_s + 1):
+                self.end(task, RunEnd.STOPPED)
+            elif now_s >= run["ends_s"] and not self.hangs:
                 self.end(task, RunEnd.FAILED if self.fails_all else RunEnd.DONE)
 
     def listing(self, token, acknowledged, until, now_s):
@@ -170,6 +173,7 @@
         self.frozen = set()
         self.silent_orders = set()
         self.deaf = set()
+        self.lost_answers = set()
         self.upstreams = {}
         self.agents = {}
         self.held_at_s = {}
@@ -329,13 +333,19 @@
                 agent.start_answered(call, StartVerdict.NO_ANSWER, self.now_s)
                 return
             verdict = upstream.start(call.order, until, call.term, self.now_s)
+            if self.loses_answer(upstream):
+                verdict = StartVerdict.NO_ANSWER
             agent.start_answered(call, verdict, self.now_s)
             return
         if is_mute:
             agent.stop_answered(call, False, self.now_s)
             return
         upstream.stop(str(call.task), call.attempt, call.term, self.now_s)
-        agent.stop_answered(call, True, self.now_s)
+        is_confirmed = not self.loses_answer(upstream)
+        agent.stop_answered(call, is_confirmed, self.now_s)
+
+    def loses_answer(self, upstream):
+        return upstream.name in self.lost_answers and self.generator.random() < 0.5
 
     def late_at_s(self):
         return self.now_s + self.generator.uniform(1.5, 4.0)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
@@ -63,6 +63,17 @@
             cell.run(6.0)
             self.assertEqual(10, len(cell.answers), seed)
 
+    def test_lost_answers_leave_no_run_beside_its_successor(self):
+        for seed in range(6):
+            cell = Cell(seed=200 + seed)
+            cell.lost_answers = set(cell.upstreams)
+            cell.run(0.5)
+            for index in range(20):
+                cell.submit(job(f"j{index}", count=4))
+                cell.run(0.1)
+            cell.run(10.0)
+            self.assertEqual(20, len(cell.answers), seed)
+
     def test_worker_that_fails_all_gets_little_work(self):
         cell = Cell(seed=5)
         cell.upstreams["a1"].fails_all = True
@@ -125,6 +136,7 @@
         cell.frozen.clear()
         cell.silent_orders.clear()
         cell.deaf.clear()
+        cell.lost_answers.clear()
         for upstream in cell.upstreams.values():
             upstream.hangs = False
             upstream.fails_all = False
@@ -144,6 +156,7 @@
                 "freeze",
                 "hang",
                 "deaf",
+                "lose",
             ]
         ):
             case "over":
@@ -161,6 +174,8 @@
                 cell.silent_orders ^= {name}
             case "freeze":
                 cell.frozen ^= {name}
+            case "lose":
+                cell.lost_answers ^= {name}
             case "deaf":
                 cell.deaf ^= {name}
             case "hang":
