Let a stopping entry take short jobs to the last

Ruled out: taking all of them (a long one would end in a 504 at the process's end). Change: after 2.4 s a job is taken when 2.5 times its declared chain fits in before the end. Test: three moments after SIGTERM, a short and a long job.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -68,6 +68,7 @@
 _READ_LIMIT_S = 0.8
 _OFFER_LIMIT_S = 0.9
 _STATE_LIMIT_S = 0.8
+_CAUTION = 2.5  # on a caller's estimate; it is often far off
 _EXIT_MARGIN_S = 0.6
 _LAST_ANSWERS_S = 0.2
 STAYS_FOR_S = 2.6  # after the request to stop; a balancer may need so long to notice
@@ -227,7 +228,7 @@
             is_abandoned: Tells whether the caller has left.
         """
         now_s = steady_s()
-        if self._is_stopping and now_s - self._stopping_at_s > TAKES_JOBS_FOR_S:
+        if self._is_stopping and not self._may_finish(document, now_s):
             _log.info("job_refused", job=document.job, reason="the entry is stopping")
             return CallerOutcome(
                 kind=OutcomeKind.REFUSED,
@@ -248,6 +249,17 @@
         assert waiter.outcome is not None
         return waiter.outcome
 
+    def _may_finish(self, document: JobDocument, now_s: float) -> bool:
+        """Tells whether a stopping entry still takes a job.
+
+        Callers use open connections to the last, so short jobs are taken for as long
+        as they should end before the process does.
+        """
+        if now_s - self._stopping_at_s <= TAKES_JOBS_FOR_S:
+            return True
+        ends_s = now_s + _CAUTION * document.longest_chain_s + _LAST_ANSWERS_S
+        return ends_s < self._stopping_at_s + self._settings.grace_s - _EXIT_MARGIN_S
+
     async def job_state(self, job: str) -> JobState:
         """Returns what the dispatcher knows of a job.
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
@@ -264,6 +264,22 @@
 
         self.play(scenario)
 
+    def test_a_stopping_entry_takes_what_ends_in_time(self):
+        async def scenario(fleet):
+            entry = fleet.entries[0]
+            await entry.stop()
+            now_s = steady_s()
+            step = Step(count=1, each=Resources(cpu=100), estimated_s=1.0)
+            long = JobDocument(job="l", queue="q", spec="", steps=(step,))
+            answers = [
+                (entry._may_finish(document("s"), at_s), entry._may_finish(long, at_s))
+                for at_s in (now_s + 1.0, now_s + 4.0, now_s + 5.4)
+            ]
+            expected = [(True, True), (True, False), (False, False)]
+            self.assertEqual(expected, answers)
+
+        self.play(scenario)
+
     def test_a_replica_with_an_empty_disk_is_taken_in_again(self):
         async def scenario(fleet):
             await fleet.offer(0, 7)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -266,7 +266,9 @@
             arrived_at_s=now_s - message.age_s,
             first_attempt=self._first_attempt(message, known),
         )
-        chain_s = self._run_times.expected_s(queue.name, record.longest_chain_s)
+        chain_s = self._run_times.expected_s(
+            queue.name, record.document.longest_chain_s
+        )
         record.set_times(chain_s)
         record.entries.add(entry)
         if self._is_refused(entry, record, message, now_s):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
@@ -97,15 +97,6 @@
             for step, waiting in zip(self.document.steps, self._waiting, strict=True)
         )
 
-    @property
-    def longest_chain_s(self) -> float:
-        """Longest chain of steps that depend on one another, in seconds."""
-        ends_s: list[float] = []
-        for step in self.document.steps:
-            before_s = max((ends_s[index] for index in step.after), default=0.0)
-            ends_s.append(before_s + step.estimated_s)
-        return max(ends_s, default=0.0)
-
     def set_times(self, chain_s: float) -> None:
         """Sets the job's latest times.
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
@@ -119,6 +119,15 @@
     spec: str
     steps: tuple[Step, ...]
 
+    @property
+    def longest_chain_s(self) -> float:
+        """Longest chain of steps that depend on one another, in seconds."""
+        ends_s: list[float] = []
+        for step in self.steps:
+            before_s = max((ends_s[index] for index in step.after), default=0.0)
+            ends_s.append(before_s + step.estimated_s)
+        return max(ends_s, default=0.0)
+
 
 class TaskKey(_Part, kw_only=True):
     """Identity of a task.
