--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -4,11 +4,13 @@
 run. One that passes again is printed too, so that its entry can be taken out.
 """
 
+import logging
 import pathlib
 import re
 import sys
 
 import nose2
+import structlog
 from nose2.events import TestOutcomeEvent
 
 _ENTRY = re.compile(r"^test: (\S+)", re.MULTILINE)
@@ -30,6 +32,9 @@
     """Runs the tests of the given package folders; returns the exit code."""
     root = pathlib.Path(__file__).resolve().parent.parent
     known_red = set(_ENTRY.findall((root / "KNOWN-RED.txt").read_text("utf-8")))
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
     outcomes: dict[str, str] = {}
     for package in packages:
         folder = root / package
