Refuse jobs in the last moment of a stopping entry

Ruled out: jobs that came before (they are answered at the end). Change: from its last answers on the entry refuses at once. Test: failed first (complete). Conclusion: the relaxation for short jobs lacked its end.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -140,6 +140,7 @@
         self._swept_at_s = -1e9
         self._kept_house_at_s = -1e9
         self._is_stopping = False
+        self._is_ending = False
         self._stopping_at_s = 0.0
 
     @property
@@ -255,6 +256,8 @@
         Callers use open connections to the last, so short jobs are taken for as long
         as they should end before the process does.
         """
+        if self._is_ending:
+            return False
         if now_s - self._stopping_at_s <= TAKES_JOBS_FOR_S:
             return True
         ends_s = now_s + _CAUTION * document.longest_chain_s + _LAST_ANSWERS_S
@@ -348,6 +351,7 @@
         stays_until_s = self._stopping_at_s + STAYS_FOR_S
         while steady_s() < until_s and (steady_s() < stays_until_s or busy()):
             await curio.sleep(_TICK_S)
+        self._is_ending = True
         self._intake.end_all("the entry stops", steady_s())
         await self._flush()
         await curio.sleep(_LAST_ANSWERS_S)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
@@ -280,6 +280,17 @@
 
         self.play(scenario)
 
+    def test_an_entry_at_its_end_refuses_at_once(self):
+        async def scenario(fleet):
+            entry = fleet.entries[0]
+            await entry.drain(lambda: 0)
+            outcome = await entry.submit(
+                document("late"), limit_s=1.0, is_abandoned=lambda: False
+            )
+            self.assertEqual(OutcomeKind.REFUSED, outcome.kind)
+
+        self.play(scenario)
+
     def test_a_replica_with_an_empty_disk_is_taken_in_again(self):
         async def scenario(fleet):
             await fleet.offer(0, 7)
