Say that a job has not run only where the agents' traces reach back to its arrival

Ruled out: runs that agents hold (they are told whatever their age). Change: such a refusal is called true only for jobs that arrived within 3.5 s before the last agent told; older ones are answered as unknown. Test: a job of 8 s and a new dispatcher.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -245,7 +245,7 @@
         """Takes a job, or joins a submission of one that is known."""
         job = message.document.job
         if message.was_offered:
-            self._former.note_offered(job, now_s)
+            self._former.note_offered(job, now_s - message.age_s, now_s)
         known = self._board.jobs.get(job)
         if known is not None and known.state is not JobState.CANCELLED:
             known.entries.add(entry)
@@ -333,7 +333,7 @@
         Of a job that an earlier dispatcher was offered that is known once all agents
         that may hold its work have told what they hold and held.
         """
-        return not self._former.may_have_run(job, all_told=self._pool.all_told)
+        return not self._former.may_have_run(job, told_from_s=self._pool.told_from_s)
 
     def _claim_runs(self, record: JobRecord, now_s: float) -> None:
         """Gives a job what an earlier dispatcher has begun of it."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_former_runs.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_former_runs.py
@@ -21,10 +21,12 @@
         self._done: dict[TaskKey, float] = {}
         self._ran: dict[str, float] = {}
         self._offered: dict[str, float] = {}
+        self._arrived_at_s: dict[str, float] = {}
 
-    def note_offered(self, job: str, now_s: float) -> None:
+    def note_offered(self, job: str, arrived_at_s: float, now_s: float) -> None:
         """Notes that an earlier dispatcher was offered a job."""
         self._offered[job] = now_s
+        self._arrived_at_s[job] = arrived_at_s
 
     def note_run(self, task: TaskKey, agent: str, now_s: float) -> None:
         """Notes a run that nobody has claimed."""
@@ -51,16 +53,17 @@
         agent, _ = self._runs.pop(task, ("", 0.0))
         return agent
 
-    def may_have_run(self, job: str, *, all_told: bool) -> bool:
+    def may_have_run(self, job: str, *, told_from_s: float) -> bool:
         """Tells whether a task of a job may have started under another dispatcher.
 
         Args:
             job: The job.
-            all_told: Whether all agents have told what they hold and held.
+            told_from_s: Time from which on all agents have told of their runs; a job
+                that arrived earlier may have run and left no trace.
         """
         if job not in self._offered:
             return False
-        return not all_told or job in self._ran
+        return self._arrived_at_s[job] < told_from_s or job in self._ran
 
     def take_unclaimed(self, now_s: float) -> list[tuple[TaskKey, str]]:
         """Returns runs that nobody claimed in time, and forgets what is old."""
@@ -71,7 +74,7 @@
         ]
         for task, _ in unclaimed:
             del self._runs[task]
-        for known in (self._done, self._ran, self._offered):
+        for known in (self._done, self._ran, self._offered, self._arrived_at_s):
             for key in [key for key, at_s in known.items() if now_s - at_s > KEPT_S]:
                 del known[key]
         return unclaimed
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -1,6 +1,7 @@
 """WorkerPool: the attached agents and the orders that wait to be sent to them."""
 
 import collections.abc
+import math
 
 import structlog
 
@@ -15,6 +16,8 @@
 from hawthornbarrow.cells._timing import RunLeaseTiming
 from hawthornbarrow.cells._worker_view import Run, WorkerView
 
+TRACE_KEPT_S = 3.5  # less than custodians keep their ends
+
 _log = structlog.get_logger()
 
 
@@ -40,6 +43,7 @@
         self._term = term
         self._timing = timing
         self._expected = set(expected)
+        self._told_at_s = now_s
         self._recovers_until_s = now_s + timing.lost_after_s
         self._workers: dict[str, WorkerView] = {}
         self._starts: dict[str, list[StartOrder]] = {}
@@ -56,19 +60,24 @@
         return self._recovers_until_s
 
     @property
-    def all_told(self) -> bool:
-        """Whether all expected agents have told what they hold."""
-        return not self._expected
+    def told_from_s(self) -> float:
+        """Time from which on all expected agents have told of their runs.
+
+        An agent tells what it holds and the ends of the last TRACE_KEPT_S.
+        """
+        return math.inf if self._expected else self._told_at_s - TRACE_KEPT_S
 
     def is_recovering(self, now_s: float) -> bool:
         """Tells whether work of an earlier dispatcher may run unseen."""
-        return now_s < self._recovers_until_s and not self.all_told
+        return now_s < self._recovers_until_s and bool(self._expected)
 
     def attach(
         self, agent: str, message: AttachWorker, now_s: float
     ) -> WorkerView | None:
         """Attaches an agent; returns None when it has no worker to offer."""
-        self._expected.discard(agent)
+        if agent in self._expected:
+            self._expected.remove(agent)
+            self._told_at_s = now_s
         if message.worker is None:
             return None
         worker = WorkerView(
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
@@ -184,6 +184,7 @@
 
 class RefusalTest(unittest.TestCase):
     def setUp(self):
+        self.age_s = 1.5
         self.cell = Cell(seed=9)
         self.cell.run(0.5)
         self.cell.submit(job("ran", count=2, run_s=0.5))
@@ -192,7 +193,8 @@
     def refusals(self):
         dispatcher = self.cell.dispatcher
         for name in ("ran", "new"):
-            dispatcher._former.note_offered(name, self.cell.now_s)
+            now_s = self.cell.now_s
+            dispatcher._former.note_offered(name, now_s - self.age_s, now_s)
         return {name: dispatcher.has_not_run(name) for name in ("ran", "new")}
 
     def test_a_new_dispatcher_knows_what_never_ran(self):
@@ -200,6 +202,13 @@
         self.cell.run(1.0)
         self.assertEqual({"ran": False, "new": True}, self.refusals())
 
+    def test_it_does_not_know_of_jobs_older_than_the_traces(self):
+        self.age_s = 8.0
+        self.cell.run(6.0)
+        self.cell.take_over()
+        self.cell.run(1.0)
+        self.assertEqual({"ran": False, "new": False}, self.refusals())
+
     def test_it_does_not_know_while_an_agent_is_missing(self):
         self.cell.cut.add("a0")
         self.cell.take_over()
