Test a reopened replica by its storage, not by a window of a second

Cause: beside load test_a_replica_comes_back_after_its_disk_refused_a_write failed once: the operator's offer was acknowledged more than a second after the disk's error, when the replica was open again, so the test never saw it closed. Ruled out: a fault of the product (the replica was open and its entry served). Change: the test waits until the replica has another storage, which is as strict: it can only come from the loss and reopening.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
@@ -314,7 +314,8 @@
             ):
                 other = next(i for i in fleet.entries if i != lost)
                 await fleet.offer(other, 9)
-                await fleet.until(lambda: not fleet.entries[lost].has_replica)
+                keeper = fleet.entries[lost]._replica
+                await fleet.until(lambda: keeper._storage is not storage)
             back = fleet.entries[lost]
             await fleet.until(lambda: back.has_replica)
             await fleet.until(lambda: back.states["configuration_version"] == 9)
