Remove three members of the new code that nothing calls

Cause: a last read of the change: ReplicatedLedger.deliver and .identity and Leadership.leads were left over when the link transport and the replica's keeper took their part over. Ruled out: callers (searched in packages, platform and tools). Change: removed; behaviour stays.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_leadership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_leadership.py
@@ -78,11 +78,6 @@
         """The dispatcher, while this entry leads."""
         return self._dispatcher
 
-    def leads(self, now_s: float) -> bool:
-        """Tells whether no other replica can lead now."""
-        ledger = self._replica.ledger
-        return ledger is not None and ledger.leads(now_s)
-
     def heard(self, peer: str, now_s: float) -> None:
         """Notes that a frame arrived."""
         if self._dispatcher is not None:
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
@@ -156,19 +156,10 @@
         """Voters and learners, as this replica knows them."""
         return self._raft.log.members
 
-    @property
-    def identity(self) -> str:
-        """Identity of this replica."""
-        return self._identity
-
     async def resign(self) -> None:
         """Hands leadership on, if this replica leads, and stays a follower."""
         await self._inbox.post(_Resignation())
 
-    async def deliver(self, envelope: ReplicaEnvelope) -> None:
-        """Takes an envelope that arrived for this replica."""
-        await self._inbox.post(envelope)
-
     def leads(self, now_s: float) -> bool:
         """Tells whether no other replica can lead now."""
         return not self._stopped and now_s < self._raft.lease_until_s(now_s)
