Wait at a takeover for agents that may hold work, and for no others

Ruled out: the election (0.55 s of it are the shortest silence of a restarted replica), the links (agents attached 50 ms after the dispatcher began). Change: AgentRegistry strikes an agent 4 s after it lost its work (traces of its runs matter for 3.5 s); a strike is proposed in one term only, so it can not take effect after a later dispatcher gave the agent work; an agent that comes back is named anew and attached from its waiting offer. Jobs that a takeover keeps for longer than they can wait are refused at once, and the wait for a dispatcher is a quarter of the job's objective in place of 0.35 s for all; an offered job is answered once an answer would be of no use. After: to be measured; the tests fail on the former code.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_intake.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_intake.py
@@ -6,6 +6,7 @@
 
 import structlog
 from hawthornbarrow.cells import (
+    LATE_FACTOR,
     JobAnswer,
     JobDocument,
     JobState,
@@ -16,7 +17,7 @@
 
 INFORMATION_LEASE_S = 1.2  # what a dispatcher told earlier is not acted on any more
 PULSE_LATE_S = 0.4  # without a pulse for longer, jobs wait here and are not offered
-UNOFFERED_LIMIT_S = 0.35  # longest such wait; a takeover that is under way may end it
+UNOFFERED_SHARE = 0.25  # of a job's objective, for which it may wait so
 VERSION_LAG_S = 0.6  # a newer configuration must be in force here so soon
 RETRY_SOON_S = 1.0
 
@@ -75,12 +76,22 @@
 @dataclasses.dataclass(kw_only=True)
 class _HeldJob:
     document: JobDocument
+    objective_s: float
     received_at_s: float
     offered_term: int
     offers: int
     waiters: list[Waiter]
 
 
+def _lost_outcome(held: _HeldJob, reason: str) -> CallerOutcome:
+    """Returns what to tell of a job whose dispatcher is lost."""
+    if held.offers:
+        return CallerOutcome(kind=OutcomeKind.UNKNOWN, reason=reason)
+    return CallerOutcome(
+        kind=OutcomeKind.REFUSED, reason=reason, retry_after_s=RETRY_SOON_S
+    )
+
+
 class Intake:
     """Keeps the jobs of this entry's callers and hands them to the dispatcher.
 
@@ -176,9 +187,21 @@
                 self._offer(job, now_s)
 
     def submit(
-        self, document: JobDocument, waiter: Waiter, now_s: float
+        self,
+        document: JobDocument,
+        waiter: Waiter,
+        now_s: float,
+        *,
+        objective_s: float,
     ) -> CallerOutcome | None:
-        """Takes a job; returns an outcome when it is refused at once."""
+        """Takes a job; returns an outcome when it is refused at once.
+
+        Args:
+            document: The job.
+            waiter: Its caller.
+            now_s: Current time.
+            objective_s: Time in which the job should end.
+        """
         held = self._jobs.get(document.job)
         if held is not None:
             held.waiters.append(waiter)
@@ -199,6 +222,7 @@
             )
         held = _HeldJob(
             document=document,
+            objective_s=objective_s,
             received_at_s=now_s,
             offered_term=0,
             offers=0,
@@ -239,9 +263,8 @@
         if self._jobs and not self.is_informed(now_s):
             self.end_all("the dispatcher is silent", now_s)
         for held in list(self._jobs.values()):
-            waited_s = now_s - held.received_at_s
-            if not held.offers and waited_s > UNOFFERED_LIMIT_S:
-                self._refuse_unoffered(held, now_s)
+            if self._is_hopeless(held, now_s):
+                self._give_up(held, now_s)
                 continue
             held.waiters = [
                 waiter for waiter in held.waiters if not waiter.is_abandoned()
@@ -262,27 +285,29 @@
                 )
                 self._finish(held, outcome, now_s)
 
-    def _refuse_unoffered(self, held: _HeldJob, now_s: float) -> None:
-        """Refuses a job that no dispatcher was there for; it has surely not run."""
+    def _is_hopeless(self, held: _HeldJob, now_s: float) -> bool:
+        """Tells whether a job waits for a dispatcher beyond the time of use."""
+        waited_s = now_s - held.received_at_s
+        if not held.offers:
+            return waited_s > UNOFFERED_SHARE * held.objective_s
+        is_silent = now_s - self._pulsed_at_s > PULSE_LATE_S
+        return is_silent and waited_s > LATE_FACTOR * held.objective_s
+
+    def _give_up(self, held: _HeldJob, now_s: float) -> None:
+        """Answers a job that no dispatcher was there for.
+
+        One that was never offered has surely not run; of another that is not known.
+        """
         del self._jobs[held.document.job]
-        outcome = CallerOutcome(
-            kind=OutcomeKind.REFUSED,
-            reason="no dispatcher",
-            retry_after_s=RETRY_SOON_S,
-        )
-        self._finish(held, outcome, now_s)
+        if held.offers:
+            self.withdraw(held.document.job)
+        self._finish(held, _lost_outcome(held, "no dispatcher"), now_s)
 
     def end_all(self, reason: str, now_s: float) -> None:
         """Tells all callers that it is not known what became of their jobs."""
         jobs, self._jobs = self._jobs, {}
         for held in jobs.values():
-            kind = OutcomeKind.UNKNOWN if held.offers else OutcomeKind.REFUSED
-            outcome = CallerOutcome(
-                kind=kind,
-                reason=reason,
-                retry_after_s=0.0 if held.offers else RETRY_SOON_S,
-            )
-            self._finish(held, outcome, now_s)
+            self._finish(held, _lost_outcome(held, reason), now_s)
 
     def _offer(self, held: _HeldJob, now_s: float) -> None:
         held.offers += 1
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_leadership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_leadership.py
@@ -20,20 +20,18 @@
 from hawthornbarrow.ledger import (
     Applied,
     PutConfiguration,
-    RegisterAgent,
-    RetireAgent,
+    ReplicatedLedger,
 )
 from hawthornbarrow.links import LinkPort
 from hawthornbarrow.queues import QueueTable
 
+from hawthornbarrow_entry.fleet._agent_registry import AgentRegistry
 from hawthornbarrow_entry.fleet._membership import Membership
 from hawthornbarrow_entry.fleet._replica_keeper import ReplicaKeeper
 from hawthornbarrow_entry.fleet._settings import FleetEntrySettings
 
 REPLACED_AFTER_S = 6.0  # silence after which a voter's place goes to a spare disk
 
-REGISTERED_FOR_S = 30.0  # silence after which the ledger forgets an agent
-
 _log = structlog.get_logger()
 
 _Send = collections.abc.Callable[
@@ -70,8 +68,7 @@
         self._pulsed_at_s = -1e9
         self._pulsed_version = -1
         self._silent_since_s: dict[str, float] = {}
-        self._absent_since_s: dict[str, float] = {}
-        self._registering: set[str] = set()
+        self._registry = AgentRegistry(timing=settings.timing)
 
     @property
     def dispatcher(self) -> Dispatcher | None:
@@ -92,7 +89,7 @@
         """
         ledger = self._replica.ledger
         if ledger is None or not ledger.leads(now_s) or not ledger.has_settled():
-            await self._pause(now_s)
+            self._pause()
             return
         if self._dispatcher is None or self._dispatcher.term != ledger.term:
             self._begin(ledger.term, set(ledger.state.agents), now_s)
@@ -100,6 +97,7 @@
         if table is not None and table is not self._table:
             self._table = table
             self._dispatcher.set_table(table)
+        await self._attach_offered(ledger, now_s)
         await self._pulse_if_due(now_s)
         self._dispatcher.tick(now_s)
         await self._carry_out()
@@ -110,7 +108,7 @@
             return
         match message:
             case AttachWorker():
-                await self._take_attach(peer, message, now_s)
+                self._registry.offer(peer, message, now_s)
             case WorkerReport():
                 self._dispatcher.report(peer, message, now_s)
             case SubmitJob():
@@ -118,41 +116,26 @@
             case WithdrawJob():
                 self._dispatcher.withdraw(message.job, now_s)
 
-    async def _take_attach(
-        self, agent: str, message: AttachWorker, now_s: float
-    ) -> None:
-        """Attaches an agent once the ledger names it.
-
-        The next dispatcher finds there whose work it must wait for, so an agent that
-        the ledger does not name yet holds none; it offers itself again.
-        """
-        ledger = self._replica.ledger
-        assert self._dispatcher is not None and ledger is not None
-        if agent not in ledger.state.agents:
-            if ledger.leads(now_s) and agent not in self._registering:
-                self._registering.add(agent)
-                await ledger.propose(RegisterAgent(name=agent, incarnation=0))
-            return
-        self._registering.discard(agent)
-        self._dispatcher.attach(agent, message, now_s)
-        self._pulsed_at_s = -1e9
+    async def _attach_offered(self, ledger: ReplicatedLedger, now_s: float) -> None:
+        """Attaches the agents that the ledger names, and has it name the others."""
+        assert self._dispatcher is not None
+        agents = ledger.state.agents
+        for agent, message in self._registry.take_attachable(agents, now_s):
+            self._dispatcher.attach(agent, message, now_s)
+            self._pulsed_at_s = -1e9
+        for command in self._registry.take_registrations(agents):
+            await ledger.propose(command)
 
-    async def forget_agents(self, now_s: float) -> None:
-        """Strikes agents from the ledger that have been silent for long."""
+    async def strike_agents(self, now_s: float) -> None:
+        """Strikes agents from the ledger that have lost their work for good."""
         ledger = self._replica.ledger
         if ledger is None or self._dispatcher is None or not ledger.leads(now_s):
             return
-        for agent, record in list(ledger.state.agents.items()):
-            if agent in self._dispatcher.workers or self._port.is_up(agent):
-                self._absent_since_s.pop(agent, None)
-                continue
-            since_s = self._absent_since_s.setdefault(agent, now_s)
-            if now_s - since_s > REGISTERED_FOR_S:
-                del self._absent_since_s[agent]
-                _log.info("agent_forgotten", agent=agent)
-                await ledger.propose(
-                    RetireAgent(name=agent, incarnation=record.incarnation)
-                )
+        strikes = self._registry.take_strikes(
+            ledger.state.agents, self._dispatcher.workers, now_s
+        )
+        for command in strikes:
+            await ledger.propose_in_term(command, self._dispatcher.term)
 
     async def take_question(
         self, peer: str, message: CellMessage, now_s: float
@@ -234,13 +217,13 @@
             now_s=now_s,
         )
         self._table = None
-        self._registering.clear()
+        self._registry = AgentRegistry(timing=self._settings.timing)
         self._pulsed_at_s = -1e9
         _log.info(
             "dispatcher_began", term=term, expected=",".join(sorted(known_workers))
         )
 
-    async def _pause(self, now_s: float) -> None:
+    def _pause(self) -> None:
         ledger = self._replica.ledger
         if self._dispatcher is None or ledger is None:
             return
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -148,11 +148,6 @@
         """Whether new callers should come here."""
         return not self._is_stopping and self._is_serving(steady_s())
 
-    @property
-    def is_stopping(self) -> bool:
-        """Whether the process has been asked to stop."""
-        return self._is_stopping
-
     @property
     def held_count(self) -> int:
         """Jobs that callers wait for here."""
@@ -237,7 +232,9 @@
                 retry_after_s=RETRY_SOON_S,
             )
         waiter = Waiter(give_up_at_s=now_s + limit_s, is_abandoned=is_abandoned)
-        outcome = self._intake.submit(document, waiter, now_s)
+        outcome = self._intake.submit(
+            document, waiter, now_s, objective_s=self._objective_s(document)
+        )
         if outcome is not None:
             return outcome
         event = curio.Event()
@@ -250,6 +247,11 @@
         assert waiter.outcome is not None
         return waiter.outcome
 
+    def _objective_s(self, document: JobDocument) -> float:
+        """Returns the time in which a job should end, zero without its queue."""
+        queue = self._table.queues.get(document.queue) if self._table else None
+        return queue.objective_for_s(document.longest_chain_s) if queue else 0.0
+
     def _may_finish(self, document: JobDocument, now_s: float) -> bool:
         """Tells whether a stopping entry still takes a job.
 
@@ -386,7 +388,7 @@
             for member in self._membership.alive:
                 await self._send(member.name, FoundLedger(voters=founders))
         await self._leadership.repair(self._membership, now_s)
-        await self._leadership.forget_agents(now_s)
+        await self._leadership.strike_agents(now_s)
 
     async def _dial_members(self) -> None:
         """Starts a task for each address that is to be dialled."""
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_intake.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_intake.py
@@ -32,19 +32,22 @@
         pulse = Pulse(term=term, heard_at_s=now_s, version=1)
         self.intake.take_pulse(peer, pulse, now_s)
 
+    def submit(self, one, now_s, *, objective_s=1.0):
+        return self.intake.submit(JOB, one, now_s, objective_s=objective_s)
+
     def test_without_a_dispatcher_a_job_is_refused_at_once(self):
-        outcome = self.intake.submit(JOB, waiter(), 10.0)
+        outcome = self.submit(waiter(), 10.0)
         self.assertEqual(OutcomeKind.REFUSED, outcome.kind)
         self.assertGreater(outcome.retry_after_s, 0)
         self.assertEqual([], self.intake.take_messages())
 
     def test_stale_information_refuses_too(self):
         self.pulse(1, 10.0)
-        self.assertIsNotNone(self.intake.submit(JOB, waiter(), 12.0))
+        self.assertIsNotNone(self.submit(waiter(), 12.0))
 
     def test_a_new_dispatcher_is_offered_what_is_held(self):
         self.pulse(1, 10.0)
-        self.assertIsNone(self.intake.submit(JOB, waiter(), 10.0))
+        self.assertIsNone(self.submit(waiter(), 10.0))
         self.pulse(2, 11.0, peer="d2")
         first, second = self.intake.take_messages()
         self.assertEqual(("d", False), (first[0], first[1].was_offered))
@@ -58,7 +61,7 @@
     def test_a_refusal_after_an_earlier_offer_is_not_called_one(self):
         held = waiter()
         self.pulse(1, 10.0)
-        self.intake.submit(JOB, held, 10.0)
+        self.submit(held, 10.0)
         self.pulse(2, 11.0)
         answer = JobAnswer(job="j", state=JobState.UNKNOWN, reason="no room")
         self.intake.take_answer(answer, 11.1)
@@ -69,7 +72,7 @@
         self.pulse(1, 10.0)
         waiters = [waiter(), waiter()]
         for one in waiters:
-            self.intake.submit(JOB, one, 10.0)
+            self.submit(one, 10.0)
         self.assertEqual(1, len(self.intake.take_messages()))
         answer = JobAnswer(job="j", state=JobState.COMPLETE)
         self.intake.take_answer(answer, 10.5)
@@ -77,7 +80,7 @@
 
     def test_a_job_that_its_caller_left_is_withdrawn(self):
         self.pulse(1, 10.0)
-        self.intake.submit(JOB, waiter(is_abandoned=lambda: True), 10.0)
+        self.submit(waiter(is_abandoned=lambda: True), 10.0)
         self.intake.tick(10.1)
         messages = [message for _, message in self.intake.take_messages()]
         self.assertIsInstance(messages[0], SubmitJob)
@@ -87,7 +90,7 @@
     def test_the_time_limit_ends_the_wait_as_unknown(self):
         held = waiter(give_up_at_s=11.0)
         self.pulse(1, 10.0)
-        self.intake.submit(JOB, held, 10.0)
+        self.submit(held, 10.0)
         self.intake.tick(11.0)
         self.assertEqual([held], self.intake.take_finished())
         self.assertEqual(OutcomeKind.UNKNOWN, held.outcome.kind)
@@ -95,7 +98,7 @@
     def test_a_silent_dispatcher_leaves_no_caller_waiting(self):
         held = waiter()
         self.pulse(1, 10.0)
-        self.intake.submit(JOB, held, 10.0)
+        self.submit(held, 10.0)
         self.intake.tick(11.0)
         self.assertIsNone(held.outcome)
         self.intake.tick(11.3)
@@ -105,15 +108,36 @@
     def test_a_job_that_was_never_offered_is_refused_truly_and_soon(self):
         held = waiter()
         self.pulse(1, 10.0)
-        self.intake.submit(JOB, held, 10.6)
+        self.submit(held, 10.6)
         self.assertEqual([], self.intake.take_messages())
         self.intake.tick(11.0)
         self.assertEqual(OutcomeKind.REFUSED, held.outcome.kind)
         self.assertGreater(held.outcome.retry_after_s, 0)
 
+    def test_a_job_waits_for_a_dispatcher_as_long_as_its_objective_allows(self):
+        short, long = waiter(), waiter()
+        self.pulse(1, 10.0)
+        self.submit(short, 10.5, objective_s=0.4)
+        other = JobDocument(job="long", queue="q", spec="", steps=(STEP,))
+        self.intake.submit(other, long, 10.5, objective_s=4.0)
+        self.intake.tick(10.65)
+        self.assertEqual(OutcomeKind.REFUSED, short.outcome.kind)
+        self.assertIsNone(long.outcome)
+
+    def test_an_offered_job_does_not_wait_for_a_takeover_that_is_of_no_use(self):
+        held = waiter()
+        self.pulse(1, 10.0)
+        self.submit(held, 10.0, objective_s=0.2)
+        self.intake.tick(10.35)
+        self.assertIsNone(held.outcome)
+        self.intake.tick(10.65)
+        self.assertEqual(OutcomeKind.UNKNOWN, held.outcome.kind)
+        messages = [message for _, message in self.intake.take_messages()]
+        self.assertIn(WithdrawJob(job="j"), messages)
+
     def test_a_job_kept_during_a_takeover_is_offered_once(self):
         self.pulse(1, 10.0)
-        self.intake.submit(JOB, waiter(), 10.6)
+        self.submit(waiter(), 10.6)
         self.pulse(2, 10.8, peer="d2")
         self.pulse(2, 10.9, peer="d2")
         (message,) = self.intake.take_messages()
@@ -130,7 +154,7 @@
     def test_a_refusal_that_knows_of_no_run_is_called_one(self):
         held = waiter()
         self.pulse(1, 10.0)
-        self.intake.submit(JOB, held, 10.0)
+        self.submit(held, 10.0)
         self.pulse(2, 11.0)
         answer = JobAnswer(job="j", state=JobState.UNKNOWN, has_not_run=True)
         self.intake.take_answer(answer, 11.1)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -3,7 +3,7 @@
 from hawthornbarrow.cells._admission import Admission, Verdict
 from hawthornbarrow.cells._custodian import Custodian
 from hawthornbarrow.cells._dispatcher import Dispatcher
-from hawthornbarrow.cells._job_record import JobRecord
+from hawthornbarrow.cells._job_record import LATE_FACTOR, JobRecord
 from hawthornbarrow.cells._messages import (
     AskConfiguration,
     AskJobState,
@@ -41,7 +41,7 @@
     TimelyPriorityOrder,
 )
 from hawthornbarrow.cells._run_times import RunTimes
-from hawthornbarrow.cells._timing import RunLeaseTiming
+from hawthornbarrow.cells._timing import TRACE_KEPT_S, RunLeaseTiming
 from hawthornbarrow.cells._upstream_calls import (
     ListedEnd,
     ListedRun,
@@ -52,6 +52,8 @@
 )
 
 __all__ = [
+    "LATE_FACTOR",
+    "TRACE_KEPT_S",
     "Admission",
     "ArrivalOrder",
     "AskConfiguration",
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_admission.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_admission.py
@@ -50,6 +50,8 @@
         waiting: collections.abc.Iterable[JobRecord],
         workers: collections.abc.Iterable[WorkerView],
         now_s: float,
+        *,
+        paused_s: float = 0.0,
     ) -> Verdict:
         """Returns whether a job is taken.
 
@@ -58,6 +60,7 @@
             waiting: Jobs that wait for room.
             workers: Workers that may take it.
             now_s: Current time.
+            paused_s: Time for which nothing is started yet.
         """
         workers = list(workers)
         rate = self._rate(workers)
@@ -67,9 +70,9 @@
             for other in waiting
             if other.queue.priority <= job.queue.priority and other.start_by_s >= now_s
         )
-        wait_s = 0.0
+        wait_s = paused_s
         if ahead > 0 or free < self._cores(job):
-            wait_s = (ahead + self._work(job) / 2) / rate
+            wait_s += (ahead + self._work(job) / 2) / rate
         slack_s = job.start_by_s - now_s
         return Verdict(
             is_admitted=wait_s <= slack_s,
@@ -83,6 +86,8 @@
         waiting: collections.abc.Iterable[JobRecord],
         workers: collections.abc.Iterable[WorkerView],
         now_s: float,
+        *,
+        paused_s: float = 0.0,
     ) -> list[JobRecord]:
         """Returns jobs not begun that the work ahead of them keeps for too long.
 
@@ -90,12 +95,13 @@
             waiting: Jobs that wait for room, in the order in which they get it.
             workers: Workers that may take them.
             now_s: Current time.
+            paused_s: Time for which nothing is started yet.
         """
         rate = self._rate(workers)
         ahead = 0.0
         hopeless = []
         for job in waiting:
-            if not job.has_begun and now_s + ahead / rate > job.refuse_by_s:
+            if not job.has_begun and now_s + paused_s + ahead / rate > job.refuse_by_s:
                 hopeless.append(job)
             else:
                 ahead += self._work(job)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_custodian.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_custodian.py
@@ -27,7 +27,7 @@
     WorkerRecord,
     WorkerReport,
 )
-from hawthornbarrow.cells._timing import RunLeaseTiming
+from hawthornbarrow.cells._timing import ENDED_KEPT_S, RunLeaseTiming
 from hawthornbarrow.cells._upstream_calls import (
     ListedEnd,
     ListedRun,
@@ -37,7 +37,6 @@
     StopCall,
 )
 
-ENDED_KEPT_S = 4.0
 REPORT_AGAIN_S = 0.4
 STOP_AGAIN_S = 0.25
 SILENT_AFTER_S = 0.7
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -295,12 +295,16 @@
     def _is_refused(
         self, entry: str, record: JobRecord, message: SubmitJob, now_s: float
     ) -> bool:
-        if message.was_offered or self.is_recovering(now_s):
+        if message.was_offered or self._pool.is_gathering(now_s):
             return False
         offered = self._workers_by_service(now_s).get(record.queue.service, ())
         workers = [worker for _, worker in offered]
         verdict = self._admission.judge(
-            record, self._board.waiting.values(), workers, now_s
+            record,
+            self._board.waiting.values(),
+            workers,
+            now_s,
+            paused_s=self._pool.paused_s(now_s),
         )
         if verdict.is_admitted:
             return False
@@ -499,7 +503,7 @@
             self._detach(worker, "silent", now_s)
         for worker in self._pool.workers.values():
             self._suspect_slow(worker, now_s)
-        if not self.is_recovering(now_s):
+        if not self._pool.is_gathering(now_s):
             self._refuse_hopeless(now_s)
         for job in list(self._board.waiting.values()):
             if now_s > job.give_up_at_s and not job.running_count:
@@ -530,7 +534,10 @@
             jobs.setdefault(self._service_of(job), []).append(job)
         for service, waiting in jobs.items():
             workers = [worker for _, worker in services.get(service, ())]
-            for job in self._admission.hopeless(waiting, workers, now_s):
+            hopeless = self._admission.hopeless(
+                waiting, workers, now_s, paused_s=self._pool.paused_s(now_s)
+            )
+            for job in hopeless:
                 self._give_up(job, now_s)
 
     def _give_up(self, record: JobRecord, now_s: float) -> None:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
@@ -103,7 +103,7 @@
         Args:
             chain_s: Expected time of its longest chain of steps.
         """
-        objective_s = self.queue.slack_factor * chain_s + self.queue.objective_s
+        objective_s = self.queue.objective_for_s(chain_s)
         self.start_by_s = self.arrived_at_s + objective_s - chain_s - OVERHEAD_S
         self.refuse_by_s = self.start_by_s + LATE_SHARE * objective_s
         self.give_up_at_s = self.arrived_at_s + LATE_FACTOR * objective_s
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_timing.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_timing.py
@@ -16,6 +16,8 @@
 
 CLOCK_DRIFT = 0.02  # an upstream's steady clock may be this much slow
 DOUBTED_PULSES = 2.5  # an agent answers each pulse at once
+ENDED_KEPT_S = 4.0  # for which a custodian keeps the ends of runs
+TRACE_KEPT_S = 3.5  # of these ends a new dispatcher relies on
 MARGIN_S = 0.05  # tick of the processes that act on the leases
 
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -13,10 +13,10 @@
     StopTasks,
     TaskKey,
 )
-from hawthornbarrow.cells._timing import RunLeaseTiming
+from hawthornbarrow.cells._timing import TRACE_KEPT_S, RunLeaseTiming
 from hawthornbarrow.cells._worker_view import Run, WorkerView
 
-TRACE_KEPT_S = 3.5  # less than custodians keep their ends
+ATTACH_S = 0.25  # in which agents that can be reached attach to a new dispatcher
 
 _log = structlog.get_logger()
 
@@ -44,6 +44,7 @@
         self._timing = timing
         self._expected = set(expected)
         self._told_at_s = now_s
+        self._gathers_until_s = now_s + ATTACH_S
         self._recovers_until_s = now_s + timing.lost_after_s
         self._workers: dict[str, WorkerView] = {}
         self._starts: dict[str, list[StartOrder]] = {}
@@ -71,6 +72,14 @@
         """Tells whether work of an earlier dispatcher may run unseen."""
         return now_s < self._recovers_until_s and bool(self._expected)
 
+    def is_gathering(self, now_s: float) -> bool:
+        """Tells whether agents that can be reached may still attach any moment."""
+        return now_s < self._gathers_until_s and bool(self._expected)
+
+    def paused_s(self, now_s: float) -> float:
+        """Returns how long no work is given out yet, unless missing agents attach."""
+        return self._recovers_until_s - now_s if self.is_recovering(now_s) else 0.0
+
     def attach(
         self, agent: str, message: AttachWorker, now_s: float
     ) -> WorkerView | None:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
@@ -228,3 +228,15 @@
         self.assertNotIn("late", cell.answers)
         cell.run(0.6)
         self.assertIs(JobState.UNKNOWN, cell.answers.get("late"))
+
+    def test_a_job_that_a_takeover_keeps_for_too_long_is_refused_at_once(self):
+        cell = self.cell
+        cell.cut.add("a0")
+        cell.take_over()
+        cell.dispatcher.set_table(table(objective_s=0.06))
+        cell.run(0.4)
+        cell.submit(job("short", run_s=0.1))
+        cell.submit(job("patient", run_s=5.0))
+        cell.run(0.05)
+        self.assertIs(JobState.UNKNOWN, cell.answers.get("short"))
+        self.assertNotIn("patient", cell.answers)
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
@@ -63,6 +63,12 @@
     new: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _OneTermProposal:
+    term: int
+    command: Command
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Resignation:
     """Hand leadership on."""
@@ -189,6 +195,13 @@
             self._waiting.append(proposal)
         return number
 
+    async def propose_in_term(self, command: Command, term: int) -> None:
+        """Proposes a command that may not take effect after a later leader began.
+
+        It is never tried again: without the lead in that term it is dropped.
+        """
+        await self._inbox.post(_OneTermProposal(term=term, command=command))
+
     async def replace(self, old: str, new: str) -> int:
         """Asks the leader to replace a replica."""
         number = self._take_number()
@@ -239,6 +252,9 @@
             self._raft.receive(item.sender, item.message, now_s)
         elif isinstance(item, _NewProposal):
             self._start_proposal(item, now_s)
+        elif isinstance(item, _OneTermProposal):
+            if item.term == self._raft.term:
+                self._propose_once(item.command)
         elif isinstance(item, _NewReplacement):
             await self._try_replacement(item, now_s)
         elif isinstance(item, _Resignation):
--- a/packages/hawthornbarrow/src/hawthornbarrow/queues/_table.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/queues/_table.py
@@ -49,6 +49,14 @@
     objective_s: float = 0.0
     timeout_s: float = 60.0
 
+    def objective_for_s(self, chain_s: float) -> float:
+        """Returns the time from its arrival in which a job should end.
+
+        Args:
+            chain_s: Time of the job's longest chain of steps.
+        """
+        return self.slack_factor * chain_s + self.objective_s
+
 
 class QueueTable:
     """Finds the queue of a request.
