--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_exchange.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_exchange.py
@@ -36,12 +36,15 @@
         body: The whole body.
         content_type: Media type of the body.
         headers: Further header values by name.
+        closes_connection: Whether the caller must send its next request on another
+            connection, which may lead to another server.
     """
 
     status: int
     body: bytes = b""
     content_type: str = "application/json"
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    closes_connection: bool = False
 
 
 def problem(
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
@@ -130,7 +130,11 @@
         self._busy_requests += 1
         try:
             response = await self._handler(request)
-            must_close = self._is_draining or connection.their_state is not h11.DONE
+            must_close = (
+                self._is_draining
+                or response.closes_connection
+                or connection.their_state is not h11.DONE
+            )
             await _send(sock, connection, response, close=must_close)
         finally:
             self._busy_requests -= 1
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/tests/test_http.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/tests/test_http.py
@@ -23,7 +23,11 @@
 async def echo(request: Request) -> Response:
     if request.path == "/slow":
         await curio.sleep(0.2)
-    return Response(status=200, body=request.path.encode() + request.body)
+    return Response(
+        status=200,
+        body=request.path.encode() + request.body,
+        closes_connection=request.path == "/elsewhere",
+    )
 
 
 def with_server(scenario):
@@ -65,6 +69,12 @@
         self.assertEqual(positions, sorted(positions))
         self.assertEqual(reply.count(b"200"), 3)
 
+    def test_a_caller_is_told_to_use_another_connection(self):
+        request = b"GET /elsewhere HTTP/1.1\r\nHost: x\r\n\r\n"
+        reply = with_server(lambda port: exchange(port, request))
+        self.assertIn(b"/elsewhere", reply)
+        self.assertIn(b"connection: close", reply.lower())
+
     def test_bad_input_gets_a_clear_refusal_and_disturbs_nobody(self):
         cases = {
             b"NONSENSE\r\n\r\n": b"400",
