Serve jobs that need not be kept while the ledger has no majority

Ruled out: an electorate of entries (half of them have disks), a standing electorate of agents (a restart of all would cost a run lease more). Change: an entry that has heard no dispatcher for as long as runs live asks the agents to follow it; they promise themselves to one at a time, only once their own leases have lapsed; a majority of the agents that the ledger names makes it dispatch, under odd terms between those of the ledger's leaders, which supersede it. Leaders tell entries the agents' names. Given-up waits are one rule. Tests: promises, claims, the cell's fuzz with leaderless spells, real links with one entry of three left.

--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -8,6 +8,7 @@
 import curio
 import structlog
 from hawthornbarrow.cells import (
+    ClaimAgents,
     Custodian,
     Directory,
     Listing,
@@ -159,7 +160,9 @@
             poll_s=_POLL_S,
         )
         self._custodian = Custodian(
-            timing=settings.timing, generator=random.Random(incarnation)
+            timing=settings.timing,
+            generator=random.Random(incarnation),
+            now_s=steady_s(),
         )
         self._dialled: set[str] = set()
         self._dials: list[str] = []
@@ -247,6 +250,8 @@
             case Pulse():
                 self._custodian.take_pulse(peer, message, now_s)
                 self._port.acknowledge(peer)
+            case ClaimAgents():
+                self._custodian.take_claim(peer, message, now_s)
             case StartTasks() | StopTasks():
                 self._custodian.take_orders(message, now_s)
             case Directory():
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_agent_registry.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_agent_registry.py
@@ -16,8 +16,6 @@
 
 _log = structlog.get_logger()
 
-_Agents = collections.abc.Mapping[str, AgentRecord]
-
 
 class AgentRegistry:
     """Decides which agents the ledger names while one dispatcher leads.
@@ -40,7 +38,7 @@
         self._absent_since_s.pop(agent, None)
 
     def take_attachable(
-        self, agents: _Agents, now_s: float
+        self, agents: collections.abc.Container[str], now_s: float
     ) -> list[tuple[str, AttachWorker]]:
         """Returns the offers of agents that the ledger names, and forgets them.
 
@@ -58,8 +56,14 @@
                 attachable.append((agent, message))
         return attachable
 
-    def take_registrations(self, agents: _Agents) -> list[RegisterAgent]:
-        """Returns the commands that name the agents whose offers wait."""
+    def take_registrations(
+        self, agents: collections.abc.Collection[str]
+    ) -> list[RegisterAgent]:
+        """Returns the commands that name the agents whose offers wait.
+
+        Args:
+            agents: Agents that the ledger names.
+        """
         self._striking.intersection_update(agents)
         missing = [
             agent
@@ -71,7 +75,7 @@
 
     def take_strikes(
         self,
-        agents: _Agents,
+        agents: collections.abc.Mapping[str, AgentRecord],
         attached: collections.abc.Container[str],
         now_s: float,
     ) -> list[RetireAgent]:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_intake.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_intake.py
@@ -269,8 +269,6 @@
         When the dispatcher has been silent for too long, its runs have lost their
         leases. Whether a job has run is not known then, so the caller may ask again.
         """
-        if self._jobs and not self.is_informed(now_s):
-            self.end_all("the dispatcher is silent", now_s)
         for held in list(self._jobs.values()):
             if self._is_hopeless(held, now_s):
                 self._give_up(held, now_s)
@@ -299,6 +297,8 @@
         waited_s = now_s - held.received_at_s
         if not held.offers:
             return waited_s > UNOFFERED_SHARE * held.objective_s
+        if not self.is_informed(now_s):
+            return True
         is_silent = now_s - self._pulsed_at_s > PULSE_LATE_S
         return is_silent and waited_s > LATE_FACTOR * held.objective_s
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_leadership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_leadership.py
@@ -1,6 +1,10 @@
-"""Leadership: what an entry does while its replica leads the ledger."""
+"""Leadership: what an entry does while it dispatches.
+
+It does so while its replica leads the ledger, or as a standby while no replica can.
+"""
 
 import collections.abc
+import dataclasses
 
 import structlog
 from hawthornbarrow.cells import (
@@ -10,17 +14,22 @@
     CellMessage,
     ConfigurationOutcome,
     Dispatcher,
+    GrantClaim,
+    KnownAgents,
     NewestConfiguration,
     OfferConfiguration,
+    Standby,
     SubmitJob,
+    Superseded,
     TellJobState,
     WithdrawJob,
     WorkerReport,
+    is_standby_term,
+    ledger_term_of,
 )
 from hawthornbarrow.ledger import (
     Applied,
     PutConfiguration,
-    ReplicatedLedger,
 )
 from hawthornbarrow.links import LinkPort
 from hawthornbarrow.queues import QueueTable
@@ -39,14 +48,35 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Mandate:
+    """Why this entry may dispatch.
+
+    Attributes:
+        term: Term of the dispatcher.
+        agents: Agents that may hold work of an earlier one.
+        version: Version of the configuration in force.
+    """
+
+    term: int
+    agents: frozenset[str]
+    version: int
+
+    @property
+    def is_standby(self) -> bool:
+        """Whether it dispatches without leading the ledger."""
+        return is_standby_term(self.term)
+
+
 class Leadership:
-    """Dispatches and answers questions, only while no other replica can lead.
+    """Dispatches and answers questions, only while no other entry can.
 
     Args:
         settings: Settings of the process.
         replica: This entry's replica.
         port: Links of the process.
         send: Sends a message to a process, this one included.
+        now_s: Current time.
     """
 
     def __init__(
@@ -56,6 +86,7 @@
         replica: ReplicaKeeper,
         port: LinkPort,
         send: _Send,
+        now_s: float,
     ) -> None:
         """Starts as a follower."""
         self._settings = settings
@@ -63,6 +94,8 @@
         self._port = port
         self._send = send
         self._dispatcher: Dispatcher | None = None
+        self._standby = Standby(timing=settings.timing, now_s=now_s)
+        self._told_agents: dict[str, frozenset[str]] = {}
         self._table: QueueTable | None = None
         self._offers: dict[int, tuple[str, int]] = {}
         self._pulsed_at_s = -1e9
@@ -77,9 +110,18 @@
 
     def heard(self, peer: str, now_s: float) -> None:
         """Notes that a frame arrived."""
+        self._standby.heard(peer, now_s)
         if self._dispatcher is not None:
             self._dispatcher.heard(peer, now_s)
 
+    def take_pulse(self, term: int, now_s: float) -> None:
+        """Takes note of a dispatcher, this one or another."""
+        self._standby.take_pulse(term, now_s)
+
+    def take_peer_up(self, peer: str) -> None:
+        """Takes note of a process that may have been told nothing yet."""
+        self._told_agents.pop(peer, None)
+
     async def tick(self, now_s: float, table: QueueTable | None) -> None:
         """Begins or ends to lead, pulses, and carries out the decisions.
 
@@ -87,27 +129,71 @@
             now_s: Current time.
             table: Configuration in force at this entry.
         """
-        ledger = self._replica.ledger
-        if ledger is None or not ledger.leads(now_s) or not ledger.has_settled():
+        mandate = self._mandate(now_s, table)
+        if mandate is None:
             self._pause()
             return
-        if self._dispatcher is None or self._dispatcher.term != ledger.term:
-            self._begin(ledger.term, set(ledger.state.agents), now_s)
+        if self._dispatcher is None or self._dispatcher.term != mandate.term:
+            self._begin(mandate, now_s)
         assert self._dispatcher is not None
         if table is not None and table is not self._table:
             self._table = table
             self._dispatcher.set_table(table)
-        await self._attach_offered(ledger, now_s)
-        await self._pulse_if_due(now_s)
+        if not mandate.is_standby:
+            await self._tell_agents(mandate)
+        await self._attach_offered(mandate, now_s)
+        await self._pulse_if_due(mandate, now_s)
         self._dispatcher.tick(now_s)
         await self._carry_out()
 
+    def is_leaderless(self, now_s: float) -> bool:
+        """Tells whether nobody has dispatched for so long that a standby may."""
+        return self._standby.is_leaderless(now_s)
+
+    async def claim(self, rank: int, now_s: float) -> None:
+        """Claims the agents when nobody else has dispatched for long.
+
+        Args:
+            rank: Position of this entry among those that may claim.
+            now_s: Current time.
+        """
+        agents_up = self._port.peers_up("agent")
+        claim = self._standby.claim_if_due(agents_up, rank, now_s)
+        if claim is not None:
+            for agent in self._standby.agents.intersection(agents_up):
+                await self._send(agent, claim)
+
+    def _mandate(self, now_s: float, table: QueueTable | None) -> _Mandate | None:
+        ledger = self._replica.ledger
+        if ledger is not None and ledger.leads(now_s) and ledger.has_settled():
+            current = self._dispatcher.term if self._dispatcher else 0
+            return _Mandate(
+                term=self._standby.leader_term(ledger.term, current),
+                agents=frozenset(ledger.state.agents),
+                version=ledger.state.put.version,
+            )
+        if table is not None and self._standby.leads(now_s):
+            return _Mandate(
+                term=self._standby.term,
+                agents=self._standby.agents,
+                version=table.version,
+            )
+        return None
+
     async def take_work(self, peer: str, message: CellMessage, now_s: float) -> None:
-        """Takes a message for the dispatcher."""
+        """Takes a message for the dispatcher, or about who dispatches."""
+        match message:
+            case KnownAgents():
+                self._standby.take_agents(message.term, message.agents)
+            case GrantClaim():
+                self._standby.take_grant(peer, message.term, now_s)
+            case Superseded():
+                self._standby.take_superseded(message.term)
         if self._dispatcher is None:
             return
         match message:
             case AttachWorker():
+                self._standby.take_grant(peer, message.term, now_s)
                 self._registry.offer(peer, message, now_s)
             case WorkerReport():
                 self._dispatcher.report(peer, message, now_s)
@@ -116,15 +202,27 @@
             case WithdrawJob():
                 self._dispatcher.withdraw(message.job, now_s)
 
-    async def _attach_offered(self, ledger: ReplicatedLedger, now_s: float) -> None:
-        """Attaches the agents that the ledger names, and has it name the others."""
+    async def _tell_agents(self, mandate: _Mandate) -> None:
+        """Tells the entries which agents the ledger names, when that changes."""
+        message = KnownAgents(term=mandate.term, agents=tuple(sorted(mandate.agents)))
+        for peer in [*self._port.peers_up("entry"), self._settings.name]:
+            if self._told_agents.get(peer) != mandate.agents:
+                self._told_agents[peer] = mandate.agents
+                await self._send(peer, message)
+
+    async def _attach_offered(self, mandate: _Mandate, now_s: float) -> None:
+        """Attaches the agents that the ledger names, and has it name the others.
+
+        A standby can have nobody named, so others get no work from it.
+        """
         assert self._dispatcher is not None
-        agents = ledger.state.agents
-        for agent, message in self._registry.take_attachable(agents, now_s):
+        for agent, message in self._registry.take_attachable(mandate.agents, now_s):
             self._dispatcher.attach(agent, message, now_s)
             self._pulsed_at_s = -1e9
-        for command in self._registry.take_registrations(agents):
-            await ledger.propose(command)
+        ledger = self._replica.ledger
+        if ledger is not None and not mandate.is_standby:
+            for command in self._registry.take_registrations(mandate.agents):
+                await ledger.propose(command)
 
     async def strike_agents(self, now_s: float) -> None:
         """Strikes agents from the ledger that have lost their work for good."""
@@ -135,12 +233,17 @@
             ledger.state.agents, self._dispatcher.workers, now_s
         )
         for command in strikes:
-            await ledger.propose_in_term(command, self._dispatcher.term)
+            await ledger.propose_in_term(command, ledger_term_of(self._dispatcher.term))
 
     async def take_question(
         self, peer: str, message: CellMessage, now_s: float
     ) -> None:
-        """Answers a question that only a leader can answer."""
+        """Answers a question that only a dispatcher or a leader can answer."""
+        if isinstance(message, AskJobState):
+            if self._mandate(now_s, self._table) and self._dispatcher is not None:
+                state = self._dispatcher.state_of(message.job)
+                await self._send(peer, TellJobState(number=message.number, state=state))
+            return
         ledger = self._replica.ledger
         if ledger is None or not ledger.leads(now_s) or not ledger.has_settled():
             return
@@ -153,9 +256,6 @@
                 await self._send(peer, answer)
             case OfferConfiguration():
                 await self._take_offer(peer, message)
-            case AskJobState() if self._dispatcher is not None:
-                state = self._dispatcher.state_of(message.job)
-                await self._send(peer, TellJobState(number=message.number, state=state))
 
     async def take_applied(self, applied: Applied, now_s: float) -> None:
         """Takes a committed command."""
@@ -204,31 +304,34 @@
 
     # --- leading ---------------------------------------------------------------
 
-    def _begin(
-        self,
-        term: int,
-        known_workers: collections.abc.Collection[str],
-        now_s: float,
-    ) -> None:
+    def _begin(self, mandate: _Mandate, now_s: float) -> None:
         self._dispatcher = Dispatcher(
-            term=term,
+            term=mandate.term,
             timing=self._settings.timing,
-            expected=known_workers,
+            expected=mandate.agents,
             now_s=now_s,
+            has_lapsed=mandate.is_standby,
         )
         self._table = None
+        self._told_agents.clear()
         self._registry = AgentRegistry(timing=self._settings.timing)
         self._pulsed_at_s = -1e9
         _log.info(
-            "dispatcher_began", term=term, expected=",".join(sorted(known_workers))
+            "dispatcher_began",
+            term=mandate.term,
+            standby=mandate.is_standby,
+            expected=",".join(sorted(mandate.agents)),
         )
 
     def _pause(self) -> None:
-        ledger = self._replica.ledger
-        if self._dispatcher is None or ledger is None:
+        """Ends the dispatcher, unless the same one may lead again."""
+        if self._dispatcher is None:
             return
-        if ledger.term != self._dispatcher.term:
-            _log.warning("dispatcher_ended", term=self._dispatcher.term)
+        ledger = self._replica.ledger
+        term = self._dispatcher.term
+        may_return = ledger is not None and ledger.term == ledger_term_of(term)
+        if is_standby_term(term) or not may_return:
+            _log.warning("dispatcher_ended", term=term)
             self._dispatcher = None
 
     async def _take_offer(self, peer: str, message: OfferConfiguration) -> None:
@@ -244,9 +347,9 @@
         )
         self._offers[number] = (peer, message.number)
 
-    async def _pulse_if_due(self, now_s: float) -> None:
-        assert self._dispatcher is not None and self._replica.ledger is not None
-        version = self._replica.ledger.state.put.version
+    async def _pulse_if_due(self, mandate: _Mandate, now_s: float) -> None:
+        assert self._dispatcher is not None
+        version = mandate.version
         has_news = version != self._pulsed_version
         is_due = now_s - self._pulsed_at_s >= self._settings.timing.pulse_s
         if not has_news and not is_due:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -15,13 +15,16 @@
     Directory,
     FleetMember,
     FoundLedger,
+    GrantClaim,
     JobAnswer,
     JobDocument,
     JobState,
+    KnownAgents,
     NewestConfiguration,
     OfferConfiguration,
     Pulse,
     SubmitJob,
+    Superseded,
     TellJobState,
     WithdrawJob,
     WorkerReport,
@@ -127,6 +130,7 @@
             replica=self._replica,
             port=self._port,
             send=self._send,
+            now_s=steady_s(),
         )
         self._table: QueueTable | None = None
         self._roles: dict[str, str] = {}
@@ -372,6 +376,8 @@
             for item in items:
                 await self._take(item, now_s)
             await self._leadership.tick(now_s, self._table)
+            if self._may_stand_by and self._leadership.is_leaderless(now_s):
+                await self._leadership.claim(self._rank, now_s)
             if now_s - self._swept_at_s >= _SWEEP_S:
                 self._swept_at_s = now_s
                 self._intake.tick(now_s)
@@ -380,6 +386,21 @@
                 await self._keep_house(now_s)
             await self._flush()
 
+    @property
+    def _may_stand_by(self) -> bool:
+        return self._table is not None and not self._is_stopping
+
+    @property
+    def _rank(self) -> int:
+        """Position among the linked entries that may stand by, diskless ones first.
+
+        Entries with disks are those that are away or coming back then.
+        """
+        members = sorted(
+            self._membership.alive, key=lambda one: (bool(one.replica), one.name)
+        )
+        return [member.name for member in members].index(self._settings.name)
+
     async def _keep_house(self, now_s: float) -> None:
         self._membership.forget_silent(now_s)
         founders = self._replica.founders_to_announce(
@@ -426,6 +447,7 @@
     async def _take_peer_up(self, event: PeerUp, now_s: float) -> None:
         self._roles[event.peer] = event.role
         _log.info("peer_up", peer=event.peer, role=event.role)
+        self._leadership.take_peer_up(event.peer)
         if event.role == ENTRY_ROLE:
             self._membership.note_link(event.peer, True, now_s)
         await self._send(event.peer, self._membership.directory())
@@ -442,8 +464,7 @@
             case ReplicaPayload():
                 await self._replica.deliver(message)
             case Pulse():
-                self._intake.take_pulse(peer, message, now_s)
-                await self._pull_configuration(now_s)
+                await self._take_pulse(peer, message, now_s)
             case JobAnswer():
                 self._intake.take_answer(message, now_s)
             case TellJobState() | ConfigurationOutcome():
@@ -457,9 +478,19 @@
                 await self._replica.found(message.voters)
             case AttachWorker() | WorkerReport() | SubmitJob() | WithdrawJob():
                 await self._leadership.take_work(peer, message, now_s)
+            case KnownAgents() | GrantClaim() | Superseded():
+                await self._leadership.take_work(peer, message, now_s)
             case AskJobState() | OfferConfiguration() | AskConfiguration():
                 await self._leadership.take_question(peer, message, now_s)
 
+    async def _take_pulse(self, peer: str, pulse: Pulse, now_s: float) -> None:
+        self._leadership.take_pulse(pulse.term, now_s)
+        if pulse.term < self._intake.term:
+            await self._send(peer, Superseded(term=self._intake.term))
+            return
+        self._intake.take_pulse(peer, pulse, now_s)
+        await self._pull_configuration(now_s)
+
     async def _take_directory(
         self, peer: str, directory: Directory, now_s: float
     ) -> None:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
@@ -18,6 +18,7 @@
     StartVerdict,
     Step,
     WorkerRecord,
+    is_standby_term,
 )
 from hawthornbarrow.clock import steady_s
 from hawthornbarrow.ledger import LedgerStorageError
@@ -251,6 +252,26 @@
 
         self.play(scenario)
 
+    def test_jobs_are_served_while_the_ledger_has_no_majority(self):
+        async def scenario(fleet):
+            await fleet.submit(0, "before")
+            for index in (1, 2):
+                await fleet.tasks.pop(index).cancel()
+                del fleet.entries[index]
+            survivor = fleet.entries[0]
+            await fleet.until(lambda: is_standby_term(survivor.states["term"]))
+            await fleet.submit(0, "during")
+            with self.assertRaises(NotSureError):
+                await survivor.read_configuration()
+            await fleet.start_entry(1, is_first=False)
+            await fleet.until(lambda: not is_standby_term(survivor.states["term"]))
+            await fleet.submit(0, "after")
+            started = [task for up in fleet.upstreams for task in up.started]
+            self.assertEqual(9, len(set(started)))
+            self.assertEqual(1, await self.version(survivor))
+
+        self.play(scenario)
+
     def test_leadership_is_handed_on_by_an_entry_that_stops(self):
         async def scenario(fleet):
             first = fleet.leader()
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_custodian.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_custodian.py
@@ -15,7 +15,9 @@
 
 from hawthornbarrow.cells._messages import (
     AttachWorker,
+    ClaimAgents,
     EndedRun,
+    GrantClaim,
     HeldRun,
     Pulse,
     Resources,
@@ -27,6 +29,7 @@
     WorkerRecord,
     WorkerReport,
 )
+from hawthornbarrow.cells._standby import is_standby_term
 from hawthornbarrow.cells._timing import ENDED_KEPT_S, RunLeaseTiming
 from hawthornbarrow.cells._upstream_calls import (
     ListedEnd,
@@ -81,16 +84,22 @@
     Args:
         timing: Lengths of the leases.
         generator: Source of session numbers.
+        now_s: Current time.
     """
 
-    def __init__(self, *, timing: RunLeaseTiming, generator: random.Random) -> None:
-        """Starts without an upstream and without a dispatcher."""
+    def __init__(
+        self, *, timing: RunLeaseTiming, generator: random.Random, now_s: float
+    ) -> None:
+        """Starts without an upstream, as if it had just followed a dispatcher."""
         self._timing = timing
         self._generator = generator
         self._worker: WorkerRecord | None = None
         self._is_leaving = False
         self._term = 0
         self._dispatcher = ""
+        self._pulsed_at_s = now_s
+        self._promised_term = 0
+        self._promised_at_s = now_s
         self._session = 0
         self._is_attached = False
         self._is_clean = False
@@ -231,8 +240,9 @@
 
     def take_pulse(self, peer: str, pulse: Pulse, now_s: float) -> None:
         """Takes a dispatcher's pulse, which renews the lease."""
-        if pulse.term < self._term:
+        if not self._follows(pulse.term, now_s):
             return
+        self._pulsed_at_s = now_s
         if pulse.term > self._term:
             _log.info(
                 "dispatcher_found",
@@ -260,6 +270,36 @@
             self._end_session()
         self._offer(now_s)
 
+    def take_claim(self, peer: str, claim: ClaimAgents, now_s: float) -> None:
+        """Promises to follow a standby, once all that runs here has lost its lease."""
+        is_promised = now_s - self._promised_at_s <= self._timing.lost_after_s
+        is_higher = claim.term > max(self._term, self._promised_term)
+        is_granted = is_higher and not is_promised and self._is_leaderless(now_s)
+        _log.info(
+            "claim_granted" if is_granted else "claim_refused",
+            standby=peer,
+            term=claim.term,
+            followed_term=self._term,
+            promised_term=self._promised_term,
+            silent_s=round(now_s - self._pulsed_at_s, 3),
+        )
+        if is_granted:
+            self._promised_term = claim.term
+            self._promised_at_s = now_s
+            self._messages.append((peer, GrantClaim(term=claim.term)))
+
+    def _is_leaderless(self, now_s: float) -> bool:
+        return now_s - self._pulsed_at_s > self._timing.lost_after_s
+
+    def _follows(self, term: int, now_s: float) -> bool:
+        """Tells whether to follow a dispatcher of a term."""
+        is_promised = now_s - self._promised_at_s <= self._timing.lost_after_s
+        if term < self._term or (is_promised and term < self._promised_term):
+            return False
+        if term == self._term or not is_standby_term(term):
+            return True
+        return term == self._promised_term or self._is_leaderless(now_s)
+
     def lose_dispatcher(self, peer: str) -> None:
         """Notes that the link to a process is down."""
         if peer == self._dispatcher:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -53,6 +53,7 @@
         timing: Lengths of the leases.
         expected: Agents that may hold work of an earlier dispatcher.
         now_s: Current time.
+        has_lapsed: Whether the leases of the earlier dispatcher have ended already.
         order: Order of waiting jobs.
     """
 
@@ -63,6 +64,7 @@
         timing: RunLeaseTiming,
         expected: collections.abc.Iterable[str],
         now_s: float,
+        has_lapsed: bool = False,
         order: JobOrder | None = None,
     ) -> None:
         """Starts without agents, waiting for those that are expected."""
@@ -72,7 +74,11 @@
         self._admission = Admission(run_times=self._run_times)
         self._placement = Placement(run_times=self._run_times)
         self._pool = WorkerPool(
-            term=term, timing=timing, expected=expected, now_s=now_s
+            term=term,
+            timing=timing,
+            expected=expected,
+            now_s=now_s,
+            has_lapsed=has_lapsed,
         )
         self._board = JobBoard()
         self._former = FormerRuns(kept_from_s=self._pool.recovers_until_s)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
@@ -413,6 +413,31 @@
     voters: tuple[str, ...]
 
 
+class KnownAgents(_Wire, kw_only=True):
+    """A leader of the ledger tells an entry which agents the ledger names."""
+
+    term: int
+    agents: tuple[str, ...]
+
+
+class ClaimAgents(_Wire, kw_only=True):
+    """An entry asks agents to follow it while no dispatcher is heard."""
+
+    term: int
+
+
+class GrantClaim(_Wire, kw_only=True):
+    """An agent promises to follow a standby, and nobody else for a while."""
+
+    term: int
+
+
+class Superseded(_Wire, kw_only=True):
+    """An entry tells a dispatcher that another one has a higher term."""
+
+    term: int
+
+
 CellMessage = (
     Pulse
     | AttachWorker
@@ -430,4 +455,8 @@
     | NewestConfiguration
     | Directory
     | FoundLedger
+    | KnownAgents
+    | ClaimAgents
+    | GrantClaim
+    | Superseded
 )
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_standby.py
@@ -0,0 +1,181 @@
+"""Standby: the sans-I/O state machine by which an entry dispatches without a ledger.
+
+Jobs that need not be kept are placed without any entry in the ledger, so they can be
+served while too many of its disks are away to elect a leader. An entry that has heard
+no dispatcher for as long as runs live asks the agents to follow it. An agent promises
+itself to one entry at a time, and only once its own leases have lapsed; so at most one
+entry gets the promises of a majority of the agents that the ledger names, and nothing
+of the former dispatcher runs at these any more.
+
+Terms of dispatchers are numbered within the terms of the ledger, TERMS_A_LEDGER_TERM to
+each: leaders of the ledger take even numbers, standbys odd ones. Every later leader
+thus supersedes a standby, and a leader that was only out of sight begins anew above it.
+"""
+
+import collections.abc
+
+import structlog
+
+from hawthornbarrow.cells._messages import ClaimAgents
+from hawthornbarrow.cells._timing import RunLeaseTiming
+
+TERMS_A_LEDGER_TERM = 1024
+CLAIM_MARGIN_S = 0.1  # beyond the time after which agents may follow another entry
+RANK_STEP_S = 0.2  # between the first claims of two entries
+CLAIM_AGAIN_S = 0.4
+CONTACT_S = 0.5  # in which a majority of the agents must have been heard
+
+_log = structlog.get_logger()
+
+
+def first_term(ledger_term: int) -> int:
+    """Returns the first term of a dispatcher in a term of the ledger."""
+    return ledger_term * TERMS_A_LEDGER_TERM
+
+
+def ledger_term_of(term: int) -> int:
+    """Returns the term of the ledger in which a dispatcher's term lies."""
+    return term // TERMS_A_LEDGER_TERM
+
+
+def is_standby_term(term: int) -> bool:
+    """Tells whether a dispatcher's term is that of a standby."""
+    return term % 2 == 1
+
+
+class Standby:
+    """Decides when an entry dispatches without a leader of the ledger.
+
+    Args:
+        timing: Lengths of the leases of runs.
+        now_s: Current time.
+    """
+
+    def __init__(self, *, timing: RunLeaseTiming, now_s: float) -> None:
+        """Starts as if a dispatcher had just been heard."""
+        self._timing = timing
+        self._highest_term = 0
+        self._pulsed_at_s = now_s
+        self._agents: frozenset[str] = frozenset()
+        self._named_in_term = 0
+        self._claimed_term = 0
+        self._claimed_at_s = now_s
+        self._granted: set[str] = set()
+        self._heard_at_s: dict[str, float] = {}
+
+    @property
+    def term(self) -> int:
+        """Term of this entry's newest claim."""
+        return self._claimed_term
+
+    @property
+    def highest_term(self) -> int:
+        """Highest term of a dispatcher that was seen."""
+        return self._highest_term
+
+    @property
+    def agents(self) -> frozenset[str]:
+        """Agents that the ledger names, by the last leader's word."""
+        return self._agents
+
+    def take_agents(self, term: int, agents: collections.abc.Iterable[str]) -> None:
+        """Takes the names of the agents that the ledger names.
+
+        Args:
+            term: Term of the leader that tells them.
+            agents: Their names.
+        """
+        if term >= self._named_in_term:
+            self._named_in_term = term
+            self._agents = frozenset(agents)
+
+    def take_pulse(self, term: int, now_s: float) -> None:
+        """Takes note of a dispatcher that leads."""
+        if term >= self._highest_term:
+            self._highest_term = term
+            self._pulsed_at_s = now_s
+
+    def take_superseded(self, term: int) -> None:
+        """Takes note of a term that a dispatcher somewhere has."""
+        self._highest_term = max(self._highest_term, term)
+
+    def take_grant(self, agent: str, term: int, now_s: float) -> None:
+        """Takes an agent's promise to follow this entry."""
+        if term != self._claimed_term or agent not in self._agents:
+            return
+        had_majority = self._has_majority(self._granted)
+        self._granted.add(agent)
+        self._heard_at_s[agent] = now_s
+        if not had_majority and self._has_majority(self._granted):
+            _log.warning(
+                "standby_elected",
+                term=term,
+                granted=len(self._granted),
+                agents=len(self._agents),
+            )
+
+    def heard(self, agent: str, now_s: float) -> None:
+        """Notes that a frame of an agent arrived."""
+        if agent in self._granted:
+            self._heard_at_s[agent] = now_s
+
+    def is_leaderless(self, now_s: float) -> bool:
+        """Tells whether no dispatcher has been heard for as long as runs live."""
+        return now_s - self._pulsed_at_s > self._timing.lost_after_s
+
+    def leads(self, now_s: float) -> bool:
+        """Tells whether this entry dispatches for the ledger's leader."""
+        if not self._granted or self._highest_term > self._claimed_term:
+            return False
+        in_contact = {
+            agent
+            for agent in self._granted
+            if now_s - self._heard_at_s[agent] <= CONTACT_S
+        }
+        return self._has_majority(in_contact)
+
+    def claim_if_due(
+        self, agents_up: collections.abc.Collection[str], rank: int, now_s: float
+    ) -> ClaimAgents | None:
+        """Returns a claim to send to the agents, or None when none is due.
+
+        Args:
+            agents_up: Agents that this entry is linked to.
+            rank: Position of this entry among those that may claim.
+            now_s: Current time.
+        """
+        silent_s = now_s - self._pulsed_at_s
+        patience_s = self._timing.lost_after_s + CLAIM_MARGIN_S + rank * RANK_STEP_S
+        if self.leads(now_s) or silent_s <= patience_s:
+            return None
+        if now_s - self._claimed_at_s < CLAIM_AGAIN_S:
+            return None
+        if not self._has_majority(self._agents.intersection(agents_up)):
+            return None
+        self._claimed_at_s = now_s
+        self._claimed_term = (max(self._highest_term, self._claimed_term) + 1) | 1
+        self._granted = set()
+        _log.warning(
+            "standby_claims",
+            term=self._claimed_term,
+            silent_s=round(silent_s, 3),
+            rank=rank,
+            agents=len(self._agents),
+        )
+        return ClaimAgents(term=self._claimed_term)
+
+    def leader_term(self, ledger_term: int, current: int) -> int:
+        """Returns the term in which a leader of the ledger dispatches.
+
+        Args:
+            ledger_term: Term of the ledger in which it leads.
+            current: Term in which it dispatches now, or zero.
+        """
+        first = first_term(ledger_term)
+        is_valid = current >= max(first, self._highest_term)
+        if is_valid and not is_standby_term(current):
+            return current
+        return max(first, (self._highest_term // 2 + 1) * 2)
+
+    def _has_majority(self, agents: collections.abc.Collection[str]) -> bool:
+        return 2 * len(agents) > len(self._agents)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -29,6 +29,7 @@
         timing: Lengths of the leases.
         expected: Agents that may hold work of an earlier dispatcher.
         now_s: Current time.
+        has_lapsed: Whether the leases of the earlier dispatcher have ended already.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         timing: RunLeaseTiming,
         expected: collections.abc.Iterable[str],
         now_s: float,
+        has_lapsed: bool = False,
     ) -> None:
         """Starts without agents."""
         self._term = term
@@ -45,7 +47,7 @@
         self._expected = set(expected)
         self._told_at_s = now_s
         self._gathers_until_s = now_s + ATTACH_S
-        self._recovers_until_s = now_s + timing.lost_after_s
+        self._recovers_until_s = now_s + (0.0 if has_lapsed else timing.lost_after_s)
         self._workers: dict[str, WorkerView] = {}
         self._starts: dict[str, list[StartOrder]] = {}
         self._stops: dict[str, list[TaskKey]] = {}
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell.py
@@ -10,8 +10,10 @@
 
 from hawthornbarrow.cells import (
     AttachWorker,
+    ClaimAgents,
     Custodian,
     Dispatcher,
+    GrantClaim,
     JobAnswer,
     JobDocument,
     ListedEnd,
@@ -29,6 +31,8 @@
     SubmitJob,
     WorkerRecord,
     WorkerReport,
+    first_term,
+    is_standby_term,
 )
 from hawthornbarrow.queues import Queue, QueueTable, Service
 
@@ -182,6 +186,7 @@
             rate = self.generator.choice([1.0, 0.98])
             self.upstreams[name] = FakeUpstream(name, rate, self.generator)
             self.start_agent(name)
+        self.ledger_term = 0
         self.term = 0
         self.dispatcher = None
         self.leader = ""
@@ -194,7 +199,9 @@
         self.take_over()
 
     def start_agent(self, name):
-        self.agents[name] = Custodian(timing=TIMING, generator=self.generator)
+        self.agents[name] = Custodian(
+            timing=TIMING, generator=self.generator, now_s=self.now_s
+        )
         self.held_at_s[name] = 0.0
         self.announce(name)
 
@@ -211,10 +218,39 @@
 
     def take_over(self):
         """A new dispatcher begins; the former one has lost its lease just before."""
-        self.term += 1
-        self.leader = f"e{self.term}"
+        self.ledger_term += 1
+        self.begin(first_term(self.ledger_term), has_lapsed=False)
+
+    def lose_leader(self):
+        """The dispatcher ends, and the ledger elects nobody for now."""
+        self.dispatcher = None
+        self.leader = ""
+
+    def stand_by(self):
+        """An entry claims the agents; it dispatches when a majority grants that."""
+        name, term = f"s{self.term}", (self.term + 1) | 1
+        granted = set()
+        for agent, custodian in self.agents.items():
+            if agent in self.cut or agent in self.frozen:
+                continue
+            custodian.take_claim(name, ClaimAgents(term=term), self.now_s)
+            for receiver, message in custodian.take_messages():
+                if isinstance(message, GrantClaim):
+                    granted.add(agent)
+                else:
+                    self.send(agent, receiver, message, self.now_s)
+        if 2 * len(granted & self.known) > len(self.known):
+            self.begin(term, has_lapsed=True)
+
+    def begin(self, term, *, has_lapsed):
+        self.term = term
+        self.leader = f"e{term}"
         self.dispatcher = Dispatcher(
-            term=self.term, timing=TIMING, expected=self.known, now_s=self.now_s
+            term=term,
+            timing=TIMING,
+            expected=self.known,
+            now_s=self.now_s,
+            has_lapsed=has_lapsed,
         )
         self.dispatcher.set_table(table())
         self.heard = {}
@@ -227,6 +263,8 @@
         self.offer(document)
 
     def offer(self, document):
+        if self.dispatcher is None:
+            return
         was_offered = document.job in self.offered
         self.offered[document.job] = self.term
         message = SubmitJob(document=document, age_s=0.0, was_offered=was_offered)
@@ -266,7 +304,7 @@
                 continue
             if target in self.agents:
                 self.deliver_to_agent(source, target, message)
-            elif target == self.leader:
+            elif self.dispatcher is not None and target == self.leader:
                 self.deliver_to_dispatcher(source, message, sent_s)
 
     def deliver_to_agent(self, source, name, message):
@@ -280,12 +318,16 @@
         self.heard[agent] = max(self.heard.get(agent, 0.0), sent_s)
         self.dispatcher.heard(agent, self.now_s)
         if isinstance(message, AttachWorker):
+            if is_standby_term(self.term) and agent not in self.known:
+                return
             self.known.add(agent)
             self.dispatcher.attach(agent, message, self.now_s)
         elif isinstance(message, WorkerReport):
             self.dispatcher.report(agent, message, self.now_s)
 
     def step_dispatcher(self):
+        if self.dispatcher is None:
+            return
         if self.now_s - self.pulsed_at_s >= TIMING.pulse_s:
             self.pulsed_at_s = self.now_s
             for name in self.agents:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
@@ -4,10 +4,10 @@
 import unittest
 
 from hawthornbarrow.cells import JobState
-from hawthornbarrow.cells.tests._cell import Cell, job, table
+from hawthornbarrow.cells.tests._cell import TIMING, Cell, job, table
 
 SEEDS = range(24)
-FAULTS_A_RUN = 14
+FAULTS_A_RUN = 16
 
 
 class CellTest(unittest.TestCase):
@@ -50,6 +50,26 @@
         cell.run(6.0)
         self.assertEqual({"j": JobState.COMPLETE}, cell.answers)
 
+    def test_jobs_go_on_while_the_ledger_has_no_leader(self):
+        cell = Cell(seed=4)
+        cell.run(0.5)
+        cell.submit(job("before", count=4, run_s=0.3))
+        cell.run(0.1)
+        cell.lose_leader()
+        cell.stand_by()
+        self.assertIsNone(cell.dispatcher)
+        cell.run(TIMING.lost_after_s + 0.1)
+        cell.submit(job("during", count=4, run_s=0.3))
+        cell.stand_by()
+        cell.run(3.0)
+        self.assertEqual({"before", "during"}, set(cell.answers))
+        cell.submit(job("across", count=4, run_s=0.3))
+        cell.run(0.1)
+        cell.take_over()
+        cell.run(3.0)
+        self.assertEqual({JobState.COMPLETE}, set(cell.answers.values()))
+        self.assertEqual(3, len(cell.answers))
+
     def test_orders_carried_out_late_never_run_beside_their_successors(self):
         for seed in range(6):
             cell = Cell(seed=100 + seed)
@@ -140,6 +160,8 @@
         for upstream in cell.upstreams.values():
             upstream.hangs = False
             upstream.fails_all = False
+        if cell.dispatcher is None:
+            cell.take_over()
         cell.run(25.0)
         self.assertEqual(set(cell.jobs), set(cell.answers))
 
@@ -148,6 +170,8 @@
         match generator.choice(
             [
                 "over",
+                "leaderless",
+                "standby",
                 "cut",
                 "heal",
                 "crash",
@@ -161,6 +185,11 @@
         ):
             case "over":
                 cell.take_over()
+            case "leaderless":
+                cell.lose_leader()
+            case "standby":
+                if cell.dispatcher is None:
+                    cell.stand_by()
             case "cut":
                 cell.cut.add(name)
             case "heal":
