Link agents to the entries that stand by first

Change: agents also keep links to the first three entries without a disk, in the order in which entries claim; one function gives both.

--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -20,6 +20,7 @@
     StopCall,
     StopTasks,
     WorkerRecord,
+    choose_linked,
 )
 from hawthornbarrow.clock import seconds_since, steady_s
 from hawthornbarrow.links import (
@@ -258,8 +259,8 @@
                 for member in message.members:
                     host, _, port = member.address.rpartition(":")
                     self._port.note_address(host, int(port), member.name)
-                    if member.replica:
-                        self._dialler.add(member.address)
+                for member in choose_linked(message.members):
+                    self._dialler.add(member.address)
 
     # --- the upstream -----------------------------------------------------------
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -28,6 +28,7 @@
     TellJobState,
     WithdrawJob,
     WorkerReport,
+    rank_standbys,
 )
 from hawthornbarrow.clock import seconds_since, steady_s
 from hawthornbarrow.ledger import Applied, LedgerLost
@@ -388,14 +389,9 @@
 
     @property
     def _rank(self) -> int:
-        """Position among the linked entries that may stand by, diskless ones first.
-
-        Entries with disks are those that are away or coming back then.
-        """
-        members = sorted(
-            self._membership.alive, key=lambda one: (bool(one.replica), one.name)
-        )
-        return [member.name for member in members].index(self._settings.name)
+        """Position among the linked entries that may stand by."""
+        ranked = rank_standbys(self._membership.alive)
+        return [member.name for member in ranked].index(self._settings.name)
 
     async def _keep_house(self, now_s: float) -> None:
         self._membership.forget_silent(now_s)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -47,9 +47,11 @@
 from hawthornbarrow.cells._run_times import RunTimes
 from hawthornbarrow.cells._standby import (
     Standby,
+    choose_linked,
     first_term,
     is_standby_term,
     ledger_term_of,
+    rank_standbys,
 )
 from hawthornbarrow.cells._timing import TRACE_KEPT_S, RunLeaseTiming
 from hawthornbarrow.cells._upstream_calls import (
@@ -114,7 +116,9 @@
     "WithdrawJob",
     "WorkerRecord",
     "WorkerReport",
+    "choose_linked",
     "first_term",
     "is_standby_term",
     "ledger_term_of",
+    "rank_standbys",
 ]
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_standby.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_standby.py
@@ -16,13 +16,14 @@
 
 import structlog
 
-from hawthornbarrow.cells._messages import ClaimAgents
+from hawthornbarrow.cells._messages import ClaimAgents, FleetMember
 from hawthornbarrow.cells._timing import RunLeaseTiming
 
 TERMS_A_LEDGER_TERM = 1024
 CLAIM_MARGIN_S = 0.1  # beyond the time after which agents may follow another entry
 RANK_STEP_S = 0.2  # between the first claims of two entries
 CLAIM_AGAIN_S = 0.4
+LINKED_STANDBYS = 3
 CONTACT_S = 0.5  # in which a majority of the agents must have been heard
 
 _log = structlog.get_logger()
@@ -43,6 +44,29 @@
     return term % 2 == 1
 
 
+def rank_standbys(
+    members: collections.abc.Iterable[FleetMember],
+) -> list[FleetMember]:
+    """Returns entries in the order in which they claim, those without a disk first.
+
+    Entries with disks are those that are away or coming back then.
+    """
+    return sorted(members, key=lambda member: (bool(member.replica), member.name))
+
+
+def choose_linked(
+    members: collections.abc.Iterable[FleetMember],
+) -> list[FleetMember]:
+    """Returns the entries that agents keep links to.
+
+    These are all that may lead the ledger and the first of those that may stand by.
+    """
+    ranked = rank_standbys(members)
+    diskless = [member for member in ranked if not member.replica]
+    with_disks = [member for member in ranked if member.replica]
+    return with_disks + diskless[:LINKED_STANDBYS]
+
+
 class Standby:
     """Decides when an entry dispatches without a leader of the ledger.
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_standby.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_standby.py
@@ -6,12 +6,15 @@
 from hawthornbarrow.cells import (
     ClaimAgents,
     Custodian,
+    FleetMember,
     GrantClaim,
     Pulse,
     RunLeaseTiming,
     Standby,
+    choose_linked,
     first_term,
     is_standby_term,
+    rank_standbys,
 )
 
 TIMING = RunLeaseTiming(run_lease_s=1.0, stop_s=0.05)
@@ -106,6 +109,21 @@
         self.assertEqual(frozenset(AGENTS), self.standby.agents)
 
 
+def entry(name, *, replica=""):
+    return FleetMember(name=name, address=name, data_centre="d", replica=replica)
+
+
+class LinkedTest(unittest.TestCase):
+    def test_agents_are_linked_to_those_that_may_lead_or_stand_by_first(self):
+        members = [entry(f"e{index}") for index in range(6)]
+        members += [entry("d1", replica="d1.1"), entry("d0", replica="d0.1")]
+        linked = [member.name for member in choose_linked(members)]
+        self.assertEqual(["d0", "d1", "e0", "e1", "e2"], linked)
+        ranked = [member.name for member in rank_standbys(members)]
+        self.assertEqual("e0", ranked[0])
+        self.assertEqual("d1", ranked[-1])
+
+
 class PromiseTest(unittest.TestCase):
     """An agent that started at time zero and followed a leader until time one."""
 
