Keep callers until a standby may have begun

Change: held jobs that were offered wait for 1.7 s; those of no use by then are answered before, as they were.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_intake.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_intake.py
@@ -17,6 +17,7 @@
 )
 
 INFORMATION_LEASE_S = 1.2  # what a dispatcher told earlier is not acted on any more
+STANDBY_LIMIT_S = 1.7  # without a dispatcher, by which a standby may have begun
 PULSE_LATE_S = 0.25  # without a pulse for longer, jobs wait here and are not offered
 UNOFFERED_SHARE = 0.25  # of a job's objective, for which it may wait so
 VERSION_LAG_S = 0.6  # a newer configuration must be in force here so soon
@@ -267,7 +268,8 @@
         """Answers callers that wait no longer, and drops jobs that nobody wants.
 
         When the dispatcher has been silent for too long, its runs have lost their
-        leases. Whether a job has run is not known then, so the caller may ask again.
+        leases and no standby has come. Whether a job has run is not known then, so the
+        caller may ask again.
         """
         for held in list(self._jobs.values()):
             if self._is_hopeless(held, now_s):
@@ -297,7 +299,7 @@
         waited_s = now_s - held.received_at_s
         if not held.offers:
             return waited_s > UNOFFERED_SHARE * held.objective_s
-        if not self.is_informed(now_s):
+        if self.information_age_s(now_s) > STANDBY_LIMIT_S:
             return True
         is_silent = now_s - self._pulsed_at_s > PULSE_LATE_S
         return is_silent and waited_s > LATE_FACTOR * held.objective_s
