Start new jobs during a takeover that waits for an agent

Ruled out: a shorter wait (leases last 1 s); starting what was offered before (it may run at the missing agents). Change: entries tell a new dispatcher when they have offered what they held. Once all that were alive in the last 12 s have, and none was lost in that time but the former dispatcher's, a job that comes is new and starts at once. Jobs offered before still wait. An entry younger than 12 s does not decide it. The runs of callers of the former dispatcher's own entry lapse 1.12 s after it was lost, before such a caller comes back (1.3 s).

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_intake.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_intake.py
@@ -11,6 +11,7 @@
     JobAnswer,
     JobDocument,
     JobState,
+    OffersMade,
     Pulse,
     SubmitJob,
     WithdrawJob,
@@ -23,6 +24,8 @@
 VERSION_LAG_S = 0.6  # a newer configuration must be in force here so soon
 RETRY_SOON_S = 1.0
 
+IntakeMessage = SubmitJob | WithdrawJob | OffersMade
+
 _log = structlog.get_logger()
 
 
@@ -112,7 +115,7 @@
         self._pulsed_at_s = -math.inf
         self._waiting: dict[str, int] = {}
         self._jobs: dict[str, _HeldJob] = {}
-        self._messages: list[tuple[str, SubmitJob | WithdrawJob]] = []
+        self._messages: list[tuple[str, IntakeMessage]] = []
         self._finished: list[Waiter] = []
 
     @property
@@ -153,7 +156,7 @@
         """Returns the number of a queue's jobs not begun, by the last pulse."""
         return self._waiting.get(queue, 0)
 
-    def take_messages(self) -> list[tuple[str, SubmitJob | WithdrawJob]]:
+    def take_messages(self) -> list[tuple[str, IntakeMessage]]:
         """Returns the messages to send, by receiver, and forgets them."""
         messages, self._messages = self._messages, []
         return messages
@@ -187,6 +190,8 @@
         for job in self._jobs.values():
             if job.offered_term < self._term:
                 self._offer(job, now_s)
+        if is_new:
+            self._messages.append((peer, OffersMade(term=pulse.term)))
 
     def lose_dispatcher(self, peer: str) -> None:
         """Takes note that the link to a process is down; jobs wait here until a pulse.
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_leadership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_leadership.py
@@ -18,6 +18,7 @@
     KnownAgents,
     NewestConfiguration,
     OfferConfiguration,
+    OffersMade,
     Standby,
     SubmitJob,
     Superseded,
@@ -39,6 +40,7 @@
 from hawthornbarrow_entry.fleet._replica_keeper import ReplicaKeeper
 from hawthornbarrow_entry.fleet._settings import FleetEntrySettings
 
+CALLERS_GONE_S = 12.0  # after which jobs of an entry that is gone have ended
 REPLACED_AFTER_S = 6.0  # silence after which a voter's place goes to a spare disk
 
 _log = structlog.get_logger()
@@ -95,6 +97,10 @@
         self._send = send
         self._dispatcher: Dispatcher | None = None
         self._standby = Standby(timing=settings.timing, now_s=now_s)
+        self._began_at_s = now_s
+        self._last_dispatcher = ""
+        self._former = ""
+        self._offered_by: set[str] = set()
         self._told_agents: dict[str, frozenset[str]] = {}
         self._table: QueueTable | None = None
         self._offers: dict[int, tuple[str, int]] = {}
@@ -114,20 +120,24 @@
         if self._dispatcher is not None:
             self._dispatcher.heard(peer, now_s)
 
-    def take_pulse(self, term: int, now_s: float) -> None:
+    def take_pulse(self, peer: str, term: int, now_s: float) -> None:
         """Takes note of a dispatcher, this one or another."""
         self._standby.take_pulse(term, now_s)
+        self._last_dispatcher = peer
 
     def take_peer_up(self, peer: str) -> None:
         """Takes note of a process that may have been told nothing yet."""
         self._told_agents.pop(peer, None)
 
-    async def tick(self, now_s: float, table: QueueTable | None) -> None:
+    async def tick(
+        self, now_s: float, table: QueueTable | None, membership: Membership
+    ) -> None:
         """Begins or ends to lead, pulses, and carries out the decisions.
 
         Args:
             now_s: Current time.
             table: Configuration in force at this entry.
+            membership: Entries that are and were alive.
         """
         mandate = self._mandate(now_s, table)
         if mandate is None:
@@ -143,6 +153,8 @@
             await self._tell_agents(mandate)
         await self._attach_offered(mandate, now_s)
         await self._pulse_if_due(mandate, now_s)
+        if self._dispatcher.is_recovering(now_s):
+            self._note_offers(self._dispatcher, membership, now_s)
         self._dispatcher.tick(now_s)
         await self._carry_out()
 
@@ -201,6 +213,27 @@
                 self._dispatcher.submit(peer, message, now_s)
             case WithdrawJob():
                 self._dispatcher.withdraw(message.job, now_s)
+            case OffersMade() if message.term == self._dispatcher.term:
+                self._offered_by.add(peer)
+
+    def _note_offers(
+        self, dispatcher: Dispatcher, membership: Membership, now_s: float
+    ) -> None:
+        """Tells the dispatcher when no caller can come back with a job unknown to it.
+
+        A caller comes back elsewhere when its entry is gone. The runs of the former
+        dispatcher's own callers lapse before these do, as it was lost with them. An
+        entry that has just started does not know who is gone.
+        """
+        if dispatcher.has_all_offers or now_s - self._began_at_s < CALLERS_GONE_S:
+            return
+        former = {self._former}
+        has_lost = membership.lost(now_s, CALLERS_GONE_S) - former
+        missing = membership.recent(now_s, CALLERS_GONE_S) - former - self._offered_by
+        if has_lost or missing:
+            return
+        _log.info("all_offers_taken", term=dispatcher.term, former=self._former)
+        dispatcher.note_all_offered()
 
     async def _tell_agents(self, mandate: _Mandate) -> None:
         """Tells the entries which agents the ledger names, when that changes."""
@@ -313,7 +346,10 @@
             has_lapsed=mandate.is_standby,
         )
         self._table = None
+        is_own = self._last_dispatcher == self._settings.name
+        self._former = "" if is_own else self._last_dispatcher
         self._told_agents.clear()
+        self._offered_by.clear()
         self._registry = AgentRegistry(timing=self._settings.timing)
         self._pulsed_at_s = -1e9
         _log.info(
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_membership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_membership.py
@@ -25,6 +25,7 @@
         self._members: dict[str, FleetMember] = {}
         self._alive: set[str] = set()
         self._seen_at_s: dict[str, float] = {}
+        self._lost_at_s: dict[str, float] = {}
         self._changed_at_s = now_s
 
     @property
@@ -43,6 +44,22 @@
         """When the set of linked entries changed last."""
         return self._changed_at_s
 
+    def recent(self, now_s: float, within_s: float) -> set[str]:
+        """Returns the names of entries that were alive within a time, this one too."""
+        seen = {
+            name for name, at_s in self._seen_at_s.items() if now_s - at_s <= within_s
+        }
+        return seen | self._alive | {self._own.name}
+
+    def lost(self, now_s: float, within_s: float) -> set[str]:
+        """Returns the names of entries whose link went down within a time.
+
+        They may be linked again, as after a restart.
+        """
+        return {
+            name for name, at_s in self._lost_at_s.items() if now_s - at_s <= within_s
+        }
+
     def directory(self) -> Directory:
         """Returns what to tell others."""
         return Directory(members=self.alive)
@@ -78,6 +95,7 @@
             self._alive.add(peer)
         else:
             self._alive.discard(peer)
+            self._lost_at_s[peer] = now_s
 
     def forget_silent(self, now_s: float) -> None:
         """Forgets entries that nobody has been linked to for long."""
@@ -85,6 +103,7 @@
             silent_s = now_s - self._seen_at_s.get(name, now_s)
             if name not in self._alive and silent_s > FORGOTTEN_AFTER_S:
                 del self._members[name]
+                self._lost_at_s.pop(name, None)
                 _log.info("member_forgotten", member=name, silent_s=round(silent_s, 1))
 
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -22,6 +22,7 @@
     KnownAgents,
     NewestConfiguration,
     OfferConfiguration,
+    OffersMade,
     Pulse,
     SubmitJob,
     Superseded,
@@ -372,7 +373,7 @@
             now_s = steady_s()
             for item in items:
                 await self._take(item, now_s)
-            await self._leadership.tick(now_s, self._table)
+            await self._leadership.tick(now_s, self._table, self._membership)
             if self._may_stand_by and self._leadership.is_leaderless(now_s):
                 await self._leadership.claim(self._rank, now_s)
             if now_s - self._swept_at_s >= _SWEEP_S:
@@ -456,13 +457,13 @@
                 await self._replica.found(message.voters)
             case AttachWorker() | WorkerReport() | SubmitJob() | WithdrawJob():
                 await self._leadership.take_work(peer, message, now_s)
-            case KnownAgents() | GrantClaim() | Superseded():
+            case OffersMade() | KnownAgents() | GrantClaim() | Superseded():
                 await self._leadership.take_work(peer, message, now_s)
             case AskJobState() | OfferConfiguration() | AskConfiguration():
                 await self._leadership.take_question(peer, message, now_s)
 
     async def _take_pulse(self, peer: str, pulse: Pulse, now_s: float) -> None:
-        self._leadership.take_pulse(pulse.term, now_s)
+        self._leadership.take_pulse(peer, pulse.term, now_s)
         if pulse.term < self._intake.term:
             await self._send(peer, Superseded(term=self._intake.term))
             return
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_intake.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_intake.py
@@ -6,6 +6,7 @@
     JobAnswer,
     JobDocument,
     JobState,
+    OffersMade,
     Pulse,
     Resources,
     Step,
@@ -35,11 +36,29 @@
     def submit(self, one, now_s, *, objective_s=1.0):
         return self.intake.submit(JOB, one, now_s, objective_s=objective_s)
 
+    def take_jobs(self):
+        """Returns the messages about jobs."""
+        return [
+            (receiver, message)
+            for receiver, message in self.intake.take_messages()
+            if not isinstance(message, OffersMade)
+        ]
+
+    def test_a_new_dispatcher_is_told_once_when_it_has_all_offers(self):
+        self.pulse(1, 10.0)
+        self.submit(waiter(), 10.0)
+        self.intake.take_messages()
+        self.pulse(2, 11.0, peer="d2")
+        self.pulse(2, 11.1, peer="d2")
+        offer, end = self.intake.take_messages()
+        self.assertTrue(offer[1].was_offered)
+        self.assertEqual(("d2", OffersMade(term=2)), end)
+
     def test_without_a_dispatcher_a_job_is_refused_at_once(self):
         outcome = self.submit(waiter(), 10.0)
         self.assertEqual(OutcomeKind.REFUSED, outcome.kind)
         self.assertGreater(outcome.retry_after_s, 0)
-        self.assertEqual([], self.intake.take_messages())
+        self.assertEqual([], self.take_jobs())
 
     def test_stale_information_refuses_too(self):
         self.pulse(1, 10.0)
@@ -49,7 +68,7 @@
         self.pulse(1, 10.0)
         self.assertIsNone(self.submit(waiter(), 10.0))
         self.pulse(2, 11.0, peer="d2")
-        first, second = self.intake.take_messages()
+        first, second = self.take_jobs()
         self.assertEqual(("d", False), (first[0], first[1].was_offered))
         self.assertEqual(("d2", True), (second[0], second[1].was_offered))
 
@@ -73,7 +92,7 @@
         waiters = [waiter(), waiter()]
         for one in waiters:
             self.submit(one, 10.0)
-        self.assertEqual(1, len(self.intake.take_messages()))
+        self.assertEqual(1, len(self.take_jobs()))
         answer = JobAnswer(job="j", state=JobState.COMPLETE)
         self.intake.take_answer(answer, 10.5)
         self.assertEqual(waiters, self.intake.take_finished())
@@ -82,7 +101,7 @@
         self.pulse(1, 10.0)
         self.submit(waiter(is_abandoned=lambda: True), 10.0)
         self.intake.tick(10.1)
-        messages = [message for _, message in self.intake.take_messages()]
+        messages = [message for _, message in self.take_jobs()]
         self.assertIsInstance(messages[0], SubmitJob)
         self.assertEqual(WithdrawJob(job="j"), messages[1])
         self.assertEqual(0, self.intake.held_count)
@@ -110,17 +129,17 @@
         self.pulse(1, 10.0)
         self.submit(held, 10.0)
         self.intake.tick(11.4)
-        self.intake.take_messages()
+        self.take_jobs()
         self.pulse(2, 11.5, peer="s")
         self.assertIsNone(held.outcome)
-        ((receiver, message),) = self.intake.take_messages()
+        ((receiver, message),) = self.take_jobs()
         self.assertEqual(("s", True), (receiver, message.was_offered))
 
     def test_a_job_that_was_never_offered_is_refused_truly_and_soon(self):
         held = waiter()
         self.pulse(1, 10.0)
         self.submit(held, 10.6)
-        self.assertEqual([], self.intake.take_messages())
+        self.assertEqual([], self.take_jobs())
         self.intake.tick(11.0)
         self.assertEqual(OutcomeKind.REFUSED, held.outcome.kind)
         self.assertGreater(held.outcome.retry_after_s, 0)
@@ -143,22 +162,21 @@
         self.assertIsNone(held.outcome)
         self.intake.tick(10.65)
         self.assertEqual(OutcomeKind.UNKNOWN, held.outcome.kind)
-        messages = [message for _, message in self.intake.take_messages()]
+        messages = [message for _, message in self.take_jobs()]
         self.assertIn(WithdrawJob(job="j"), messages)
 
     def test_a_job_is_not_offered_over_a_link_that_is_down(self):
         self.pulse(1, 10.0)
         self.intake.lose_dispatcher("other")
         self.submit(waiter(), 10.02)
-        self.assertEqual(1, len(self.intake.take_messages()))
+        self.assertEqual(1, len(self.take_jobs()))
         self.intake.lose_dispatcher("d")
         other = JobDocument(job="k", queue="q", spec="", steps=(STEP,))
         self.intake.submit(other, waiter(), 10.05, objective_s=1.0)
-        self.assertEqual([], self.intake.take_messages())
+        self.assertEqual([], self.take_jobs())
         self.pulse(2, 10.1, peer="d2")
         offered = {
-            message.document.job: message.was_offered
-            for _, message in self.intake.take_messages()
+            message.document.job: message.was_offered for _, message in self.take_jobs()
         }
         self.assertEqual({"j": True, "k": False}, offered)
 
@@ -167,7 +185,7 @@
         self.submit(waiter(), 10.6)
         self.pulse(2, 10.8, peer="d2")
         self.pulse(2, 10.9, peer="d2")
-        (message,) = self.intake.take_messages()
+        (message,) = self.take_jobs()
         self.assertEqual(("d2", False), (message[0], message[1].was_offered))
 
     def test_an_older_configuration_serves_for_a_moment_only(self):
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_membership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_membership.py
@@ -38,6 +38,17 @@
         membership.forget_silent(100.0)
         self.assertNotIn("b", membership.members)
 
+    def test_entries_that_were_lost_or_alive_lately_are_known(self):
+        membership = Membership(own=member("a"), now_s=0.0)
+        membership.take("b", Directory(members=[member("b"), member("c")]), 1.0)
+        membership.note_link("b", True, 1.0)
+        self.assertEqual({"a", "b", "c"}, membership.recent(2.0, 5.0))
+        self.assertEqual({"a", "b"}, membership.recent(20.0, 5.0))
+        membership.note_link("b", False, 20.0)
+        membership.note_link("b", True, 20.5)
+        self.assertEqual({"b"}, membership.lost(21.0, 5.0))
+        self.assertEqual(set(), membership.lost(26.0, 5.0))
+
 
 class FoundersTest(unittest.TestCase):
     def test_founders_are_spread_over_data_centres(self):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -85,6 +85,7 @@
         self._table: QueueTable | None = None
         self._swept_at_s = now_s
         self._has_news = True
+        self._has_all_offers = False
         self._counts: collections.Counter[str] = collections.Counter()
 
     @property
@@ -116,6 +117,20 @@
         """Tells whether work of an earlier dispatcher may run unseen."""
         return self._pool.is_recovering(now_s)
 
+    @property
+    def has_all_offers(self) -> bool:
+        """Whether all entries have offered what they held before its term."""
+        return self._has_all_offers
+
+    def note_all_offered(self) -> None:
+        """Notes that all entries have offered what they held before its term.
+
+        Jobs that come from now on, and were not offered before, are new; they need not
+        wait for agents that may hold work of an earlier dispatcher.
+        """
+        self._has_all_offers = True
+        self._has_news = True
+
     def set_table(self, table: QueueTable) -> None:
         """Takes the configuration in force."""
         self._table = table
@@ -255,6 +270,7 @@
         known = self._board.jobs.get(job)
         if known is not None and known.state is not JobState.CANCELLED:
             known.entries.add(entry)
+            known.is_new = known.is_new and not message.was_offered
             if known.state.is_final:
                 self._board.answer(known)
             return
@@ -277,6 +293,7 @@
         )
         record.set_times(chain_s)
         record.entries.add(entry)
+        record.is_new = not message.was_offered and not self._former.has_trace(job)
         if self._is_refused(entry, record, message, now_s):
             return
         self._board.add(record)
@@ -310,7 +327,7 @@
             self._board.waiting.values(),
             workers,
             now_s,
-            paused_s=self._pool.paused_s(now_s),
+            paused_s=self._paused_s(now_s),
         )
         if verdict.is_admitted:
             return False
@@ -500,7 +517,8 @@
         if now_s - self._swept_at_s >= _SWEEP_S:
             self._swept_at_s = now_s
             self._sweep(now_s)
-        if self._has_news and not self.is_recovering(now_s):
+        may_place = self._has_all_offers or not self.is_recovering(now_s)
+        if self._has_news and may_place:
             self._has_news = False
             self._place_waiting(now_s)
 
@@ -521,6 +539,10 @@
                 self._pool.order_stop(worker, worker.runs[task])
         self._has_news = True
 
+    def _paused_s(self, now_s: float) -> float:
+        """Returns how long no new job is started yet."""
+        return 0.0 if self._has_all_offers else self._pool.paused_s(now_s)
+
     def _suspect_slow(self, worker: WorkerView, now_s: float) -> None:
         """Takes note of runs that last far longer than expected."""
         for run in worker.runs.values():
@@ -541,7 +563,7 @@
         for service, waiting in jobs.items():
             workers = [worker for _, worker in services.get(service, ())]
             hopeless = self._admission.hopeless(
-                waiting, workers, now_s, paused_s=self._pool.paused_s(now_s)
+                waiting, workers, now_s, paused_s=self._paused_s(now_s)
             )
             for job in hopeless:
                 self._give_up(job, now_s)
@@ -557,7 +579,10 @@
     def _place_waiting(self, now_s: float) -> None:
         """Starts waiting tasks in order, as far as there is room."""
         services = self._workers_by_service(now_s)
+        is_recovering = self.is_recovering(now_s)
         for job in self._in_order(now_s):
+            if is_recovering and not job.is_new:
+                continue
             workers = services.get(self._service_of(job))
             if workers:
                 self._place_job(job, workers, now_s)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_former_runs.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_former_runs.py
@@ -65,6 +65,10 @@
             return False
         return self._arrived_at_s[job] < told_from_s or job in self._ran
 
+    def has_trace(self, job: str) -> bool:
+        """Tells whether an agent has told of a run of a job."""
+        return job in self._ran
+
     def take_unclaimed(self, now_s: float) -> list[tuple[TaskKey, str]]:
         """Returns runs that nobody claimed in time, and forgets what is old."""
         unclaimed = [
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
@@ -32,6 +32,9 @@
 class JobRecord:
     """One job at the dispatcher.
 
+    A job is new when no earlier dispatcher has been offered it, so nothing of it runs
+    at agents that have not attached yet.
+
     Args:
         document: The job.
         queue: Its queue.
@@ -55,6 +58,7 @@
         self.refuse_by_s = arrived_at_s
         self.give_up_at_s = arrived_at_s + queue.timeout_s
         self.entries: set[str] = set()
+        self.is_new = False
         self.state = JobState.QUEUED
         self.tasks = [
             [TaskProgress(attempts=first_attempt) for _ in range(step.count)]
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
@@ -413,6 +413,12 @@
     voters: tuple[str, ...]
 
 
+class OffersMade(_Wire, kw_only=True):
+    """An entry has offered a new dispatcher all jobs that it holds."""
+
+    term: int
+
+
 class KnownAgents(_Wire, kw_only=True):
     """A leader of the ledger tells an entry which agents the ledger names."""
 
@@ -455,6 +461,7 @@
     | NewestConfiguration
     | Directory
     | FoundLedger
+    | OffersMade
     | KnownAgents
     | ClaimAgents
     | GrantClaim
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell.py
@@ -38,6 +38,7 @@
 
 STEP_S = 0.01
 HOLD_S = 0.1
+ALL_OFFERS_SHARE = 0.7  # of takeovers in which no entry is missing
 TIMING = RunLeaseTiming(run_lease_s=1.0, stop_s=0.05)
 CAPACITY = Resources(cpu=4000, memory_mb=4000)
 
@@ -187,6 +188,7 @@
             rate = self.generator.choice([1.0, 0.98])
             self.upstreams[name] = FakeUpstream(name, rate, self.generator)
             self.start_agent(name)
+        self.all_offers_share = ALL_OFFERS_SHARE
         self.ledger_term = 0
         self.term = 0
         self.dispatcher = None
@@ -258,6 +260,8 @@
         for name, document in self.jobs.items():
             if name not in self.answers:
                 self.offer(document)
+        if self.generator.random() < self.all_offers_share:
+            self.dispatcher.note_all_offered()
 
     def submit(self, document):
         self.jobs[document.job] = document
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
@@ -211,6 +211,35 @@
                 cell.upstreams[name].hangs = not cell.upstreams[name].hangs
 
 
+class NewJobsTest(unittest.TestCase):
+    """A takeover with an agent missing that may hold work."""
+
+    def take_over(self, *, has_all_offers):
+        cell = Cell(seed=5)
+        cell.all_offers_share = float(has_all_offers)
+        cell.run(0.5)
+        cell.submit(job("old", count=8, run_s=0.5))
+        cell.run(0.1)
+        for upstream in cell.upstreams.values():
+            upstream.hangs = True
+        cell.cut.add("a0")
+        cell.take_over()
+        cell.submit(job("new", count=2, run_s=0.1))
+        cell.run(0.9)
+        runs = [task for up in cell.upstreams.values() for task in up.runs]
+        return cell, [task for task in runs if task.startswith("new")]
+
+    def test_new_jobs_begin_when_all_entries_have_offered_theirs(self):
+        cell, started = self.take_over(has_all_offers=True)
+        self.assertEqual(2, len(started))
+        waiting = cell.dispatcher.jobs["old"].waiting_tasks(0)
+        self.assertTrue(waiting)
+
+    def test_they_wait_while_an_entry_is_missing(self):
+        _, started = self.take_over(has_all_offers=False)
+        self.assertEqual([], started)
+
+
 class RefusalTest(unittest.TestCase):
     def setUp(self):
         self.age_s = 1.5
@@ -261,6 +290,7 @@
     def test_a_job_that_a_takeover_keeps_for_too_long_is_refused_at_once(self):
         cell = self.cell
         cell.cut.add("a0")
+        cell.all_offers_share = 0.0
         cell.take_over()
         cell.dispatcher.set_table(table(objective_s=0.06))
         cell.run(0.4)
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
@@ -9,6 +9,8 @@
 import math
 import random
 
+import structlog
+
 from hawthornbarrow.ledger._messages import (
     AppendEntries,
     AppendReply,
@@ -37,6 +39,8 @@
 
 LEASE_SHARE = 0.9  # of the shortest election timeout; the rest covers clock drift
 
+_log = structlog.get_logger()
+
 
 class RaftReplica:
     """One replica.
@@ -311,6 +315,15 @@
         members = self._log.members
         if self._replica not in members.voters:
             return
+        if not is_prevote or self._role is not Role.CANDIDATE:
+            _log.info(
+                "election_started",
+                replica=self._replica,
+                term=self.term + 1,
+                prevote=is_prevote,
+                handed_on=is_transfer,
+                silent_s=round(now_s - self._leader_heard_at_s, 3),
+            )
         self._role = Role.CANDIDATE
         self._leader = None
         self._is_prevote = is_prevote
@@ -346,6 +359,15 @@
             if granted:
                 self._set_hard(HardState(term=self.term, vote=sender))
                 self._reset_election_timer(now_s)
+            else:
+                _log.info(
+                    "vote_refused",
+                    replica=self._replica,
+                    candidate=sender,
+                    term=message.term,
+                    voted_for=self._hard.vote,
+                    has_newer_log=not is_fresh,
+                )
         reply = VoteReply(term=term, granted=granted, is_prevote=message.is_prevote)
         self._after_sync.append((sender, reply))
 
@@ -368,6 +390,7 @@
             self._become_leader(now_s)
 
     def _become_leader(self, now_s: float) -> None:
+        _log.info("election_won", replica=self._replica, term=self.term)
         self._role = Role.LEADER
         self._has_given_up_lease = False
         self._leader = self._replica
