Split placing, judging and ends out of dispatcher and custodian

Placer starts waiting tasks, WorkerJudge learns from runs, EndLog numbers and keeps ends, Held is one run at an upstream; documents and parts of messages have a module of their own. Behaviour unchanged but for one detail: the answer to a start whose run was listed before no longer counts as progress. The waiting queue is sorted in one place.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_custodian.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_custodian.py
@@ -6,31 +6,31 @@
 """
 
 import collections
-import dataclasses
-import enum
-import math
 import random
 
 import structlog
 
 from hawthornbarrow.cells._allegiance import Allegiance
+from hawthornbarrow.cells._end_log import EndLog
+from hawthornbarrow.cells._held import Held, Phase
 from hawthornbarrow.cells._messages import (
     AttachWorker,
     ClaimAgents,
-    EndedRun,
     GrantClaim,
-    HeldRun,
     Pulse,
+    StartTasks,
+    StopTasks,
+    WorkerReport,
+)
+from hawthornbarrow.cells._parts import (
+    HeldRun,
     Resources,
     RunEnd,
     StartOrder,
-    StartTasks,
-    StopTasks,
     TaskKey,
     WorkerRecord,
-    WorkerReport,
 )
-from hawthornbarrow.cells._timing import ENDED_KEPT_S, RunLeaseTiming
+from hawthornbarrow.cells._timing import RunLeaseTiming
 from hawthornbarrow.cells._upstream_calls import (
     ListedEnd,
     ListedRun,
@@ -43,41 +43,11 @@
 REPORT_AGAIN_S = 0.4
 STOP_AGAIN_S = 0.25
 SILENT_AFTER_S = 0.7
-STALLED_LEAST_S = 0.8
-STALLED_SHARE = 0.1  # of the expected run time
 _SESSION_BITS = 48
 
 _log = structlog.get_logger()
 
 
-class Phase(enum.StrEnum):
-    """How far a run has come."""
-
-    STARTING = "starting"
-    RUNNING = "running"
-    STOPPING = "stopping"
-
-
-@dataclasses.dataclass(kw_only=True)
-class _Held:
-    order: StartOrder
-    phase: Phase
-    since_s: float
-    started_at_s: float = 0.0
-    answered_at_s: float = 0.0
-    stop_sent_at_s: float = -1e9
-    stop_confirmed_at_s: float = math.inf
-    progressed_at_s: float = 0.0
-    percent: float = -1.0
-    end: RunEnd = RunEnd.STOPPED
-    reason: str = ""
-
-
-def _stalled_after_s(order: StartOrder) -> float:
-    """Returns after how long without progress a run has stalled."""
-    return max(STALLED_LEAST_S, STALLED_SHARE * order.expected_s)
-
-
 class Custodian:
     """Guards one upstream.
 
@@ -104,11 +74,9 @@
         self._listed_at_s = -1e9
         self._was_silent = False
         self._used = Resources()
-        self._held: dict[TaskKey, _Held] = {}
-        self._ended: collections.deque[tuple[float, EndedRun]] = collections.deque()
-        self._last_number = 0
+        self._held: dict[TaskKey, Held] = {}
+        self._ends = EndLog()
         self._reported_at_s = -1e9
-        self._noted = 0
         self._seen_cursor = 0
         self._messages: list[tuple[str, object]] = []
         self._calls: list[StartCall | StopCall] = []
@@ -257,7 +225,7 @@
             if not self._is_attached:
                 self._is_attached = True
                 self._has_news = True
-            self._note_ends(pulse.noted)
+            self._ends.note(pulse.noted)
         elif self._is_attached:
             # The dispatcher has given this session up.
             self._lose_all("the dispatcher gave the session up", now_s)
@@ -292,7 +260,7 @@
             _log.info("start_refused", task=str(order.task), reason=reason)
             self._add_end(order, RunEnd.LOST, now_s, reason=reason)
             return
-        self._held[order.task] = _Held(order=order, phase=Phase.STARTING, since_s=now_s)
+        self._held[order.task] = Held(order=order, phase=Phase.STARTING, since_s=now_s)
         self._used = self._used.plus(order.needs)
         self._calls.append(
             StartCall(upstream=self.upstream, order=order, term=self.term)
@@ -322,10 +290,7 @@
         held.answered_at_s = now_s
         task = call.order.task
         if verdict is StartVerdict.STARTED:
-            held.started_at_s = held.started_at_s or now_s
-            held.progressed_at_s = now_s
-            if held.phase is Phase.STARTING:
-                held.phase = Phase.RUNNING
+            held.note_started(now_s)
             return
         _log.info(
             "start_not_done",
@@ -372,20 +337,14 @@
     def _compare(
         self,
         task: TaskKey,
-        held: _Held,
+        held: Held,
         run: ListedRun | None,
         listing: Listing,
         now_s: float,
     ) -> None:
         if run is not None and run.attempt == held.order.attempt:
-            if not held.started_at_s:
-                held.started_at_s = now_s
-                held.progressed_at_s = now_s
-                if held.phase is Phase.STARTING:
-                    held.phase = Phase.RUNNING
-            if run.percent != held.percent:
-                held.percent = run.percent
-                held.progressed_at_s = now_s
+            held.note_started(now_s)
+            held.note_progress(run.percent, now_s)
             return
         stopped_at_s = held.stop_confirmed_at_s + self._timing.stop_s
         if listing.asked_at_s > stopped_at_s:
@@ -431,12 +390,7 @@
                 )
 
     def _report_stalls(self, now_s: float) -> None:
-        stalled = [
-            task
-            for task, held in self._held.items()
-            if held.phase is Phase.RUNNING
-            and now_s - held.progressed_at_s > _stalled_after_s(held.order)
-        ]
+        stalled = [task for task, held in self._held.items() if held.has_stalled(now_s)]
         if stalled and self._is_attached:
             for task in stalled:
                 self._held[task].progressed_at_s = now_s
@@ -461,12 +415,10 @@
             is_due = now_s - held.stop_sent_at_s >= STOP_AGAIN_S
             if held.phase is Phase.STOPPING and is_due:
                 self._call_stop(task, held, now_s)
-        while self._ended and self._ended[0][1].number <= self._noted:
-            if now_s - self._ended[0][0] < ENDED_KEPT_S:
-                break
-            self._ended.popleft()
-        unnoted = self._last_number > self._noted
-        is_due = unnoted and now_s - self._reported_at_s >= REPORT_AGAIN_S
+        self._ends.forget_old(now_s)
+        is_due = (
+            self._ends.has_unnoted and now_s - self._reported_at_s >= REPORT_AGAIN_S
+        )
         if self._is_attached and (self._has_news or is_due):
             self._report(now_s)
 
@@ -515,12 +467,11 @@
     def _report(self, now_s: float) -> None:
         self._has_news = False
         self._reported_at_s = now_s
-        ended = [ended for _, ended in self._ended if ended.number > self._noted]
         self._send(
             WorkerReport(
                 session=self._session,
                 is_leaving=self._is_leaving,
-                ended=ended,
+                ended=self._ends.unnoted(),
                 is_silent=self._was_silent,
             )
         )
@@ -563,13 +514,10 @@
                 worker=self._worker,
                 is_leaving=self._is_leaving,
                 running=running,
-                ended=[ended for _, ended in self._ended],
+                ended=self._ends.kept(),
             )
         )
 
-    def _note_ends(self, number: int) -> None:
-        self._noted = max(self._noted, number)
-
     def _stop(self, task: TaskKey, end: RunEnd, reason: str, now_s: float) -> None:
         held = self._held.get(task)
         if held is None or held.phase is Phase.STOPPING:
@@ -582,7 +530,7 @@
         held.reason = reason
         self._call_stop(task, held, now_s)
 
-    def _call_stop(self, task: TaskKey, held: _Held, now_s: float) -> None:
+    def _call_stop(self, task: TaskKey, held: Held, now_s: float) -> None:
         held.stop_sent_at_s = now_s
         self._calls.append(
             StopCall(
@@ -621,24 +569,8 @@
         reason: str = "",
         run_s: float = 0.0,
     ) -> None:
-        self._last_number += 1
         self._counts[f"run_{end.value}"] += 1
-        ended = EndedRun(
-            number=self._last_number,
-            task=order.task,
-            attempt=order.attempt,
-            end=end,
-            run_s=run_s,
-            reason=reason,
+        self._ends.add(
+            order, end, now_s, upstream=self.upstream, reason=reason, run_s=run_s
         )
-        self._ended.append((now_s, ended))
         self._has_news = True
-        _log.info(
-            "run_ended",
-            task=str(order.task),
-            attempt=order.attempt,
-            upstream=self.upstream,
-            end=end.value,
-            run_s=round(run_s, 3),
-            reason=reason,
-        )
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -16,31 +16,30 @@
 from hawthornbarrow.cells._messages import (
     AttachWorker,
     CellMessage,
-    EndedRun,
-    HeldRun,
     JobAnswer,
-    JobState,
     Pulse,
-    RunEnd,
-    StartOrder,
     SubmitJob,
-    TaskKey,
     WorkerReport,
 )
 from hawthornbarrow.cells._ordering import JobOrder, TimelyPriorityOrder
-from hawthornbarrow.cells._placement import Placement
+from hawthornbarrow.cells._parts import (
+    EndedRun,
+    HeldRun,
+    JobState,
+    RunEnd,
+    TaskKey,
+)
+from hawthornbarrow.cells._placer import Placer
 from hawthornbarrow.cells._run_times import RunTimes
 from hawthornbarrow.cells._timing import RunLeaseTiming
+from hawthornbarrow.cells._worker_judge import WorkerJudge
 from hawthornbarrow.cells._worker_pool import WorkerPool
 from hawthornbarrow.cells._worker_view import Run, WorkerView
 from hawthornbarrow.queues import QueueTable
 
 ATTEMPTS_A_TERM = 8  # starts of a task that an earlier dispatcher may have ordered
 _RETRY_SOON_S = 1.0
-_STALL_FACTOR = 3.5  # of the expected run time
-_STALL_LEAST_S = 0.6
 _SWEEP_S = 0.1
-_LEAST_EXPECTED_S = 0.001
 
 _log = structlog.get_logger()
 
@@ -69,10 +68,9 @@
     ) -> None:
         """Starts without agents, waiting for those that are expected."""
         self._term = term
-        self._order = order or TimelyPriorityOrder()
         self._run_times = RunTimes()
         self._admission = Admission(run_times=self._run_times)
-        self._placement = Placement(run_times=self._run_times)
+        self._judge = WorkerJudge(run_times=self._run_times)
         self._pool = WorkerPool(
             term=term,
             timing=timing,
@@ -87,6 +85,14 @@
         self._has_news = True
         self._has_all_offers = False
         self._counts: collections.Counter[str] = collections.Counter()
+        self._placer = Placer(
+            term=term,
+            pool=self._pool,
+            board=self._board,
+            order=order or TimelyPriorityOrder(),
+            run_times=self._run_times,
+            counts=self._counts,
+        )
 
     @property
     def counts(self) -> collections.Counter[str]:
@@ -134,6 +140,7 @@
     def set_table(self, table: QueueTable) -> None:
         """Takes the configuration in force."""
         self._table = table
+        self._placer.set_table(table)
         self._has_news = True
 
     def state_of(self, job: str) -> JobState:
@@ -320,8 +327,8 @@
     ) -> bool:
         if message.was_offered or self._pool.is_gathering(now_s):
             return False
-        offered = self._workers_by_service(now_s).get(record.queue.service, ())
-        workers = [worker for _, worker in offered]
+        ready = self._placer.workers_by_service(now_s)
+        workers = ready.get(record.queue.service, [])
         verdict = self._admission.judge(
             record,
             self._board.waiting.values(),
@@ -389,16 +396,7 @@
         run = worker.runs.get(task)
         if run is None or run.is_stopping:
             return
-        is_ejected = worker.health.note_failure(task.job, now_s)
-        _log.warning(
-            "run_stalled",
-            job=task.job,
-            task=str(task),
-            agent=worker.agent,
-            expected_s=round(run.expected_s, 3),
-            ran_s=round(now_s - run.started_at_s, 3),
-            ejected=is_ejected,
-        )
+        self._judge.take_stall(worker, run, now_s)
         record = self._board.jobs.get(task.job)
         progress = record.progress(task) if record else None
         if progress is not None:
@@ -413,44 +411,13 @@
         self._counts[f"run_{ended.end.value}"] += 1
         self._former.forget_run(ended.task)
         record = self._board.jobs.get(ended.task.job)
-        self._judge_worker(worker, run, ended, record, now_s)
+        self._judge.take_end(worker, run, ended, record, now_s)
         if record is None:
             if ended.end is RunEnd.DONE:
                 self._former.note_done(ended.task, now_s)
             return
         self._end_task(record, worker, ended, now_s)
 
-    def _judge_worker(
-        self,
-        worker: WorkerView,
-        run: Run,
-        ended: EndedRun,
-        record: JobRecord | None,
-        now_s: float,
-    ) -> None:
-        if ended.end is RunEnd.DONE:
-            worker.health.note_success()
-            if record is not None and run.expected_s:
-                step = record.document.steps[ended.task.step]
-                self._run_times.learn(
-                    record.queue.name,
-                    worker.record.upstream,
-                    step.estimated_s,
-                    ended.run_s,
-                )
-        elif ended.end in (RunEnd.FAILED, RunEnd.REFUSED, RunEnd.LOST):
-            is_ejected = worker.health.note_failure(ended.task.job, now_s)
-            _log.warning(
-                "run_failed",
-                job=ended.task.job,
-                task=str(ended.task),
-                attempt=ended.attempt,
-                agent=worker.agent,
-                end=ended.end.value,
-                reason=ended.reason,
-                ejected=is_ejected,
-            )
-
     def _end_task(
         self, record: JobRecord, worker: WorkerView, ended: EndedRun, now_s: float
     ) -> None:
@@ -520,13 +487,13 @@
         may_place = self._has_all_offers or not self.is_recovering(now_s)
         if self._has_news and may_place:
             self._has_news = False
-            self._place_waiting(now_s)
+            self._placer.place(now_s, only_new=self.is_recovering(now_s))
 
     def _sweep(self, now_s: float) -> None:
         for worker in self._pool.silent(now_s):
             self._detach(worker, "silent", now_s)
         for worker in self._pool.workers.values():
-            self._suspect_slow(worker, now_s)
+            self._judge.suspect_slow(worker, now_s)
         if not self._pool.is_gathering(now_s):
             self._refuse_hopeless(now_s)
         for job in list(self._board.waiting.values()):
@@ -543,27 +510,18 @@
         """Returns how long no new job is started yet."""
         return 0.0 if self._has_all_offers else self._pool.paused_s(now_s)
 
-    def _suspect_slow(self, worker: WorkerView, now_s: float) -> None:
-        """Takes note of runs that last far longer than expected."""
-        for run in worker.runs.values():
-            if not run.expected_s or run.is_stopping:
-                continue
-            slowness = self._run_times.slowness(worker.record.upstream)
-            limit_s = max(run.expected_s * _STALL_FACTOR, _STALL_LEAST_S) * slowness
-            ran_s = now_s - run.started_at_s
-            if ran_s > limit_s:
-                self._run_times.suspect(worker.record.upstream, ran_s / run.expected_s)
-
     def _refuse_hopeless(self, now_s: float) -> None:
         """Refuses jobs as soon as it shows that they can not begin in time."""
-        services = self._workers_by_service(now_s)
+        services = self._placer.workers_by_service(now_s)
         jobs: dict[str, list[JobRecord]] = {}
-        for job in self._in_order(now_s):
-            jobs.setdefault(self._service_of(job), []).append(job)
+        for job in self._placer.in_order(now_s):
+            jobs.setdefault(self._placer.service_of(job), []).append(job)
         for service, waiting in jobs.items():
-            workers = [worker for _, worker in services.get(service, ())]
             hopeless = self._admission.hopeless(
-                waiting, workers, now_s, paused_s=self._paused_s(now_s)
+                waiting,
+                services.get(service, []),
+                now_s,
+                paused_s=self._paused_s(now_s),
             )
             for job in hopeless:
                 self._give_up(job, now_s)
@@ -575,86 +533,3 @@
                 self._refuse(entry, record.job, "waited too long", _RETRY_SOON_S)
             record.entries.clear()
         self._close(record, JobState.CANCELLED, "waited too long", now_s)
-
-    def _place_waiting(self, now_s: float) -> None:
-        """Starts waiting tasks in order, as far as there is room."""
-        services = self._workers_by_service(now_s)
-        is_recovering = self.is_recovering(now_s)
-        for job in self._in_order(now_s):
-            if is_recovering and not job.is_new:
-                continue
-            workers = services.get(self._service_of(job))
-            if workers:
-                self._place_job(job, workers, now_s)
-            self._board.drop_begun(job)
-
-    def _workers_by_service(
-        self, now_s: float
-    ) -> dict[str, list[tuple[int, WorkerView]]]:
-        """Returns the workers that may take work, each after its speed class."""
-        services: dict[str, list[tuple[int, WorkerView]]] = {}
-        for worker in self._pool.ready(now_s):
-            entry = (self._placement.speed_class(worker), worker)
-            services.setdefault(worker.record.service, []).append(entry)
-        return services
-
-    def _in_order(self, now_s: float) -> list[JobRecord]:
-        """Returns the waiting jobs in the order in which they get room."""
-        return sorted(
-            self._board.waiting.values(), key=lambda job: self._order.key(job, now_s)
-        )
-
-    def _service_of(self, job: JobRecord) -> str:
-        """Returns the service by the configuration in force, empty for none."""
-        queue = self._table.queues.get(job.queue.name) if self._table else None
-        return queue.service if queue else ""
-
-    def _place_job(
-        self, job: JobRecord, workers: list[tuple[int, WorkerView]], now_s: float
-    ) -> None:
-        placed: list[str] = []
-        for step in job.waiting_steps():
-            for index in list(job.waiting_tasks(step)):
-                worker = self._placement.choose(job, step, index, workers)
-                if worker is None:
-                    break
-                self._start(job, step, index, worker, now_s)
-                placed.append(f"{step}.{index}@{worker.agent}")
-        if placed:
-            _log.info(
-                "tasks_placed",
-                job=job.job,
-                queue=job.queue.name,
-                term=self._term,
-                tasks=" ".join(placed),
-                waited_s=round(now_s - job.arrived_at_s, 3),
-                slack_s=round(job.start_by_s - now_s, 3),
-                waiting=len(self._board.waiting),
-            )
-
-    def _start(
-        self, job: JobRecord, step: int, index: int, worker: WorkerView, now_s: float
-    ) -> None:
-        self._counts["run_started"] += 1
-        progress = job.begin(step, index, worker.agent)
-        progress.attempts += 1
-        wanted = job.document.steps[step]
-        key = TaskKey(job=job.job, step=step, index=index)
-        expected_s = self._run_times.expected_s(job.queue.name, wanted.estimated_s)
-        worker.add(
-            Run(
-                task=key,
-                attempt=progress.attempts,
-                needs=wanted.each,
-                started_at_s=now_s,
-                expected_s=max(expected_s, _LEAST_EXPECTED_S),
-            )
-        )
-        order = StartOrder(
-            task=key,
-            attempt=progress.attempts,
-            spec=job.document.spec,
-            needs=wanted.each,
-            expected_s=expected_s,
-        )
-        self._pool.order_start(worker, order)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_former_runs.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_former_runs.py
@@ -1,6 +1,8 @@
 """FormerRuns: what an earlier dispatcher left behind at the agents."""
 
-from hawthornbarrow.cells._messages import TaskKey
+from hawthornbarrow.cells._parts import (
+    TaskKey,
+)
 
 ORPHAN_KEPT_S = 2.5
 KEPT_S = 60.0
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_board.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_board.py
@@ -5,7 +5,13 @@
 import structlog
 
 from hawthornbarrow.cells._job_record import JobRecord
-from hawthornbarrow.cells._messages import CellMessage, JobAnswer, JobState
+from hawthornbarrow.cells._messages import (
+    CellMessage,
+    JobAnswer,
+)
+from hawthornbarrow.cells._parts import (
+    JobState,
+)
 
 ENDED_JOB_KEPT_S = 60.0
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
@@ -2,7 +2,12 @@
 
 import dataclasses
 
-from hawthornbarrow.cells._messages import JobDocument, JobState, Step, TaskKey
+from hawthornbarrow.cells._parts import (
+    JobDocument,
+    JobState,
+    Step,
+    TaskKey,
+)
 from hawthornbarrow.queues import Queue
 
 LATE_SHARE = 0.4  # of the objective, by which a start may be late before a refusal
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_placement.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_placement.py
@@ -4,7 +4,9 @@
 import math
 
 from hawthornbarrow.cells._job_record import JobRecord
-from hawthornbarrow.cells._messages import Step
+from hawthornbarrow.cells._parts import (
+    Step,
+)
 from hawthornbarrow.cells._run_times import RunTimes
 from hawthornbarrow.cells._worker_view import WorkerView
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_standby.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_standby.py
@@ -16,7 +16,12 @@
 
 import structlog
 
-from hawthornbarrow.cells._messages import ClaimAgents, FleetMember
+from hawthornbarrow.cells._messages import (
+    ClaimAgents,
+)
+from hawthornbarrow.cells._parts import (
+    FleetMember,
+)
 from hawthornbarrow.cells._timing import RunLeaseTiming
 
 TERMS_A_LEDGER_TERM = 1024
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_upstream_calls.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_upstream_calls.py
@@ -3,7 +3,11 @@
 import dataclasses
 import enum
 
-from hawthornbarrow.cells._messages import RunEnd, StartOrder, TaskKey
+from hawthornbarrow.cells._parts import (
+    RunEnd,
+    StartOrder,
+    TaskKey,
+)
 
 
 class StartVerdict(enum.StrEnum):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -8,9 +8,11 @@
 from hawthornbarrow.cells._messages import (
     AttachWorker,
     CellMessage,
-    StartOrder,
     StartTasks,
     StopTasks,
+)
+from hawthornbarrow.cells._parts import (
+    StartOrder,
     TaskKey,
 )
 from hawthornbarrow.cells._timing import TRACE_KEPT_S, RunLeaseTiming
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_view.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_view.py
@@ -3,7 +3,11 @@
 import dataclasses
 
 from hawthornbarrow.cells._health import WorkerHealth
-from hawthornbarrow.cells._messages import Resources, TaskKey, WorkerRecord
+from hawthornbarrow.cells._parts import (
+    Resources,
+    TaskKey,
+    WorkerRecord,
+)
 
 
 @dataclasses.dataclass(kw_only=True)
