Add voters to a ledger that was founded by too few

Nothing acknowledged was left, and no leader came back; the operator's read failed. Ruled out: waiting longer for the founders, as a deployment may have fewer disks than wanted. Change: VoterRepair decides on one change of the voters at a time: replace a lost one, add one while there are fewer than the tolerated losses need, give up a learner that is lost (it blocked all later repairs before).

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_leadership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_leadership.py
@@ -39,10 +39,14 @@
 from hawthornbarrow_entry.fleet._membership import Membership
 from hawthornbarrow_entry.fleet._replica_keeper import ReplicaKeeper
 from hawthornbarrow_entry.fleet._settings import FleetEntrySettings
+from hawthornbarrow_entry.fleet._voter_repair import (
+    AddVoter,
+    DropLearner,
+    ReplaceVoter,
+    VoterRepair,
+)
 
 CALLERS_GONE_S = 12.0  # after which jobs of an entry that is gone have ended
-REPLACED_AFTER_S = 6.0  # silence after which a voter's place goes to a spare disk
-
 _log = structlog.get_logger()
 
 _Send = collections.abc.Callable[
@@ -101,12 +105,12 @@
         self._last_dispatcher = ""
         self._former = ""
         self._offered_by: set[str] = set()
+        self._voter_repair = VoterRepair(tolerated_losses=settings.tolerated_losses)
         self._told_agents: dict[str, frozenset[str]] = {}
         self._table: QueueTable | None = None
         self._offers: dict[int, tuple[str, int]] = {}
         self._pulsed_at_s = -1e9
         self._pulsed_version = -1
-        self._silent_since_s: dict[str, float] = {}
         self._registry = AgentRegistry(timing=settings.timing)
 
     @property
@@ -290,6 +294,20 @@
             case OfferConfiguration():
                 await self._take_offer(peer, message)
 
+    async def repair(self, membership: Membership, now_s: float) -> None:
+        """Replaces lost voters, and adds some where there are too few."""
+        ledger = self._replica.ledger
+        if ledger is None or not ledger.leads(now_s):
+            return
+        replicas = {member.name: member.replica for member in membership.alive}
+        match self._voter_repair.next_change(ledger.members, replicas, now_s):
+            case ReplaceVoter(old=old, new=new):
+                await ledger.replace(old, new)
+            case AddVoter(new=new):
+                await ledger.add(new)
+            case DropLearner():
+                await ledger.drop_learner()
+
     async def take_applied(self, applied: Applied, now_s: float) -> None:
         """Takes a committed command."""
         offer = self._offers.pop(applied.number, None) if applied.number else None
@@ -300,41 +318,6 @@
         _log.info("configuration_committed", version=version, index=applied.index)
         await self._send(peer, ConfigurationOutcome(number=number, version=version))
 
-    async def repair(self, membership: Membership, now_s: float) -> None:
-        """Replaces a voter whose disk is lost by one that is there."""
-        ledger = self._replica.ledger
-        if ledger is None or not ledger.leads(now_s):
-            return
-        members = ledger.members
-        if members.learners or members.leaving:
-            return
-        replicas = {member.name: member.replica for member in membership.alive}
-        voters = {voter.partition(".")[0] for voter in members.voters}
-        for voter in members.voters:
-            name = voter.partition(".")[0]
-            present = replicas.get(name)
-            if present == voter:
-                self._silent_since_s.pop(voter, None)
-                continue
-            since_s = self._silent_since_s.setdefault(voter, now_s)
-            successor = present
-            if successor is None and now_s - since_s >= REPLACED_AFTER_S:
-                spares = [
-                    replica
-                    for spare, replica in replicas.items()
-                    if replica and spare not in voters
-                ]
-                successor = min(spares, default=None)
-            if successor:
-                _log.warning(
-                    "replica_replaced",
-                    old=voter,
-                    new=successor,
-                    silent_s=round(now_s - since_s, 1),
-                )
-                await ledger.replace(voter, successor)
-                return
-
     # --- leading ---------------------------------------------------------------
 
     def _begin(self, mandate: _Mandate, now_s: float) -> None:
--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_voter_repair.py
@@ -0,0 +1,102 @@
+"""VoterRepair: keeps as many replicas voting as the tolerated losses need."""
+
+import dataclasses
+
+import structlog
+from hawthornbarrow.ledger import Members
+
+from hawthornbarrow_entry.fleet._membership import founders_wanted
+
+REPLACED_AFTER_S = 6.0  # silence after which a voter's place goes to a spare disk
+
+_log = structlog.get_logger()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReplaceVoter:
+    """A lost voter's place goes to another replica."""
+
+    old: str
+    new: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AddVoter:
+    """A replica becomes one voter more."""
+
+    new: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DropLearner:
+    """The replica that was to become a voter is lost."""
+
+
+Repair = ReplaceVoter | AddVoter | DropLearner
+
+
+class VoterRepair:
+    """Decides on one change of the voters at a time, at the leader.
+
+    Args:
+        tolerated_losses: Disks that may be lost at once.
+    """
+
+    def __init__(self, *, tolerated_losses: int) -> None:
+        """Starts without knowing who is silent."""
+        self._wanted = founders_wanted(tolerated_losses)
+        self._silent_since_s: dict[str, float] = {}
+
+    def next_change(
+        self, members: Members, replicas: dict[str, str], now_s: float
+    ) -> Repair | None:
+        """Returns the change to make now, or None.
+
+        Args:
+            members: Voters and learners.
+            replicas: Identity of the replica of each entry that is alive, by the
+                entry's name, empty for entries without a disk.
+            now_s: Current time.
+        """
+        alive = {replica for replica in replicas.values() if replica}
+        if members.learners:
+            return self._drop_lost(members.learners[0], alive, now_s)
+        voting = {voter.partition(".")[0] for voter in members.voters}
+        spare = min(
+            (one for name, one in replicas.items() if one and name not in voting),
+            default="",
+        )
+        for voter in members.voters:
+            silent_s = self._silent_s(voter, alive, now_s)
+            if voter in alive:
+                continue
+            # An entry that is back with an empty disk takes its own place.
+            new = replicas.get(voter.partition(".")[0], "")
+            if not new and silent_s >= REPLACED_AFTER_S:
+                new = spare
+            if new:
+                _log.warning(
+                    "replica_replaced", old=voter, new=new, silent_s=round(silent_s, 1)
+                )
+                return ReplaceVoter(old=voter, new=new)
+        if len(members.voters) < self._wanted and spare:
+            _log.warning(
+                "voter_added", new=spare, voters=len(members.voters), of=self._wanted
+            )
+            return AddVoter(new=spare)
+        return None
+
+    def _drop_lost(
+        self, learner: str, alive: set[str], now_s: float
+    ) -> DropLearner | None:
+        silent_s = self._silent_s(learner, alive, now_s)
+        if silent_s < REPLACED_AFTER_S:
+            return None
+        _log.warning("learner_dropped", learner=learner, silent_s=round(silent_s, 1))
+        return DropLearner()
+
+    def _silent_s(self, replica: str, alive: set[str], now_s: float) -> float:
+        if replica in alive:
+            self._silent_since_s.pop(replica, None)
+            return 0.0
+        return now_s - self._silent_since_s.setdefault(replica, now_s)
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
@@ -31,6 +31,7 @@
 from hawthornbarrow.ledger._ready import RaftSettings, Ready, Role
 from hawthornbarrow.ledger._replacement import (
     next_members,
+    refusal_of_addition,
     refusal_of_replacement,
 )
 from hawthornbarrow.ledger._replication import Replication
@@ -195,6 +196,40 @@
         )
         return ""
 
+    def add(self, new: str, now_s: float) -> str:
+        """Begins to make a replica one voter more.
+
+        Returns:
+            An empty string, or why the request is refused.
+        """
+        if self._replication is None:
+            return "not the leader"
+        if self._log.members_index > self._commit:
+            return "an earlier change of members is not committed yet"
+        heard = self._replication.heard(now_s, self._settings.election_max_s)
+        members = self._log.members
+        reason = refusal_of_addition(members, new, heard)
+        if reason:
+            return reason
+        self._append(members=Members(voters=members.voters, learners=(new,)))
+        return ""
+
+    def drop_learner(self) -> str:
+        """Gives a change of members up whose new replica is lost.
+
+        Returns:
+            An empty string, or why the request is refused.
+        """
+        if self._replication is None:
+            return "not the leader"
+        if self._log.members_index > self._commit:
+            return "an earlier change of members is not committed yet"
+        members = self._log.members
+        if not members.learners:
+            return "nobody is learning"
+        self._append(members=Members(voters=members.voters))
+        return ""
+
     def receive(self, sender: str, message: RaftMessage, now_s: float) -> None:
         """Takes one message from another replica."""
         if isinstance(message, ForwardProposal):
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replacement.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replacement.py
@@ -1,4 +1,4 @@
-"""Steps by which a leader replaces a lost replica, one change at a time."""
+"""Steps by which a leader adds or replaces a replica, one change at a time."""
 
 from hawthornbarrow.ledger._messages import Members
 
@@ -29,6 +29,24 @@
     return ""
 
 
+def refusal_of_addition(members: Members, new: str, heard: set[str]) -> str:
+    """Returns why the addition of a voter would be unsafe, or an empty string.
+
+    Args:
+        members: Current members.
+        new: Replica to add.
+        heard: Replicas that the leader heard lately, itself included.
+    """
+    if members.leaving or members.learners:
+        return f"{', '.join(members.learners)} is still learning"
+    if new in members.voters:
+        return f"{new} is a voter already"
+    alive = sum(voter in heard for voter in members.voters)
+    if alive < members.quorum:
+        return f"only {alive} of {len(members.voters)} voters are alive"
+    return ""
+
+
 def next_members(
     members: Members, matches: dict[str, int], commit: int
 ) -> Members | None:
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
@@ -63,6 +63,16 @@
     new: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _NewVoter:
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _LostLearner:
+    """Give the change of members up."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _OneTermProposal:
     term: int
@@ -210,6 +220,14 @@
         await self._inbox.post(_NewReplacement(number=number, old=old, new=new))
         return number
 
+    async def add(self, new: str) -> None:
+        """Makes a replica one voter more, if this replica leads."""
+        await self._inbox.post(_NewVoter(name=new))
+
+    async def drop_learner(self) -> None:
+        """Gives a change of members up whose new replica is lost, if this one leads."""
+        await self._inbox.post(_LostLearner())
+
     async def run(self) -> None:
         """Serves the replica until cancelled or until its storage fails."""
         async with curio.TaskGroup(wait=any) as group:
@@ -257,6 +275,10 @@
         elif isinstance(item, _OneTermProposal):
             if item.term == self._raft.term:
                 self._propose_once(item.command)
+        elif isinstance(item, _NewVoter):
+            self._note_refusal(self._raft.add(item.name, now_s))
+        elif isinstance(item, _LostLearner):
+            self._note_refusal(self._raft.drop_learner())
         elif isinstance(item, _NewReplacement):
             await self._try_replacement(item, now_s)
         elif isinstance(item, _Resignation):
@@ -347,6 +369,11 @@
                 proposal.tried_at_s = now_s
                 self._try_proposal(number, proposal.command)
 
+    def _note_refusal(self, reason: str) -> None:
+        """Logs why a change of members was not begun; it is tried again if need be."""
+        if reason:
+            _log.info("members_unchanged", replica=self._identity, reason=reason)
+
     async def _try_replacement(self, item: _NewReplacement, now_s: float) -> None:
         leader = self._raft.leader
         if self._raft.role is not Role.LEADER and leader is not None:
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_raft.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_raft.py
@@ -1,7 +1,13 @@
 import unittest
 
-from hawthornbarrow.ledger import ApplyConfiguration, Claim, RegisterEntry, Role
-from hawthornbarrow.ledger.tests._cluster import Cluster
+from hawthornbarrow.ledger import (
+    ApplyConfiguration,
+    Claim,
+    Members,
+    RegisterEntry,
+    Role,
+)
+from hawthornbarrow.ledger.tests._cluster import Cluster, MemoryStorage
 
 
 def claim(key: str) -> Claim:
@@ -151,6 +157,42 @@
         cluster.run(2.0, step_s=0.02)
         self.assertIn(fresh, cluster.leader().raft.log.members.voters)
 
+    def test_a_ledger_of_one_voter_grows_and_survives_its_loss(self):
+        cluster = Cluster(size=1, seed=11)
+        cluster.run(1.0)
+        first = cluster.leader().name
+        entry = RegisterEntry(name="e", incarnation=1, address="")
+        cluster.propose(first, entry)
+        cluster.propose(first, claim("before"))
+        for name in ("x.1", "y.1"):
+            cluster.disks[name] = MemoryStorage(Members(voters=()))
+            cluster.names.append(name)
+            cluster.start(name)
+            self.assertEqual(cluster.leader().raft.add(name, cluster.now_s), "")
+            cluster.run(1.0)
+        self.assertEqual(
+            (first, "x.1", "y.1"), cluster.leader().raft.log.members.voters
+        )
+        cluster.wipe(first)
+        cluster.run(3.0)
+        self.assertEqual(cluster.leader().state.claim_count, 1)
+        self.assertTrue(cluster.propose(cluster.leader().name, claim("after")))
+
+    def test_a_change_whose_new_replica_is_lost_is_given_up(self):
+        cluster, lost, fresh = self.lost_and_replaced()
+        cluster.crash(fresh)
+        self.assertEqual(cluster.replace(lost, fresh), "")
+        cluster.run(1.0)
+        leader = cluster.leader().raft
+        self.assertEqual((fresh,), leader.log.members.learners)
+        self.assertEqual("", leader.drop_learner())
+        cluster.run(0.5)
+        self.assertEqual((), leader.log.members.learners)
+        again = cluster.wipe(fresh)
+        cluster.run(1.0)
+        old = next(n for n in leader.log.members.voters if n not in cluster.nodes)
+        self.assertEqual("", cluster.replace(old, again))
+
     def test_unsafe_requests_are_refused_with_the_reason(self):
         cluster = started()
         leader = cluster.leader().name
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -85,6 +85,7 @@
             proxies=proxies,
             executors=executors,
             generator=random.Random(generator.random()),
+            core_generator=random.Random(generator.random()),
             note=lambda line: print(line, file=notes, flush=True),
         )
         try:
--- a/tools/soak/_faults.py
+++ b/tools/soak/_faults.py
@@ -21,6 +21,7 @@
         proxies: Proxy in front of each entry's links, by name.
         executors: Executors by the name of their VM.
         generator: Source of choices.
+        core_generator: Source of the times at which all disks are away.
         note: Takes a line for each fault.
     """
 
@@ -32,6 +33,7 @@
         proxies: dict[str, Proxy],
         executors: dict[str, Executor],
         generator: random.Random,
+        core_generator: random.Random,
         note: collections.abc.Callable[[str], None],
     ) -> None:
         """Starts without faults."""
@@ -40,6 +42,7 @@
         self._proxies = proxies
         self._executors = executors
         self._generator = generator
+        self._core_generator = core_generator
         self._note = note
         self._wiped = False
 
@@ -49,10 +52,11 @@
         return [entry.proxied for entry in self._entries if entry.has_disk]
 
     async def run(self, until: curio.Event) -> None:
-        """Plays three overlapping series until the event, then heals all."""
+        """Plays four overlapping series until the event, then heals all."""
         async with curio.TaskGroup() as group:
             for _ in range(3):
                 await group.spawn(self._series, until)
+            await group.spawn(self._core_series, until)
         await self.heal()
 
     async def heal(self) -> None:
@@ -83,6 +87,20 @@
             await self._generator.choice(plays)()
             await curio.sleep(self._generator.uniform(0.1, 1.5))
 
+    async def _core_series(self, until: curio.Event) -> None:
+        """Takes all entries with disks away at once, and lets them come back."""
+        while not until.is_set():
+            await curio.sleep(self._core_generator.uniform(1.0, 5.0))
+            self._note("all disks away")
+            core = [entry for entry in self._entries if entry.has_disk]
+            for node in core:
+                node.kill()
+            await curio.sleep(self._core_generator.uniform(1.0, 4.0))
+            for node in core:
+                if not node.is_running:
+                    node.start(self.seeds, is_first=False)
+            await curio.sleep(self._core_generator.uniform(4.0, 8.0))
+
     def _any_node(self) -> Node:
         return self._generator.choice(self._entries + self._agents)
 
