Let both kinds of metrics share one process meter

CellMetrics built the same collector, reader and provider as Metrics and bounded its labels by a second copy of the rule.

--- a/packages/hawthornbarrow/src/hawthornbarrow/observability/_cell_metrics.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/_cell_metrics.py
@@ -2,12 +2,10 @@
 
 import collections.abc
 
-import prometheus_client
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
-from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
-from opentelemetry.sdk.resources import Resource
+
+from hawthornbarrow.observability._meter import ProcessMeter
 
 LATENCY_BUCKETS_S = (
     0.01,
@@ -21,7 +19,6 @@
     5.0,
     10.0,
 )
-MAX_QUEUES = 200
 _Counts = collections.abc.Callable[[], collections.abc.Mapping[str, int]]
 
 
@@ -36,14 +33,10 @@
 
     def __init__(self, *, process: str, counts: _Counts, states: _Counts) -> None:
         """Makes the instruments."""
-        self._collectors = prometheus_client.CollectorRegistry()
         aggregation = ExplicitBucketHistogramAggregation(LATENCY_BUCKETS_S)
-        provider = MeterProvider(
-            metric_readers=[PrometheusMetricReader(registry=self._collectors)],
-            resource=Resource.create({"service.name": process}),
-            views=[View(instrument_name="*_seconds", aggregation=aggregation)],
-        )
-        meter = provider.get_meter("hawthornbarrow")
+        views = [View(instrument_name="*_seconds", aggregation=aggregation)]
+        self._meter = ProcessMeter(process=process, views=views)
+        meter = self._meter.meter
         self._jobs = meter.create_counter("hawthornbarrow_caller_jobs")
         self._seconds = meter.create_histogram(
             "hawthornbarrow_caller_job_seconds", unit="s"
@@ -54,20 +47,16 @@
         meter.create_observable_gauge(
             "hawthornbarrow_states", callbacks=[_observer(states, "state")]
         )
-        self._queues: set[str] = set()
 
     def count_job(self, queue: str, outcome: str, seconds: float) -> None:
         """Counts a caller's job and how long the caller waited."""
-        if queue not in self._queues:
-            if len(self._queues) >= MAX_QUEUES:
-                queue = "other"
-            self._queues.add(queue)
+        queue = self._meter.bounded("queue", queue)
         self._jobs.add(1, {"queue": queue, "outcome": outcome})
         self._seconds.record(seconds, {"queue": queue})
 
     def render(self) -> bytes:
         """Returns all metrics in Prometheus' text format."""
-        return prometheus_client.generate_latest(self._collectors)
+        return self._meter.render()
 
 
 def _observer(
--- a/packages/hawthornbarrow/src/hawthornbarrow/observability/_metrics.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/_metrics.py
@@ -1,15 +1,6 @@
-"""Metrics by OpenTelemetry, read by Prometheus at /metrics.
+"""Metrics of the entry and agent of the own interface."""
 
-Label values are bounded: members, services and upstreams come from the
-configuration and announcements; beyond MAX_LABEL_VALUES they count as "other".
-"""
-
-import prometheus_client
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.resources import Resource
-
-MAX_LABEL_VALUES = 200
+from hawthornbarrow.observability._meter import ProcessMeter
 
 
 class Metrics:
@@ -21,14 +12,8 @@
 
     def __init__(self, *, process: str) -> None:
         """Makes the instruments."""
-        self._collectors = prometheus_client.CollectorRegistry()
-        reader = PrometheusMetricReader(registry=self._collectors)
-        self._provider = MeterProvider(
-            metric_readers=[reader],
-            resource=Resource.create({"service.name": process}),
-        )
-        meter = self._provider.get_meter("hawthornbarrow")
-        self._labels: dict[str, set[str]] = {}
+        self._meter = ProcessMeter(process=process)
+        meter = self._meter.meter
         self._jobs = meter.create_counter("hawthornbarrow_jobs")
         self._tasks = meter.create_counter("hawthornbarrow_tasks")
         self._refusals = meter.create_counter("hawthornbarrow_refusals")
@@ -43,8 +28,8 @@
     ) -> None:
         """Counts a closed job."""
         labels = {
-            "member": self._bounded("member", member),
-            "service": self._bounded("service", service),
+            "member": self._meter.bounded("member", member),
+            "service": self._meter.bounded("service", service),
         }
         self._jobs.add(1, {**labels, "status": status})
         self._response.record(response_s, labels)
@@ -67,13 +52,4 @@
 
     def render(self) -> bytes:
         """Returns all metrics in Prometheus' text format."""
-        return prometheus_client.generate_latest(self._collectors)
-
-    def _bounded(self, label: str, value: str) -> str:
-        known = self._labels.setdefault(label, set())
-        if value in known:
-            return value
-        if len(known) >= MAX_LABEL_VALUES:
-            return "other"
-        known.add(value)
-        return value
+        return self._meter.render()
