--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_replica_keeper.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_replica_keeper.py
@@ -9,6 +9,7 @@
     LedgerStorageError,
     LinkReplicaTransport,
     ReplicatedLedger,
+    holds_ledger,
     load_identity,
     store_founders,
 )
@@ -78,9 +79,10 @@
 
     async def run(self) -> None:
         """Runs the replica until cancelled."""
-        if self._settings.data_dir is None:
+        folder = self._settings.data_dir
+        if folder is None:
             await curio.Event().wait()
-        if not self._settings.is_first_start or self._holds_ledger():
+        elif not self._settings.is_first_start or holds_ledger(folder):
             await self._open()
         while True:
             await self._opened.wait()
@@ -118,8 +120,7 @@
         if self._identity not in voters or self._ledger is not None:
             return
         assert self._settings.data_dir is not None
-        if not self._holds_ledger():
-            store_founders(self._settings.data_dir, voters)
+        if store_founders(self._settings.data_dir, voters):
             _log.info("ledger_founded", voters=",".join(voters))
         await self._open()
 
@@ -152,14 +153,6 @@
             self._founders = choose_founders(disks, self._settings.tolerated_losses)
         return self._founders
 
-    def _holds_ledger(self) -> bool:
-        assert self._settings.data_dir is not None
-        storage = FileStorage(folder=self._settings.data_dir)
-        stored = storage.load()
-        storage.close()
-        has_members = bool(stored.snapshot.members.voters)
-        return has_members or bool(stored.entries) or stored.hard.term > 0
-
     async def _open_as_learner(self) -> None:
         if self._settings.data_dir is not None:
             await self._open()
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/__init__.py
@@ -21,6 +21,7 @@
 )
 from hawthornbarrow.ledger._identity import (
     ReplicaIdentity,
+    holds_ledger,
     initialise_folder,
     load_identity,
     store_founders,
@@ -124,6 +125,7 @@
     "VoteReply",
     "decode_command",
     "encode_command",
+    "holds_ledger",
     "initialise_folder",
     "job_id_of",
     "load_identity",
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_identity.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_identity.py
@@ -46,12 +46,7 @@
     if (folder / _IDENTITY_FILE).exists():
         raise FileExistsError(f"{folder} belongs to a replica already")
     founders = tuple(f"{voter}.{_FOUNDER_INCARNATION}" for voter in sorted(voters))
-    storage = FileStorage(folder=folder)
-    storage.load()
-    storage.save_snapshot(
-        Snapshot(index=0, term=0, members=Members(voters=founders), data=b"")
-    )
-    storage.close()
+    _save_founders(folder, founders)
     identity = ReplicaIdentity(name=name, incarnation=_FOUNDER_INCARNATION)
     write_atomically(folder / _IDENTITY_FILE, msgspec.json.encode(identity))
 
@@ -74,21 +69,34 @@
     return identity
 
 
-def store_founders(folder: pathlib.Path, voters: tuple[str, ...]) -> None:
-    """Stores who founds the ledger, in a folder that holds no ledger yet.
+def holds_ledger(folder: pathlib.Path) -> bool:
+    """Tells whether a folder's replica has founded, followed or voted before."""
+    storage = FileStorage(folder=folder)
+    stored = storage.load()
+    storage.close()
+    has_members = bool(stored.snapshot.members.voters)
+    return has_members or bool(stored.entries) or stored.hard.term > 0
+
+
+def store_founders(folder: pathlib.Path, voters: tuple[str, ...]) -> bool:
+    """Stores who founds the ledger, unless the folder holds a ledger already.
 
     Args:
         folder: The replica's data folder.
         voters: Identities of all founding replicas.
 
-    Raises:
-        FileExistsError: The folder holds a ledger already.
+    Returns:
+        Whether it was stored.
     """
+    if holds_ledger(folder):
+        return False
+    _save_founders(folder, voters)
+    return True
+
+
+def _save_founders(folder: pathlib.Path, voters: tuple[str, ...]) -> None:
     storage = FileStorage(folder=folder)
-    stored = storage.load()
-    if stored.snapshot.members.voters or stored.entries or stored.hard.term:
-        storage.close()
-        raise FileExistsError(f"{folder} holds a ledger already")
+    storage.load()
     storage.save_snapshot(
         Snapshot(index=0, term=0, members=Members(voters=voters), data=b"")
     )
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
@@ -182,19 +182,15 @@
         Returns:
             An empty string, or why the request is refused.
         """
-        if self._replication is None:
-            return "not the leader"
-        if self._log.members_index > self._commit:
-            return "an earlier change of members is not committed yet"
-        heard = self._replication.heard(now_s, self._settings.election_max_s)
-        reason = refusal_of_replacement(self._log.members, old, new, heard)
-        if reason:
-            return reason
         members = self._log.members
-        self._append(
-            members=Members(voters=members.voters, learners=(new,), leaving=old)
+        reason = self._refusal_of_change() or refusal_of_replacement(
+            members, old, new, self._heard(now_s)
         )
-        return ""
+        if not reason:
+            self._append(
+                members=Members(voters=members.voters, learners=(new,), leaving=old)
+            )
+        return reason
 
     def add(self, new: str, now_s: float) -> str:
         """Begins to make a replica one voter more.
@@ -202,17 +198,13 @@
         Returns:
             An empty string, or why the request is refused.
         """
-        if self._replication is None:
-            return "not the leader"
-        if self._log.members_index > self._commit:
-            return "an earlier change of members is not committed yet"
-        heard = self._replication.heard(now_s, self._settings.election_max_s)
         members = self._log.members
-        reason = refusal_of_addition(members, new, heard)
-        if reason:
-            return reason
-        self._append(members=Members(voters=members.voters, learners=(new,)))
-        return ""
+        reason = self._refusal_of_change() or refusal_of_addition(
+            members, new, self._heard(now_s)
+        )
+        if not reason:
+            self._append(members=Members(voters=members.voters, learners=(new,)))
+        return reason
 
     def drop_learner(self) -> str:
         """Gives a change of members up whose new replica is lost.
@@ -220,16 +212,27 @@
         Returns:
             An empty string, or why the request is refused.
         """
+        members = self._log.members
+        reason = self._refusal_of_change()
+        if not reason and not members.learners:
+            reason = "nobody is learning"
+        if not reason:
+            self._append(members=Members(voters=members.voters))
+        return reason
+
+    def _refusal_of_change(self) -> str:
+        """Returns why members can not be changed now, or an empty string."""
         if self._replication is None:
             return "not the leader"
         if self._log.members_index > self._commit:
             return "an earlier change of members is not committed yet"
-        members = self._log.members
-        if not members.learners:
-            return "nobody is learning"
-        self._append(members=Members(voters=members.voters))
         return ""
 
+    def _heard(self, now_s: float) -> set[str]:
+        """Returns the replicas that a leader heard lately, itself included."""
+        assert self._replication is not None
+        return self._replication.heard(now_s, self._settings.election_max_s)
+
     def receive(self, sender: str, message: RaftMessage, now_s: float) -> None:
         """Takes one message from another replica."""
         if isinstance(message, ForwardProposal):
