Share the fleet's link times, and keep sorting out of the leader's ticks

Entry and agent built their link port from the same three constants: links.FLEET_TIMES. Addresses are noted as they come. A leader sorted the names of all agents and copied them at each tick; now only when an entry is to be told. The registry's set of agents being named follows from the ledger, as the set being struck did. One constructor for refusals; Intake's name was unused.

--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -24,6 +24,7 @@
 )
 from hawthornbarrow.clock import seconds_since, steady_s
 from hawthornbarrow.links import (
+    FLEET_TIMES,
     Dialler,
     LinkPort,
     Mailbox,
@@ -32,9 +33,6 @@
     Received,
 )
 
-_HEARTBEAT_S = 0.5
-_POLL_S = 0.5
-_SILENCE_S = 1.5
 _TICK_S = 0.05
 _LOOK_AGAIN_S = 0.1
 _HOLD_WAIT_S = 0.25
@@ -157,9 +155,7 @@
             incarnation=incarnation,
             cluster_key=settings.cluster_key,
             mailbox=self._mailbox,
-            heartbeat_s=_HEARTBEAT_S,
-            silence_s=_SILENCE_S,
-            poll_s=_POLL_S,
+            times=FLEET_TIMES,
         )
         self._custodian = Custodian(
             timing=settings.timing,
@@ -257,8 +253,7 @@
                 self._custodian.take_orders(message, now_s)
             case Directory():
                 for member in message.members:
-                    host, _, port = member.address.rpartition(":")
-                    self._port.note_address(host, int(port), member.name)
+                    self._port.note_address(member.address, member.name)
                 for member in choose_linked(message.members):
                     self._dialler.add(member.address)
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_agent_registry.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_agent_registry.py
@@ -52,7 +52,6 @@
                 del self._offers[agent]
             elif agent in agents and agent not in self._striking:
                 del self._offers[agent]
-                self._registering.discard(agent)
                 attachable.append((agent, message))
         return attachable
 
@@ -65,6 +64,7 @@
             agents: Agents that the ledger names.
         """
         self._striking.intersection_update(agents)
+        self._registering.difference_update(agents)
         missing = [
             agent
             for agent in self._offers
@@ -95,7 +95,6 @@
             absent_s = now_s - since_s
             if absent_s > self._struck_after_s and agent not in self._striking:
                 self._striking.add(agent)
-                self._registering.discard(agent)
                 strikes.append(RetireAgent(name=agent, incarnation=record.incarnation))
                 _log.info("agent_struck", agent=agent, absent_s=round(absent_s, 1))
         return strikes
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_intake.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_intake.py
@@ -53,6 +53,11 @@
     reason: str = ""
     retry_after_s: float = 0.0
 
+    @classmethod
+    def refused(cls, reason: str) -> "CallerOutcome":
+        """Returns the answer to a job that may be submitted again soon."""
+        return cls(kind=OutcomeKind.REFUSED, reason=reason, retry_after_s=RETRY_SOON_S)
+
 
 _OUTCOMES = {
     JobState.COMPLETE: OutcomeKind.COMPLETE,
@@ -83,30 +88,23 @@
     document: JobDocument
     objective_s: float
     received_at_s: float
-    offered_term: int
-    offers: int
     waiters: list[Waiter]
+    offered_term: int = 0
+    offers: int = 0
 
 
 def _lost_outcome(held: _HeldJob, reason: str) -> CallerOutcome:
     """Returns what to tell of a job whose dispatcher is lost."""
     if held.offers:
         return CallerOutcome(kind=OutcomeKind.UNKNOWN, reason=reason)
-    return CallerOutcome(
-        kind=OutcomeKind.REFUSED, reason=reason, retry_after_s=RETRY_SOON_S
-    )
+    return CallerOutcome.refused(reason)
 
 
 class Intake:
-    """Keeps the jobs of this entry's callers and hands them to the dispatcher.
-
-    Args:
-        entry: Name of this entry.
-    """
+    """Keeps the jobs of this entry's callers and hands them to the dispatcher."""
 
-    def __init__(self, *, entry: str) -> None:
+    def __init__(self) -> None:
         """Starts without a dispatcher."""
-        self._entry = entry
         self._dispatcher = ""
         self._term = 0
         self._version = 0
@@ -140,7 +138,7 @@
 
     def is_informed(self, now_s: float) -> bool:
         """Tells whether what the dispatcher told is recent enough to act on."""
-        return now_s - self._heard_at_s < INFORMATION_LEASE_S
+        return self.information_age_s(now_s) < INFORMATION_LEASE_S
 
     def information_age_s(self, now_s: float) -> float:
         """Returns the age of what the dispatcher told, infinite when it never did."""
@@ -230,17 +228,11 @@
                 information_age_s=round(self.information_age_s(now_s), 3),
                 term=self._term,
             )
-            return CallerOutcome(
-                kind=OutcomeKind.REFUSED,
-                reason="no dispatcher",
-                retry_after_s=RETRY_SOON_S,
-            )
+            return CallerOutcome.refused("no dispatcher")
         held = _HeldJob(
             document=document,
             objective_s=objective_s,
             received_at_s=now_s,
-            offered_term=0,
-            offers=0,
             waiters=[waiter],
         )
         self._jobs[document.job] = held
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_leadership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_leadership.py
@@ -65,7 +65,7 @@
     """
 
     term: int
-    agents: frozenset[str]
+    agents: collections.abc.Set[str]
     version: int
 
     @property
@@ -185,7 +185,7 @@
             current = self._dispatcher.term if self._dispatcher else 0
             return _Mandate(
                 term=self._standby.leader_term(ledger.term, current),
-                agents=frozenset(ledger.state.agents),
+                agents=ledger.state.agents.keys(),
                 version=ledger.state.put.version,
             )
         if table is not None and self._standby.leads(now_s):
@@ -241,11 +241,17 @@
 
     async def _tell_agents(self, mandate: _Mandate) -> None:
         """Tells the entries which agents the ledger names, when that changes."""
-        message = KnownAgents(term=mandate.term, agents=tuple(sorted(mandate.agents)))
-        for peer in [*self._port.peers_up("entry"), self._settings.name]:
-            if self._told_agents.get(peer) != mandate.agents:
-                self._told_agents[peer] = mandate.agents
-                await self._send(peer, message)
+        peers = [*self._port.peers_up("entry"), self._settings.name]
+        untold = [
+            peer for peer in peers if self._told_agents.get(peer) != mandate.agents
+        ]
+        if not untold:
+            return
+        agents = frozenset(mandate.agents)
+        message = KnownAgents(term=mandate.term, agents=tuple(sorted(agents)))
+        for peer in untold:
+            self._told_agents[peer] = agents
+            await self._send(peer, message)
 
     async def _attach_offered(self, mandate: _Mandate, now_s: float) -> None:
         """Attaches the agents that the ledger names, and has it name the others.
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -34,6 +34,7 @@
 from hawthornbarrow.clock import seconds_since, steady_s
 from hawthornbarrow.ledger import Applied, LedgerLost
 from hawthornbarrow.links import (
+    FLEET_TIMES,
     Dialler,
     LinkPort,
     Mailbox,
@@ -51,10 +52,8 @@
 )
 
 from hawthornbarrow_entry.fleet._intake import (
-    RETRY_SOON_S,
     CallerOutcome,
     Intake,
-    OutcomeKind,
     Waiter,
 )
 from hawthornbarrow_entry.fleet._leadership import Leadership
@@ -65,9 +64,6 @@
 
 ENTRY_ROLE = "entry"
 AGENT_ROLE = "agent"
-_HEARTBEAT_S = 0.5
-_POLL_S = 0.5
-_SILENCE_S = 1.5
 _TICK_S = 0.05
 _SWEEP_S = 0.1
 _ASK_AGAIN_S = 0.25
@@ -107,9 +103,7 @@
             incarnation=incarnation,
             cluster_key=settings.cluster_key,
             mailbox=self._mailbox,
-            heartbeat_s=_HEARTBEAT_S,
-            silence_s=_SILENCE_S,
-            poll_s=_POLL_S,
+            times=FLEET_TIMES,
         )
         self._replica = ReplicaKeeper(
             settings=settings,
@@ -124,7 +118,7 @@
             replica=self._replica.identity,
         )
         self._membership = Membership(own=own, now_s=steady_s())
-        self._intake = Intake(entry=settings.name)
+        self._intake = Intake()
         self._leadership = Leadership(
             settings=settings,
             replica=self._replica,
@@ -228,11 +222,7 @@
         now_s = steady_s()
         if self._is_stopping and not self._may_finish(document, now_s):
             _log.info("job_refused", job=document.job, reason="the entry is stopping")
-            return CallerOutcome(
-                kind=OutcomeKind.REFUSED,
-                reason="the entry is stopping",
-                retry_after_s=RETRY_SOON_S,
-            )
+            return CallerOutcome.refused("the entry is stopping")
         waiter = Waiter(give_up_at_s=now_s + limit_s, is_abandoned=is_abandoned)
         outcome = self._intake.submit(
             document, waiter, now_s, objective_s=self._objective_s(document)
@@ -474,8 +464,7 @@
         self, peer: str, directory: Directory, now_s: float
     ) -> None:
         for member in directory.members:
-            host, _, port = member.address.rpartition(":")
-            self._port.note_address(host, int(port), member.name)
+            self._port.note_address(member.address, member.name)
         if not self._membership.take(peer, directory, now_s):
             return
         for member in self._membership.members.values():
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_intake.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_intake.py
@@ -27,7 +27,7 @@
 
 class IntakeTest(unittest.TestCase):
     def setUp(self):
-        self.intake = Intake(entry="e")
+        self.intake = Intake()
 
     def pulse(self, term, now_s, peer="d"):
         pulse = Pulse(term=term, heard_at_s=now_s, version=1)
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/__init__.py
@@ -35,7 +35,12 @@
     UpstreamGone,
     UsageReport,
 )
-from hawthornbarrow.links._port import LinkCounters, LinkPort
+from hawthornbarrow.links._port import (
+    FLEET_TIMES,
+    LinkCounters,
+    LinkPort,
+    LinkTimes,
+)
 from hawthornbarrow.links._session import (
     LinkEvent,
     LinkSession,
@@ -46,6 +51,7 @@
 )
 
 __all__ = [
+    "FLEET_TIMES",
     "Dialler",
     "PROTOCOL_VERSION",
     "CancelJobs",
@@ -69,6 +75,7 @@
     "LinkPort",
     "LinkProtocolError",
     "LinkSession",
+    "LinkTimes",
     "Mailbox",
     "Message",
     "PeerDown",
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
@@ -19,7 +19,7 @@
 )
 from hawthornbarrow.links._stream import BlockStream
 
-_POLL_INTERVAL_S = 0.1
+_SETTLE_POLL_S = 0.01
 _CONNECT_LIMIT_S = 0.4  # a machine that comes back is found by the next attempt
 _GREETING_LIMIT_S = 2.0
 _SHORTEST_WAIT_S = 0.01
@@ -27,6 +27,25 @@
 _REDIAL_MAX_S = 0.4
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LinkTimes:
+    """Times of all links of a process.
+
+    Attributes:
+        heartbeat_s: Longest time without sending anything on a link.
+        silence_s: Longest time without receiving before a connection is closed.
+        poll_s: Longest wait of what is not urgent.
+    """
+
+    heartbeat_s: float = HEARTBEAT_INTERVAL_S
+    silence_s: float = SILENCE_LIMIT_S
+    poll_s: float = 0.1
+
+
+# In a fleet a lost peer must show within the leases, and there are many links.
+FLEET_TIMES = LinkTimes(heartbeat_s=0.5, silence_s=1.5, poll_s=0.5)
+
+
 @dataclasses.dataclass(kw_only=True)
 class LinkCounters:
     """Counts of what crossed the links of one process."""
@@ -63,9 +82,7 @@
         incarnation: Random number of this run of the process.
         cluster_key: Secret shared by all processes of the deployment.
         mailbox: Where link events are posted.
-        heartbeat_s: Longest time without sending anything on a link.
-        silence_s: Longest time without receiving before a connection is closed.
-        poll_s: Longest wait of what is not urgent.
+        times: Times of the links.
     """
 
     def __init__(
@@ -76,14 +93,10 @@
         incarnation: int,
         cluster_key: bytes,
         mailbox: Mailbox,
-        heartbeat_s: float = HEARTBEAT_INTERVAL_S,
-        silence_s: float = SILENCE_LIMIT_S,
-        poll_s: float = _POLL_INTERVAL_S,
+        times: LinkTimes | None = None,
     ) -> None:
         """Starts without links."""
-        self._heartbeat_s = heartbeat_s
-        self._silence_s = silence_s
-        self._poll_s = poll_s
+        self._times = times or LinkTimes()
         self._names: dict[str, str] = {}
         self._process = process
         self._role = role
@@ -152,9 +165,9 @@
         session = self._sessions.get(peer)
         return session.peer_sent_at_s if session is not None else -math.inf
 
-    def note_address(self, host: str, port: int, peer: str) -> None:
-        """Tells who listens at an address, so that it is not dialled twice."""
-        self._names[f"{host}:{port}"] = peer
+    def note_address(self, address: str, peer: str) -> None:
+        """Tells who listens at an IP number and port, so it is not dialled twice."""
+        self._names[address] = peer
 
     async def flush(self) -> None:
         """Wakes the writers of all links that have something to send."""
@@ -175,7 +188,7 @@
             )
             if not waiting:
                 return
-            await curio.sleep(_POLL_INTERVAL_S / 10)
+            await curio.sleep(_SETTLE_POLL_S)
 
     async def listen(self, host: str, port: int) -> None:
         """Accepts links until cancelled."""
@@ -248,7 +261,7 @@
         """Serves one greeted connection until it ends; returns the peer's name."""
         peer = hello.process
         stream.disable_delay()
-        stream.limit_unacknowledged(self._silence_s)
+        stream.limit_unacknowledged(self._times.silence_s)
         self._sessions[peer] = session
         connection = _Connection(stream=stream, codec=codec)
         await self._drop_connection(peer)
@@ -289,7 +302,9 @@
             if frames:
                 await self._send_frames(connection, frames)
             due_s = max(_SHORTEST_WAIT_S, session.seconds_until_due(steady_s()))
-            await curio.ignore_after(min(due_s, self._poll_s), connection.wake.wait)
+            await curio.ignore_after(
+                min(due_s, self._times.poll_s), connection.wake.wait
+            )
             connection.wake.clear()
         connection.closed = True
         connection.stream.shut_down()
@@ -338,6 +353,6 @@
             process=self._process,
             role=self._role,
             incarnation=self._incarnation,
-            heartbeat_s=self._heartbeat_s,
-            silence_s=self._silence_s,
+            heartbeat_s=self._times.heartbeat_s,
+            silence_s=self._times.silence_s,
         )
