Link processes by need instead of all with all

Cause: agents were meant to link to the replicas and three standbys, but each directory of a fleet that is still starting lists other entries first, and links were never closed, so at 160 + 40 processes each agent ended with links to nearly all entries (48 open files at an agent, 238 at an entry). Each link has heartbeats, and each dialed one was polled every 0.4 s.

Change: LinkPlan, a sans-I/O state machine, chooses the entries that agents and entries link to; the Dialer closes links that are not chosen any more. Standbys that cannot be reached are replaced by the next in rank. Dialers wait for a change instead of polling. Directories are sent at most every 0.1 s to entries and every 0.5 s to agents while the fleet starts. Replaced seeds are not dialed any more.

--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -12,6 +12,8 @@
     ClaimAgents,
     Directory,
     DispatcherHeartbeat,
+    FleetMember,
+    LinkPlan,
     Listing,
     RelayedMessage,
     RunLeaseTiming,
@@ -22,7 +24,6 @@
     StopCall,
     StopTasks,
     WorkerRecord,
-    choose_linked_entries,
 )
 from hawthornbarrow.clock import seconds_since, steady_s
 from hawthornbarrow.links import (
@@ -36,6 +37,8 @@
 )
 
 _TICK_INTERVAL_S = 0.05
+_IDLE_TICK_INTERVAL_S = 0.15  # without runs; heartbeats of the dispatcher wake it too
+_LINK_CHECK_INTERVAL_S = 0.5
 _POLL_INTERVAL_S = 0.1
 _LISTING_WAIT_S = 0.25  # for which the upstream may delay a listing until a run ends
 _AGENT_ROLE = "agent"
@@ -167,6 +170,9 @@
             now_s=steady_s(),
         )
         self._dialer = Dialer(port=self._port)
+        self._link_plan = LinkPlan()
+        self._members: dict[str, FleetMember] = {}
+        self._links_checked_at_s = -1e9
         self._relays: set[str] = set()
         self._calls: curio.Queue = curio.Queue()
 
@@ -193,10 +199,10 @@
         """Processes the departure of the upstream."""
         self._supervisor.withdraw(upstream, steady_s())
 
-    def add_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Adds seeds from the initial or reloaded settings."""
-        for address in seeds:
-            self._dialer.add(address)
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Sets the seeds from the initial or reloaded settings."""
+        self._link_plan.set_seeds(seeds)
+        self._links_checked_at_s = -1e9
 
     async def run(self) -> None:
         """Runs the agent until cancelled."""
@@ -205,7 +211,7 @@
             seeds=",".join(self._settings.seeds),
             start_took_s=seconds_since(self._settings.started_at_s),
         )
-        self.add_seeds(self._settings.seeds)
+        self.set_seeds(self._settings.seeds)
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._dialer.run)
             await group.spawn(self._renew_runs)
@@ -217,11 +223,16 @@
         _log.info("agent_stopping", held=self._supervisor.run_count)
 
     async def _serve(self) -> None:
+        await self._update_links(steady_s())
         while True:
-            items = await self._mailbox.drain(timeout_s=_TICK_INTERVAL_S)
+            has_runs = self._supervisor.run_count
+            tick_s = _TICK_INTERVAL_S if has_runs else _IDLE_TICK_INTERVAL_S
+            items = await self._mailbox.drain(timeout_s=tick_s)
             now_s = steady_s()
             for item in items:
-                self._on_event(item, now_s)
+                await self._on_event(item, now_s)
+            if now_s - self._links_checked_at_s >= _LINK_CHECK_INTERVAL_S:
+                await self._update_links(now_s)
             self._supervisor.tick(now_s)
             for call in self._supervisor.take_calls():
                 await self._calls.put(call)
@@ -231,6 +242,13 @@
                 self._send_probes(now_s)
             await self._port.flush()
 
+    async def _update_links(self, now_s: float) -> None:
+        """Dials the entries that the plan chooses, and closes links to others."""
+        self._links_checked_at_s = now_s
+        in_use = {self._supervisor.dispatcher, self._supervisor.relay}
+        linked = set(self._port.peers_up("entry"))
+        await self._dialer.set_addresses(self._link_plan.choose(linked, in_use, now_s))
+
     def _send(self, receiver: str, message: CellMessage, now_s: float) -> None:
         """Sends a message, through the relay if it is for the dispatcher."""
         relay = self._supervisor.relay
@@ -250,15 +268,16 @@
             source=self._settings.name, target="", sent_at_s=now_s, message=message
         )
 
-    def _on_event(self, item: object, now_s: float) -> None:
+    async def _on_event(self, item: object, now_s: float) -> None:
         match item:
             case PeerUp():
                 _log.info("peer_up", peer=item.peer)
             case PeerDown():
                 _log.warning("peer_down", peer=item.peer)
                 self._supervisor.on_link_down(item.peer)
+                self._links_checked_at_s = -1e9
             case MessageReceived():
-                self._on_message(item.peer, item.message, now_s)
+                await self._on_message(item.peer, item.message, now_s)
             case _RunsListed():
                 self._supervisor.on_listing(item.listing, now_s)
             case _UpstreamGone():
@@ -268,7 +287,7 @@
             case _StopAnswered():
                 self._supervisor.on_stop_response(item.call, item.is_confirmed, now_s)
 
-    def _on_message(self, peer: str, message: object, now_s: float) -> None:
+    async def _on_message(self, peer: str, message: object, now_s: float) -> None:
         match message:
             case DispatcherHeartbeat():
                 self._supervisor.on_heartbeat(peer, message, now_s)
@@ -280,12 +299,18 @@
             case StartTasks() | StopTasks():
                 self._supervisor.on_orders(message, now_s)
             case Directory():
-                for member in message.members:
-                    self._port.record_peer_address(member.address, member.name)
-                    if member.is_relay:
-                        self._relays.add(member.name)
-                for member in choose_linked_entries(message.members):
-                    self._dialer.add(member.address)
+                await self._on_directory(peer, message)
+
+    async def _on_directory(self, peer: str, directory: Directory) -> None:
+        """Learns of entries; what one says of itself goes before what others say."""
+        for member in directory.members:
+            await self._port.record_peer_address(member.address, member.name)
+            if member.is_relay:
+                self._relays.add(member.name)
+            if member.name == peer or member.name not in self._members:
+                self._members[member.name] = member
+        self._link_plan.set_members(self._members)
+        self._links_checked_at_s = -1e9
 
     def _on_relayed(self, relay: str, relayed: RelayedMessage, now_s: float) -> None:
         match relayed.message:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -25,6 +25,7 @@
     JobState,
     JobStateReply,
     KnownAgents,
+    LinkPlan,
     ProposeConfiguration,
     RelayedMessage,
     SubmitJob,
@@ -139,6 +140,9 @@
         self._first_configuration = curio.Event()
         self._roles: dict[str, str] = {}
         self._dialer = Dialer(port=self._port, own_address=settings.address)
+        self._link_plan = LinkPlan(own=own)
+        self._link_plan.set_members(self._membership.members)
+        self._uninformed_roles: set[str] = set()
         self._leader_requests = LeaderRequests(send=self._send_leader_request)
         self._outcome_events: dict[Waiter, curio.Event] = {}
         self._configuration_requested_at_s = -1e9
@@ -382,13 +386,14 @@
         await self._flush()
         await curio.sleep(_FINAL_FLUSH_S)
 
-    def add_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Adds seeds from the initial or reloaded settings."""
-        for address in seeds:
-            self._dialer.add(address)
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Sets the seeds from the initial or reloaded settings."""
+        self._link_plan.set_seeds(seeds)
+        self._maintained_at_s = -1e9
 
     async def _serve(self) -> None:
-        self.add_seeds(self._settings.seeds)
+        self.set_seeds(self._settings.seeds)
+        await self._update_links(steady_s())
         while True:
             items = await self._mailbox.drain(timeout_s=_TICK_INTERVAL_S)
             now_s = steady_s()
@@ -400,6 +405,7 @@
             if now_s - self._swept_at_s >= _SWEEP_INTERVAL_S:
                 self._swept_at_s = now_s
                 self._caller_jobs.tick(now_s)
+                await self._send_directory(ENTRY_ROLE)
             if now_s - self._maintained_at_s >= _MAINTENANCE_INTERVAL_S:
                 self._maintained_at_s = now_s
                 await self._run_maintenance(now_s)
@@ -417,6 +423,8 @@
 
     async def _run_maintenance(self, now_s: float) -> None:
         self._membership.remove_silent(now_s)
+        await self._update_links(now_s)
+        await self._send_directory(AGENT_ROLE)
         voters = self._replica.initial_voters_to_announce(
             self._membership, self._caller_jobs.term, now_s
         )
@@ -426,6 +434,21 @@
         await self._dispatcher_role.repair_voters(self._membership, now_s)
         await self._dispatcher_role.retire_agents(now_s)
 
+    async def _update_links(self, now_s: float) -> None:
+        """Dials the entries that the plan chooses, and closes links to others."""
+        in_use = {self._caller_jobs.dispatcher}
+        linked = set(self._port.peers_up(ENTRY_ROLE))
+        await self._dialer.set_addresses(self._link_plan.choose(linked, in_use, now_s))
+
+    async def _send_directory(self, role: str) -> None:
+        """Sends the directory to the processes of a role if it has changed."""
+        if role not in self._uninformed_roles:
+            return
+        self._uninformed_roles.discard(role)
+        directory = self._membership.directory()
+        for peer in self._port.peers_up(role):
+            await self._send(peer, directory)
+
     # Events
 
     async def _on_event(self, item: object, now_s: float) -> None:
@@ -450,6 +473,7 @@
         self._dispatcher_role.on_peer_up(event.peer, is_restarted=event.restarted)
         if event.role == ENTRY_ROLE:
             self._membership.on_link_change(event.peer, True, now_s)
+            self._uninformed_roles.update((ENTRY_ROLE, AGENT_ROLE))
         await self._send(event.peer, self._membership.directory())
 
     def _on_peer_down(self, event: PeerDown, now_s: float) -> None:
@@ -523,15 +547,10 @@
         self, peer: str, directory: Directory, now_s: float
     ) -> None:
         for member in directory.members:
-            self._port.record_peer_address(member.address, member.name)
-        if not self._membership.on_directory(peer, directory, now_s):
-            return
-        for member in self._membership.members.values():
-            if self._settings.address < member.address:
-                self._dialer.add(member.address)
-        for name, role in self._roles.items():
-            if self._port.is_up(name) and (role == AGENT_ROLE or name != peer):
-                await self._send(name, self._membership.directory())
+            await self._port.record_peer_address(member.address, member.name)
+        if self._membership.on_directory(peer, directory, now_s):
+            self._uninformed_roles.update((ENTRY_ROLE, AGENT_ROLE))
+            await self._update_links(now_s)
 
     # Configuration
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -3,6 +3,7 @@
 from hawthornbarrow.cells._admission import Admission, AdmissionDecision
 from hawthornbarrow.cells._dispatcher import Dispatcher
 from hawthornbarrow.cells._job_record import GIVE_UP_FACTOR, JobRecord
+from hawthornbarrow.cells._link_plan import LinkPlan
 from hawthornbarrow.cells._messages import (
     AttachWorker,
     BootstrapLedger,
@@ -52,7 +53,6 @@
 from hawthornbarrow.cells._run_times import RunTimes
 from hawthornbarrow.cells._standby import (
     Standby,
-    choose_linked_entries,
     first_term,
     is_standby_term,
     ledger_term_of,
@@ -93,6 +93,7 @@
     "JobRecord",
     "JobState",
     "KnownAgents",
+    "LinkPlan",
     "ListedEndedRun",
     "ListedRun",
     "Listing",
@@ -124,7 +125,6 @@
     "WithdrawJob",
     "WorkerRecord",
     "WorkerReport",
-    "choose_linked_entries",
     "first_term",
     "is_standby_term",
     "ledger_term_of",
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_standby.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_standby.py
@@ -28,7 +28,7 @@
 CLAIM_MARGIN_S = 0.1  # added to the time after which agents may follow another entry
 RANK_DELAY_S = 0.2  # between the first claims of entries of successive rank
 CLAIM_RETRY_INTERVAL_S = 0.4
-LINKED_STANDBY_COUNT = 3
+LINKED_STANDBY_COUNT = 3  # at least, beside the entries with replicas
 CONTACT_TIMEOUT_S = 0.5  # a majority of the agents must have been heard within it
 
 _log = structlog.get_logger()
@@ -59,20 +59,6 @@
     return sorted(members, key=lambda member: (bool(member.replica), member.name))
 
 
-def choose_linked_entries(
-    members: collections.abc.Iterable[FleetMember],
-) -> list[FleetMember]:
-    """Returns the entries that agents keep links to.
-
-    These are all entries that may lead the ledger and the first
-    LINKED_STANDBY_COUNT other entries in the order in which they claim.
-    """
-    ranked = rank_standbys(members)
-    without_replica = [member for member in ranked if not member.replica]
-    with_replica = [member for member in ranked if member.replica]
-    return with_replica + without_replica[:LINKED_STANDBY_COUNT]
-
-
 class Standby:
     """Decides when an entry dispatches without a leader of the ledger.
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_dialer.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_dialer.py
@@ -1,14 +1,14 @@
-"""Keeps links to a growing set of addresses."""
+"""Keeps links to a changing set of addresses."""
+
+import collections.abc
 
 import curio
 
 from hawthornbarrow.links._port import LinkPort
 
-_POLL_INTERVAL_S = 0.05  # between checks for new addresses
-
 
 class Dialer:
-    """Dials each added address, and dials again whenever its link is lost.
+    """Dials each address of a set, and dials again whenever its link is lost.
 
     Args:
         port: Link port of the process.
@@ -18,20 +18,28 @@
     def __init__(self, *, port: LinkPort, own_address: str = "") -> None:
         """Initializes a dialer without addresses."""
         self._port = port
-        self._known_addresses = {own_address}
-        self._new_addresses: list[str] = []
-
-    def add(self, address: str) -> None:
-        """Adds an `IP:PORT` to keep a link to."""
-        if address not in self._known_addresses:
-            self._known_addresses.add(address)
-            self._new_addresses.append(address)
+        self._own_address = own_address
+        self._addresses: frozenset[str] = frozenset()
+        self._has_changes = curio.Event()
+        self._tasks: dict[str, curio.Task] = {}
+
+    async def set_addresses(self, addresses: collections.abc.Iterable[str]) -> None:
+        """Sets each `IP:PORT` to keep a link to; links to former ones are closed."""
+        addresses = frozenset(addresses) - {self._own_address}
+        if addresses != self._addresses:
+            self._addresses = addresses
+            await self._has_changes.set()
 
     async def run(self) -> None:
-        """Keeps links to all added addresses until cancelled."""
+        """Keeps links to the addresses until cancelled."""
         async with curio.TaskGroup(wait=None) as group:
             while True:
-                while self._new_addresses:
-                    host, _, tcp_port = self._new_addresses.pop().rpartition(":")
-                    await group.spawn(self._port.dial, host, int(tcp_port))
-                await curio.sleep(_POLL_INTERVAL_S)
+                await self._has_changes.wait()
+                self._has_changes.clear()
+                for address in self._addresses - self._tasks.keys():
+                    host, _, tcp_port = address.rpartition(":")
+                    self._tasks[address] = await group.spawn(
+                        self._port.dial, host, int(tcp_port)
+                    )
+                for address in self._tasks.keys() - self._addresses:
+                    await self._tasks.pop(address).cancel()
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
@@ -116,6 +116,7 @@
         self._connections: dict[str, _Connection] = {}
         self._peers_to_flush: set[str] = set()
         self._random = random.Random(incarnation)
+        self._links_changed = curio.Event()
         self._counters = LinkCounters()
         self._bound_port = 0
 
@@ -180,9 +181,11 @@
         session = self._sessions.get(peer)
         return session.peer_sent_at_s if session is not None else -math.inf
 
-    def record_peer_address(self, address: str, peer: str) -> None:
+    async def record_peer_address(self, address: str, peer: str) -> None:
         """Records which peer listens at `IP:PORT`, so that it is not dialed twice."""
-        self._peers_by_address[address] = peer
+        if self._peers_by_address.get(address) != peer:
+            self._peers_by_address[address] = peer
+            await self._wake_dialers()
 
     async def flush(self) -> None:
         """Wakes the writers of all links that have a frame to send."""
@@ -223,7 +226,7 @@
         while True:
             peer = self._peers_by_address.get(f"{host}:{port}", peer)
             if peer is not None and self.is_up(peer):
-                await curio.sleep(_MAX_REDIAL_DELAY_S)
+                await self._links_changed.wait()
                 continue
             try:
                 peer = await self._dial_once(host, port, peer)
@@ -326,8 +329,14 @@
                 del self._connections[peer]
                 for event in session.disconnect():
                     await self._mailbox.post(event)
+                await self._wake_dialers()
         return peer
 
+    async def _wake_dialers(self) -> None:
+        """Makes tasks that wait while their peer's link is up check it again."""
+        changed, self._links_changed = self._links_changed, curio.Event()
+        await changed.set()
+
     async def _read_frames(self, connection: _Connection, session: LinkSession) -> None:
         while not connection.closed:
             block = await connection.stream.receive()
@@ -385,6 +394,7 @@
             return
         for event in connection.session.disconnect():
             await self._mailbox.post(event)
+        await self._wake_dialers()
 
     async def _receive_hello(self, stream: BlockStream, codec: Codec) -> Hello:
         block = await stream.receive()
