Keep workers, waiting jobs and capacity in indexes instead of scanning them

Change: WorkerIndex (by service, speed class and free CPU), ReadyCapacity (sums over the workers that accept tasks), WaitingJobs (order and work ahead) and runs by job are kept up to date by each change.

--- a/benchmarks/cell_slopes.py
+++ b/benchmarks/cell_slopes.py
@@ -73,7 +73,7 @@
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
     )
-    for workers in (11, 60, 300):
+    for workers in (11, 77, 160, 300, 1000):
         for task_count in (2, 8):
             cost_us, served = measure_dispatcher(workers, task_count, arguments.seconds)
             print(
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_admission.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_admission.py
@@ -4,8 +4,8 @@
 import dataclasses
 
 from hawthornbarrow.cells._job_record import JobRecord
+from hawthornbarrow.cells._ready_capacity import CapacitySum
 from hawthornbarrow.cells._run_times import RunTimes
-from hawthornbarrow.cells._worker_view import WorkerView
 
 _USABLE_FRACTION = 0.92  # of the capacity; the rest is lost to uneven task sizes
 _MIN_RATE_CORES = 0.001
@@ -47,8 +47,8 @@
     def evaluate(
         self,
         job: JobRecord,
-        waiting: collections.abc.Iterable[JobRecord],
-        workers: collections.abc.Iterable[WorkerView],
+        ahead_core_s: float,
+        capacity: CapacitySum,
         now_s: float,
         *,
         start_delay_s: float = 0.0,
@@ -57,21 +57,14 @@
 
         Args:
             job: The new job.
-            waiting: Jobs that wait for capacity.
-            workers: Workers that may run it.
+            ahead_core_s: Expected work of the jobs that get capacity before it.
+            capacity: Capacity of the workers that may run it.
             now_s: Current time.
             start_delay_s: Time until new jobs may start.
         """
-        workers = list(workers)
-        rate_cores = self._rate_cores(workers)
-        free_cores = sum(max(0, worker.free.cpu) for worker in workers) / 1000
-        ahead_core_s = sum(
-            self._work_core_s(other)
-            for other in waiting
-            if other.queue.priority <= job.queue.priority and other.start_by_s >= now_s
-        )
+        rate_cores = self._rate_cores(capacity)
         wait_s = start_delay_s
-        if ahead_core_s > 0 or free_cores < self._requested_cores(job):
+        if ahead_core_s > 0 or capacity.free_cores < self._requested_cores(job):
             wait_s += (ahead_core_s + self._work_core_s(job) / 2) / rate_cores
         slack_s = job.start_by_s - now_s
         # A job that is late when it arrives, as it waited for a dispatcher, takes
@@ -87,7 +80,7 @@
     def find_infeasible(
         self,
         waiting: collections.abc.Iterable[JobRecord],
-        workers: collections.abc.Iterable[WorkerView],
+        capacity: CapacitySum,
         now_s: float,
         *,
         start_delay_s: collections.abc.Callable[[JobRecord], float],
@@ -96,11 +89,11 @@
 
         Args:
             waiting: Jobs that wait for capacity, in the order in which they get it.
-            workers: Workers that may run them.
+            capacity: Capacity of the workers that may run them.
             now_s: Current time.
             start_delay_s: Returns the time until a job may start.
         """
-        rate_cores = self._rate_cores(workers)
+        rate_cores = self._rate_cores(capacity)
         ahead_core_s = 0.0
         infeasible = []
         for job in waiting:
@@ -111,15 +104,9 @@
                 ahead_core_s += self._work_core_s(job)
         return infeasible
 
-    def _rate_cores(self, workers: collections.abc.Iterable[WorkerView]) -> float:
+    def _rate_cores(self, capacity: CapacitySum) -> float:
         """Returns the core-seconds of work that workers complete per second."""
-        cores = sum(
-            worker.record.capacity.cpu
-            / 1000
-            / self._run_times.slowness(worker.record.upstream)
-            for worker in workers
-        )
-        return max(cores * _USABLE_FRACTION, _MIN_RATE_CORES)
+        return max(capacity.rate_cores * _USABLE_FRACTION, _MIN_RATE_CORES)
 
     def _work_core_s(self, job: JobRecord) -> float:
         return self._run_times.expected_s(job.queue.name, job.remaining_work)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -34,6 +34,7 @@
 from hawthornbarrow.cells._run_times import RunTimes
 from hawthornbarrow.cells._task_placer import TaskPlacer
 from hawthornbarrow.cells._timing import RunLeaseTiming
+from hawthornbarrow.cells._waiting_jobs import plain_work_ahead_core_s
 from hawthornbarrow.cells._worker_monitor import WorkerMonitor
 from hawthornbarrow.cells._worker_pool import WorkerPool
 from hawthornbarrow.cells._worker_view import Run, WorkerView
@@ -78,11 +79,14 @@
         self._pool = WorkerPool(
             term=term,
             timing=timing,
+            run_times=self._run_times,
             expected=expected,
             now_s=now_s,
             has_lease_expired=has_lease_expired,
         )
-        self._job_registry = JobRegistry(term=term)
+        self._job_registry = JobRegistry(
+            term=term, order=order or TimelyPriorityOrder()
+        )
         self._previous_runs = PreviousRuns(recovery_until_s=self._pool.recovery_until_s)
         self._table: QueueTable | None = None
         self._swept_at_s = now_s
@@ -93,7 +97,6 @@
             term=term,
             pool=self._pool,
             job_registry=self._job_registry,
-            order=order or TimelyPriorityOrder(),
             run_times=self._run_times,
             counts=self._counts,
         )
@@ -224,6 +227,7 @@
                 self._end_run(worker, ended, now_s)
         for task in message.stalled:
             self._stop_stalled(worker, task, now_s)
+        self._pool.refresh(worker, now_s)
         self._has_changes = True
 
     def on_frame(self, agent: str, now_s: float) -> None:
@@ -235,8 +239,10 @@
         """Detaches an agent and queues its tasks again."""
         self._counts["worker_lost"] += 1
         self._pool.detach(worker, reason, now_s)
-        for task in list(worker.runs):
-            worker.remove(task)
+        tasks = list(worker.runs)
+        for task in tasks:
+            self._pool.remove_run(worker, task, now_s)
+        for task in tasks:
             self._requeue(worker, task, RunOutcome.LOST, now_s)
         self._has_changes = True
 
@@ -247,7 +253,7 @@
             needs=active.needs,
             started_at_s=now_s - active.age_s,
         )
-        worker.add(run)
+        self._pool.add_run(worker, run, now_s)
         self._previous_runs.record_trace(active.task.job, now_s)
         record = self._job_registry.jobs.get(active.task.job)
         if record is not None and not record.state.is_final:
@@ -277,6 +283,7 @@
             return
         record.begin(key.step, key.index, worker.agent)
         progress.attempts = max(progress.attempts, run.attempt)
+        self._job_registry.on_tasks_changed(record)
         _log.info(
             "run_adopted",
             job=key.job,
@@ -351,16 +358,14 @@
     ) -> bool:
         if message.was_offered or self._pool.is_in_attach_window(now_s):
             return False
-        ready = self._task_placer.workers_by_service(now_s)
-        workers = ready.get(record.queue.service, [])
+        capacity = self._pool.ready_capacity(record.queue.service)
         delay_s = self._start_delay_s(record, now_s)
-        ahead = [
-            job
-            for job in self._job_registry.waiting.values()
-            if self._start_delay_s(job, now_s) <= delay_s
-        ]
         decision = self._admission.evaluate(
-            record, ahead, workers, now_s, start_delay_s=delay_s
+            record,
+            self._work_ahead_core_s(record, delay_s, now_s),
+            capacity,
+            now_s,
+            start_delay_s=delay_s,
         )
         if decision.is_admitted:
             return False
@@ -371,12 +376,33 @@
             queue=record.queue.name,
             predicted_wait_s=round(decision.predicted_wait_s, 3),
             slack_s=round(decision.slack_s, 3),
-            waiting=len(self._job_registry.waiting),
-            workers=len(workers),
+            waiting=self.waiting_count,
+            workers=capacity.worker_count,
         )
         self._refuse(entry, record.job, "no room in time", decision.retry_after_s)
         return True
 
+    def _work_ahead_core_s(
+        self, record: JobRecord, delay_s: float, now_s: float
+    ) -> float:
+        """Returns the expected work of the jobs that get capacity before a new one.
+
+        While a recovery lasts, jobs that must wait longer for it do not count.
+        """
+        waiting = self._job_registry.waiting
+        if not self._pool.is_recovering(now_s):
+            return waiting.work_ahead_core_s(
+                record.queue.priority, self._run_times, now_s
+            )
+        ahead = (
+            job
+            for job in waiting.records.values()
+            if self._start_delay_s(job, now_s) <= delay_s
+        )
+        return plain_work_ahead_core_s(
+            ahead, record.queue.priority, self._run_times, now_s
+        )
+
     def _refuse(self, entry: str, job: str, reason: str, retry_after_s: float) -> None:
         answer = JobAnswer(
             job=job,
@@ -436,7 +462,7 @@
         run = worker.runs.get(ended.task)
         if run is None or run.attempt != ended.attempt:
             return
-        worker.remove(ended.task)
+        self._pool.remove_run(worker, ended.task, now_s)
         self._counts[f"run_{ended.end.value}"] += 1
         self._previous_runs.remove_run(ended.task)
         record = self._job_registry.jobs.get(ended.task.job)
@@ -463,6 +489,7 @@
             return
         if is_done:
             record.end(key.step, key.index, is_done=True)
+            self._job_registry.on_tasks_changed(record)
             if record.is_done:
                 self._close(record, JobState.COMPLETE, "all tasks done", now_s)
             return
@@ -523,9 +550,10 @@
             self._detach(worker, "silent", now_s)
         for worker in self._pool.workers.values():
             self._monitor.detect_slow_runs(worker, now_s)
+        self._pool.refresh_all(now_s)
         if not self._pool.is_in_attach_window(now_s):
             self._refuse_infeasible(now_s)
-        for job in list(self._job_registry.waiting.values()):
+        for job in list(self._job_registry.waiting.records.values()):
             if now_s > job.give_up_at_s and not job.running_count:
                 self._give_up(job, now_s)
         self._job_registry.remove_old_jobs(now_s)
@@ -543,14 +571,13 @@
 
     def _refuse_infeasible(self, now_s: float) -> None:
         """Refuses jobs as soon as they are expected to start after ``refuse_by_s``."""
-        services = self._task_placer.workers_by_service(now_s)
         jobs: dict[str, list[JobRecord]] = {}
-        for job in self._task_placer.jobs_in_order(now_s):
+        for job in self._job_registry.waiting_in_order(now_s):
             jobs.setdefault(self._task_placer.service_of(job), []).append(job)
         for service, waiting in jobs.items():
             infeasible = self._admission.find_infeasible(
                 waiting,
-                services.get(service, []),
+                self._pool.ready_capacity(service),
                 now_s,
                 start_delay_s=lambda job: self._start_delay_s(job, now_s),
             )
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_registry.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_registry.py
@@ -9,9 +9,11 @@
     CellMessage,
     JobAnswer,
 )
+from hawthornbarrow.cells._ordering import JobOrder
 from hawthornbarrow.cells._parts import (
     JobState,
 )
+from hawthornbarrow.cells._waiting_jobs import WaitingJobs
 
 ENDED_JOB_RETENTION_S = 60.0
 
@@ -23,13 +25,14 @@
 
     Args:
         term: Term of the dispatcher, which its answers carry.
+        order: Order in which waiting jobs get capacity.
     """
 
-    def __init__(self, *, term: int) -> None:
+    def __init__(self, *, term: int, order: JobOrder) -> None:
         """Initializes an empty registry."""
         self._term = term
         self._jobs: dict[str, JobRecord] = {}
-        self._waiting: dict[str, JobRecord] = {}
+        self._waiting = WaitingJobs(order=order)
         self._ended: collections.deque[tuple[float, JobRecord]] = collections.deque()
         self._answers: list[tuple[str, CellMessage]] = []
 
@@ -39,10 +42,14 @@
         return self._jobs
 
     @property
-    def waiting(self) -> dict[str, JobRecord]:
-        """Jobs with waiting tasks, by id."""
+    def waiting(self) -> WaitingJobs:
+        """Jobs with waiting tasks."""
         return self._waiting
 
+    def waiting_in_order(self, now_s: float) -> list[JobRecord]:
+        """Returns the waiting jobs in the order in which they get capacity."""
+        return self._waiting.in_order(now_s)
+
     def state_of(self, job: str) -> JobState:
         """Returns the state of a job that callers see."""
         record = self._jobs.get(job)
@@ -52,23 +59,27 @@
         """Returns the number of jobs that have not begun, by queue."""
         return dict(
             collections.Counter(
-                job.queue.name for job in self._waiting.values() if not job.has_begun
+                job.queue.name
+                for job in self._waiting.records.values()
+                if not job.has_begun
             )
         )
 
     def add(self, record: JobRecord) -> None:
         """Adds a job whose tasks wait."""
         self._jobs[record.job] = record
-        self._waiting[record.job] = record
+        self._waiting.add(record)
 
     def requeue(self, record: JobRecord) -> None:
         """Records that tasks of a job wait again."""
-        self._waiting[record.job] = record
+        self._waiting.add(record)
 
-    def remove_if_all_begun(self, record: JobRecord) -> None:
-        """Removes a job from the waiting jobs once all its tasks have begun."""
+    def on_tasks_changed(self, record: JobRecord) -> None:
+        """Records that tasks of a job have begun or ended."""
         if record.is_all_begun:
-            self._waiting.pop(record.job, None)
+            self._waiting.discard(record)
+        else:
+            self._waiting.touch(record)
 
     def close(
         self, record: JobRecord, state: JobState, reason: str, now_s: float
@@ -84,7 +95,7 @@
             took_s=round(now_s - record.arrived_at_s, 3),
         )
         record.state = state
-        self._waiting.pop(record.job, None)
+        self._waiting.discard(record)
         self._ended.append((now_s, record))
         self.answer(record)
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_times.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_times.py
@@ -5,6 +5,7 @@
 _WORKER_WEIGHT = 0.08
 _QUEUE_WEIGHT = 0.02
 _MAX_LOG_RATIO = 3.0
+SPEED_CLASS_WIDTH = 0.12  # in log slowness; workers of one class count as equally fast
 
 
 class RunTimes:
@@ -27,6 +28,10 @@
         """Returns the ratio of a worker's run times to the expected ones."""
         return math.exp(self._workers.get(worker, 0.0))
 
+    def speed_class(self, worker: str) -> int:
+        """Returns the speed class of a worker; lower is faster."""
+        return round(self._workers.get(worker, 0.0) / SPEED_CLASS_WIDTH)
+
     def learn(self, queue: str, worker: str, estimated_s: float, run_s: float) -> None:
         """Updates both factors with the run time of a completed task."""
         if estimated_s <= 0 or run_s <= 0:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_task_placer.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_task_placer.py
@@ -7,7 +7,6 @@
 
 from hawthornbarrow.cells._job_record import JobRecord
 from hawthornbarrow.cells._job_registry import JobRegistry
-from hawthornbarrow.cells._ordering import JobOrder
 from hawthornbarrow.cells._parts import StartOrder, TaskKey
 from hawthornbarrow.cells._run_times import RunTimes
 from hawthornbarrow.cells._worker_pool import WorkerPool
@@ -27,7 +26,6 @@
         term: Term of the dispatcher.
         pool: The attached workers.
         job_registry: The jobs.
-        order: Order in which jobs get capacity.
         run_times: Expected run times.
         counts: Event counters, in which starts are counted.
     """
@@ -38,7 +36,6 @@
         term: int,
         pool: WorkerPool,
         job_registry: JobRegistry,
-        order: JobOrder,
         run_times: RunTimes,
         counts: collections.Counter[str],
     ) -> None:
@@ -46,10 +43,9 @@
         self._term = term
         self._pool = pool
         self._job_registry = job_registry
-        self._order = order
         self._run_times = run_times
         self._counts = counts
-        self._worker_selector = WorkerSelector(run_times=run_times)
+        self._worker_selector = WorkerSelector(suspect_after_s=pool.suspect_after_s)
         self._table: QueueTable | None = None
 
     def set_table(self, table: QueueTable) -> None:
@@ -61,20 +57,6 @@
         queue = self._table.queues.get(job.queue.name) if self._table else None
         return queue.service if queue else ""
 
-    def jobs_in_order(self, now_s: float) -> list[JobRecord]:
-        """Returns the waiting jobs in the order in which they get capacity."""
-        return sorted(
-            self._job_registry.waiting.values(),
-            key=lambda job: self._order.key(job, now_s),
-        )
-
-    def workers_by_service(self, now_s: float) -> dict[str, list[WorkerView]]:
-        """Returns the workers that accept new tasks, by service."""
-        services: dict[str, list[WorkerView]] = {}
-        for worker in self._pool.ready_workers(now_s):
-            services.setdefault(worker.record.service, []).append(worker)
-        return services
-
     def place(self, now_s: float, *, only_new: bool) -> None:
         """Starts waiting tasks in order, as far as there is free capacity.
 
@@ -83,32 +65,26 @@
             only_new: Whether jobs that were submitted to a previous dispatcher must
                 wait.
         """
-        classed_workers = {
-            service: [
-                (self._worker_selector.speed_class(worker), worker) for worker in ready
-            ]
-            for service, ready in self.workers_by_service(now_s).items()
-        }
-        for job in self.jobs_in_order(now_s):
-            if only_new and not job.is_new:
-                continue
-            workers = classed_workers.get(self.service_of(job))
-            if workers:
-                self._place_job(job, workers, now_s)
-            self._job_registry.remove_if_all_begun(job)
+        for job in self._job_registry.waiting_in_order(now_s):
+            if not only_new or job.is_new:
+                self._place_job(job, now_s)
 
-    def _place_job(
-        self, job: JobRecord, workers: list[tuple[int, WorkerView]], now_s: float
-    ) -> None:
+    def _place_job(self, job: JobRecord, now_s: float) -> None:
         placed: list[str] = []
+        service = self.service_of(job)
         for step in job.waiting_steps():
+            needed_cpu = job.document.steps[step].each.cpu
             for index in list(job.waiting_tasks(step)):
-                worker = self._worker_selector.choose(job, step, index, workers)
+                candidates = self._pool.candidates(service, needed_cpu)
+                worker = self._worker_selector.choose(
+                    job, step, index, candidates, now_s
+                )
                 if worker is None:
                     break
                 self._start(job, step, index, worker, now_s)
                 placed.append(f"{step}.{index}@{worker.agent}")
         if placed:
+            self._job_registry.on_tasks_changed(job)
             _log.info(
                 "tasks_placed",
                 job=job.job,
@@ -131,15 +107,14 @@
         expected_s = self._run_times.expected_s(
             job.queue.name, step_request.estimated_s
         )
-        worker.add(
-            Run(
-                task=key,
-                attempt=progress.attempts,
-                needs=step_request.each,
-                started_at_s=now_s,
-                expected_s=max(expected_s, _MIN_EXPECTED_S),
-            )
+        run = Run(
+            task=key,
+            attempt=progress.attempts,
+            needs=step_request.each,
+            started_at_s=now_s,
+            expected_s=max(expected_s, _MIN_EXPECTED_S),
         )
+        self._pool.add_run(worker, run, now_s)
         order = StartOrder(
             task=key,
             attempt=progress.attempts,
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_monitor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_monitor.py
@@ -79,10 +79,10 @@
 
     def detect_slow_runs(self, worker: WorkerView, now_s: float) -> None:
         """Updates a worker's slowness from runs that far exceed their expected time."""
+        slowness = self._run_times.slowness(worker.record.upstream)
         for run in worker.runs.values():
             if not run.expected_s or run.is_stopping:
                 continue
-            slowness = self._run_times.slowness(worker.record.upstream)
             limit_s = max(run.expected_s * _SLOW_RUN_FACTOR, _MIN_SLOW_RUN_S) * slowness
             ran_s = now_s - run.started_at_s
             if ran_s > limit_s:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -15,7 +15,10 @@
     StartOrder,
     TaskKey,
 )
+from hawthornbarrow.cells._ready_capacity import CapacitySum, ReadyCapacity
+from hawthornbarrow.cells._run_times import RunTimes
 from hawthornbarrow.cells._timing import TRACE_RETENTION_S, RunLeaseTiming
+from hawthornbarrow.cells._worker_index import WorkerIndex
 from hawthornbarrow.cells._worker_view import Run, WorkerView
 
 ATTACH_WINDOW_S = 0.25  # time in which reachable workers attach to a new dispatcher
@@ -29,6 +32,7 @@
     Args:
         term: Term of the dispatcher.
         timing: Durations of the leases.
+        run_times: Expected run times.
         expected: Agents that may still run tasks of a previous dispatcher.
         now_s: Current time.
         has_lease_expired: Whether the leases of the previous dispatcher have expired.
@@ -39,6 +43,7 @@
         *,
         term: int,
         timing: RunLeaseTiming,
+        run_times: RunTimes,
         expected: collections.abc.Iterable[str],
         now_s: float,
         has_lease_expired: bool = False,
@@ -54,6 +59,11 @@
             0.0 if has_lease_expired else timing.lost_after_s
         )
         self._workers: dict[str, WorkerView] = {}
+        self._index = WorkerIndex(run_times=run_times)
+        self._ready = ReadyCapacity(
+            run_times=run_times, suspect_after_s=timing.suspect_after_s
+        )
+        self._runs_by_job: dict[str, dict[tuple[str, TaskKey], Run]] = {}
         self._starts: dict[str, list[StartOrder]] = {}
         self._stops: dict[str, list[TaskKey]] = {}
 
@@ -76,6 +86,11 @@
         """
         return math.inf if self._expected else self._reported_at_s - TRACE_RETENTION_S
 
+    @property
+    def suspect_after_s(self) -> float:
+        """Silence after which a worker gets no new tasks."""
+        return self._timing.suspect_after_s
+
     def is_recovering(self, now_s: float) -> bool:
         """Returns whether unreported runs of a previous dispatcher may exist."""
         return now_s < self._recovery_until_s and bool(self._expected)
@@ -110,6 +125,8 @@
         )
         worker.is_leaving = message.is_leaving
         self._workers[agent] = worker
+        self._index.add(worker)
+        self._ready.refresh(worker, now_s)
         _log.info(
             "worker_attached",
             agent=agent,
@@ -124,6 +141,8 @@
     def detach(self, worker: WorkerView, reason: str, now_s: float) -> None:
         """Detaches an agent; no run of its session can exist any more."""
         del self._workers[worker.agent]
+        self._index.remove(worker)
+        self._ready.remove(worker)
         self._starts.pop(worker.agent, None)
         self._stops.pop(worker.agent, None)
         _log.warning(
@@ -143,6 +162,8 @@
             return False
         was_suspected = now_s - worker.heard_at_s > self._timing.suspect_after_s
         worker.heard_at_s = now_s
+        if was_suspected:
+            self._ready.refresh(worker, now_s)
         return was_suspected
 
     def silent_workers(self, now_s: float) -> list[WorkerView]:
@@ -153,13 +174,43 @@
             if now_s - worker.heard_at_s > self._timing.lost_after_s
         ]
 
-    def ready_workers(self, now_s: float) -> list[WorkerView]:
-        """Returns the workers that accept new tasks."""
-        return [
-            worker
-            for worker in self._workers.values()
-            if worker.accepts_work(now_s, self._timing.suspect_after_s)
-        ]
+    def ready_capacity(self, service: str) -> CapacitySum:
+        """Returns the capacity of the workers of a service that accept new tasks."""
+        return self._ready.of_service(service)
+
+    def candidates(
+        self, service: str, cpu: int
+    ) -> collections.abc.Iterator[tuple[int, WorkerView]]:
+        """Yields the speed classes and workers with enough free CPU, best first."""
+        return self._index.candidates(service, cpu)
+
+    def refresh(self, worker: WorkerView, now_s: float) -> None:
+        """Takes a change of an attached worker's speed or readiness into account."""
+        if self._workers.get(worker.agent) is worker:
+            self._index.update(worker)
+            self._ready.refresh(worker, now_s)
+
+    def refresh_all(self, now_s: float) -> None:
+        """Takes into account which workers have become silent or slow."""
+        for worker in self._workers.values():
+            self._index.update(worker)
+        self._ready.refresh_all(self._workers.values(), now_s)
+
+    def add_run(self, worker: WorkerView, run: Run, now_s: float) -> None:
+        """Adds a run to a worker and reserves its resources."""
+        worker.add(run)
+        runs = self._runs_by_job.setdefault(run.task.job, {})
+        runs[worker.agent, run.task] = run
+        self.refresh(worker, now_s)
+
+    def remove_run(self, worker: WorkerView, task: TaskKey, now_s: float) -> None:
+        """Removes a run from a worker and releases its resources."""
+        worker.remove(task)
+        runs = self._runs_by_job.get(task.job, {})
+        runs.pop((worker.agent, task), None)
+        if not runs:
+            self._runs_by_job.pop(task.job, None)
+        self.refresh(worker, now_s)
 
     def order_start(self, worker: WorkerView, order: StartOrder) -> None:
         """Queues an order to start a task."""
@@ -172,10 +223,9 @@
 
     def stop_job(self, job: str) -> None:
         """Queues orders to stop all runs of a job."""
-        for worker in self._workers.values():
-            for run in worker.runs.values():
-                if run.task.job == job and not run.is_stopping:
-                    self.order_stop(worker, run)
+        for (agent, _), run in self._runs_by_job.get(job, {}).items():
+            if not run.is_stopping:
+                self.order_stop(self._workers[agent], run)
 
     def take_orders(self) -> list[tuple[str, CellMessage]]:
         """Returns the orders to send with their agents, and clears them."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_selector.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_selector.py
@@ -1,16 +1,14 @@
 """WorkerSelector: chooses the worker that runs a task."""
 
 import collections.abc
-import math
 
 from hawthornbarrow.cells._job_record import JobRecord
 from hawthornbarrow.cells._parts import (
     Step,
 )
-from hawthornbarrow.cells._run_times import RunTimes
+from hawthornbarrow.cells._run_times import SPEED_CLASS_WIDTH
 from hawthornbarrow.cells._worker_view import WorkerView
 
-_SPEED_CLASS_WIDTH = 0.12  # in log speed; workers of one class count as equally fast
 _REMOTE_RACK_PENALTY = 0.5  # log of the run time factor away from the data's rack
 
 
@@ -20,24 +18,20 @@
     Workers that the task should avoid are chosen only when no other one has capacity.
 
     Args:
-        run_times: Expected run times.
+        suspect_after_s: Silence after which a worker gets no new tasks.
     """
 
-    def __init__(self, *, run_times: RunTimes) -> None:
-        """Initializes a selector with expected run times."""
-        self._run_times = run_times
-
-    def speed_class(self, worker: WorkerView) -> int:
-        """Returns the speed class of a worker; lower is faster."""
-        slowness = self._run_times.slowness(worker.record.upstream)
-        return round(math.log(slowness) / _SPEED_CLASS_WIDTH)
+    def __init__(self, *, suspect_after_s: float) -> None:
+        """Initializes a selector."""
+        self._suspect_after_s = suspect_after_s
 
     def choose(
         self,
         job: JobRecord,
         step: int,
         index: int,
-        workers: collections.abc.Iterable[tuple[int, WorkerView]],
+        candidates: collections.abc.Iterable[tuple[int, WorkerView]],
+        now_s: float,
     ) -> WorkerView | None:
         """Returns the worker for a task, or None when none has free capacity.
 
@@ -45,16 +39,21 @@
             job: The job.
             step: Position of the step.
             index: Position of the task in the step.
-            workers: Pairs of the speed class and a worker that accepts new tasks.
+            candidates: Pairs of the speed class and a worker of the job's service, by
+                speed class, then those with the most free CPU first.
+            now_s: Current time.
         """
         step_request = job.document.steps[step]
         avoided = job.tasks[step][index].avoided
         best: WorkerView | None = None
         best_key: tuple = ()
-        for speed_class, worker in workers:
+        for speed_class, worker in candidates:
+            if best is not None and best_key[:2] <= (False, speed_class):
+                # None of those that follow can be preferred to it.
+                break
             if not step_request.each.fits_into(worker.free):
                 continue
-            if worker.health.is_on_probation and worker.runs:
+            if not worker.accepts_work(now_s, self._suspect_after_s):
                 continue
             if not self._is_allowed(job, step, step_request, worker):
                 continue
@@ -64,7 +63,7 @@
             )
             key = (
                 worker.agent in avoided,
-                speed_class + (is_remote * _REMOTE_RACK_PENALTY / _SPEED_CLASS_WIDTH),
+                speed_class + (is_remote * _REMOTE_RACK_PENALTY / SPEED_CLASS_WIDTH),
                 -worker.free.cpu,
             )
             if best is None or key < best_key:
