Send the agents' list and waiting counts once a heartbeat

Cause: at each tick the dispatcher compared the ledger's agents with what each entry was told, and counted the waiting jobs once for each entry at each heartbeat: costs that grow with entries times agents or jobs.

Change: both happen once for each round of heartbeats. A standby learns of a new agent up to one heartbeat later, as late as when a frame is delayed.

Measured: tests of the entry and the library pass.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_agent_registry.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_agent_registry.py
@@ -71,6 +71,8 @@
         Args:
             agents: Agents that the ledger lists.
         """
+        if not self._attach_requests:
+            return []
         self._retiring.intersection_update(agents)
         self._registering.difference_update(agents)
         missing = [
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -176,8 +176,6 @@
         if table is not None and table is not self._table:
             self._table = table
             self._dispatcher.set_table(table)
-        if not authority.is_standby:
-            await self._send_known_agents(authority)
         await self._attach_agents(authority, now_s)
         await self._send_heartbeats_if_due(authority, now_s)
         if self._dispatcher.is_recovering(now_s):
@@ -442,6 +440,8 @@
             return
         self._heartbeat_sent_at_s = now_s
         self._sent_version = version
+        if not authority.is_standby:
+            await self._send_known_agents(authority)
         for peer in self._port.peers_up("agent"):
             heard_at_s = self._port.peer_sent_at_s(peer)
             await self._send(
@@ -449,10 +449,13 @@
             )
         for agent in self._relay_routes.agents(now_s):
             await self._send_relayed_heartbeat(self._dispatcher, agent, now_s)
+        waiting = self._dispatcher.count_waiting_by_queue()
         for peer in [*self._port.peers_up("entry"), self._settings.name]:
             is_own = peer == self._settings.name
             heard_at_s = now_s if is_own else self._port.peer_sent_at_s(peer)
-            heartbeat = self._dispatcher.heartbeat_for_entry(heard_at_s, version)
+            heartbeat = self._dispatcher.heartbeat_for_entry(
+                heard_at_s, version, waiting
+            )
             await self._send(peer, heartbeat)
 
     async def _send_dispatcher_messages(self) -> None:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -165,15 +165,25 @@
             noted=worker.acknowledged if worker else 0,
         )
 
+    def count_waiting_by_queue(self) -> dict[str, int]:
+        """Returns the number of jobs that have not begun, by queue."""
+        return self._job_registry.count_not_begun_by_queue()
+
     def heartbeat_for_entry(
-        self, heard_at_s: float, version: int
+        self, heard_at_s: float, version: int, waiting: dict[str, int]
     ) -> DispatcherHeartbeat:
-        """Returns the heartbeat for an entry, with the version in force."""
+        """Returns the heartbeat for an entry.
+
+        Args:
+            heard_at_s: When, on its own clock, the entry sent its newest heard frame.
+            version: Version of the configuration in force.
+            waiting: Number of jobs that have not begun, by queue.
+        """
         return DispatcherHeartbeat(
             term=self._term,
             heard_at_s=heard_at_s,
             version=version,
-            waiting=self._job_registry.count_not_begun_by_queue(),
+            waiting=waiting,
         )
 
     def take_messages(self) -> list[tuple[str, CellMessage]]:
