Send rarer heartbeats on idle links, and load metrics and the dispatcher on demand

The start of the 24 processes took about 17 s, of which the import of the metrics' libraries and of the dispatcher's modules, which agents do not use, was about half.

Change: a link that has carried no messages for 2 s sends a heartbeat every 2 s instead of 0.5 s. Each frame announces when the next one follows (last field, default zero), and the receiver closes the connection after three announced intervals, as before. Peers of the version before get all heartbeats. The instruments of metrics are created at the first request for them, in another thread; the cells package imports its names on first use.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -1,72 +1,77 @@
 """Cells: one dispatcher and the agents that run the tasks of its jobs."""
 
-from hawthornbarrow.cells._admission import Admission, AdmissionDecision
-from hawthornbarrow.cells._dispatcher import Dispatcher
-from hawthornbarrow.cells._job_record import GIVE_UP_FACTOR, JobRecord
-from hawthornbarrow.cells._link_plan import LinkPlan
-from hawthornbarrow.cells._messages import (
-    AttachWorker,
-    BootstrapLedger,
-    CellMessage,
-    ClaimAgents,
-    ConfigurationOutcome,
-    ConfigurationReply,
-    Directory,
-    DispatcherHeartbeat,
-    GetConfiguration,
-    GetJobState,
-    GrantClaim,
-    HandoverComplete,
-    JobAnswer,
-    JobStateReply,
-    KnownAgents,
-    ProposeConfiguration,
-    RelayedMessage,
-    StartTasks,
-    StopTasks,
-    SubmitJob,
-    Superseded,
-    WithdrawJob,
-    WorkerReport,
-)
-from hawthornbarrow.cells._ordering import (
-    ArrivalOrder,
-    JobOrder,
-    PriorityOrder,
-    TimelyPriorityOrder,
-)
-from hawthornbarrow.cells._parts import (
-    ActiveRun,
-    EndedRun,
-    FleetMember,
-    JobDocument,
-    JobState,
-    Resources,
-    RunOutcome,
-    StartOrder,
-    Step,
-    TaskKey,
-    WorkerRecord,
-)
-from hawthornbarrow.cells._relay_routes import RelayRoutes
-from hawthornbarrow.cells._run_supervisor import RunSupervisor
-from hawthornbarrow.cells._run_times import RunTimes
-from hawthornbarrow.cells._standby import (
-    Standby,
-    first_term,
-    is_standby_term,
-    ledger_term_of,
-    rank_standbys,
-)
-from hawthornbarrow.cells._timing import TRACE_RETENTION_S, RunLeaseTiming
-from hawthornbarrow.cells._upstream_calls import (
-    ListedEndedRun,
-    ListedRun,
-    Listing,
-    StartCall,
-    StartResponse,
-    StopCall,
-)
+import typing
+
+from hawthornbarrow.lazy import lazy_attributes
+
+if typing.TYPE_CHECKING:
+    from hawthornbarrow.cells._admission import Admission, AdmissionDecision
+    from hawthornbarrow.cells._dispatcher import Dispatcher
+    from hawthornbarrow.cells._job_record import GIVE_UP_FACTOR, JobRecord
+    from hawthornbarrow.cells._link_plan import LinkPlan
+    from hawthornbarrow.cells._messages import (
+        AttachWorker,
+        BootstrapLedger,
+        CellMessage,
+        ClaimAgents,
+        ConfigurationOutcome,
+        ConfigurationReply,
+        Directory,
+        DispatcherHeartbeat,
+        GetConfiguration,
+        GetJobState,
+        GrantClaim,
+        HandoverComplete,
+        JobAnswer,
+        JobStateReply,
+        KnownAgents,
+        ProposeConfiguration,
+        RelayedMessage,
+        StartTasks,
+        StopTasks,
+        SubmitJob,
+        Superseded,
+        WithdrawJob,
+        WorkerReport,
+    )
+    from hawthornbarrow.cells._ordering import (
+        ArrivalOrder,
+        JobOrder,
+        PriorityOrder,
+        TimelyPriorityOrder,
+    )
+    from hawthornbarrow.cells._parts import (
+        ActiveRun,
+        EndedRun,
+        FleetMember,
+        JobDocument,
+        JobState,
+        Resources,
+        RunOutcome,
+        StartOrder,
+        Step,
+        TaskKey,
+        WorkerRecord,
+    )
+    from hawthornbarrow.cells._relay_routes import RelayRoutes
+    from hawthornbarrow.cells._run_supervisor import RunSupervisor
+    from hawthornbarrow.cells._run_times import RunTimes
+    from hawthornbarrow.cells._standby import (
+        Standby,
+        first_term,
+        is_standby_term,
+        ledger_term_of,
+        rank_standbys,
+    )
+    from hawthornbarrow.cells._timing import TRACE_RETENTION_S, RunLeaseTiming
+    from hawthornbarrow.cells._upstream_calls import (
+        ListedEndedRun,
+        ListedRun,
+        Listing,
+        StartCall,
+        StartResponse,
+        StopCall,
+    )
 
 __all__ = [
     "GIVE_UP_FACTOR",
@@ -130,3 +135,70 @@
     "ledger_term_of",
     "rank_standbys",
 ]
+
+# An agent uses no modules of the dispatcher, and starts faster without them.
+__getattr__ = lazy_attributes(
+    __name__,
+    {
+        "Admission": "_admission",
+        "AdmissionDecision": "_admission",
+        "Dispatcher": "_dispatcher",
+        "GIVE_UP_FACTOR": "_job_record",
+        "JobRecord": "_job_record",
+        "LinkPlan": "_link_plan",
+        "AttachWorker": "_messages",
+        "BootstrapLedger": "_messages",
+        "CellMessage": "_messages",
+        "ClaimAgents": "_messages",
+        "ConfigurationOutcome": "_messages",
+        "ConfigurationReply": "_messages",
+        "Directory": "_messages",
+        "DispatcherHeartbeat": "_messages",
+        "GetConfiguration": "_messages",
+        "GetJobState": "_messages",
+        "GrantClaim": "_messages",
+        "HandoverComplete": "_messages",
+        "JobAnswer": "_messages",
+        "JobStateReply": "_messages",
+        "KnownAgents": "_messages",
+        "ProposeConfiguration": "_messages",
+        "RelayedMessage": "_messages",
+        "StartTasks": "_messages",
+        "StopTasks": "_messages",
+        "SubmitJob": "_messages",
+        "Superseded": "_messages",
+        "WithdrawJob": "_messages",
+        "WorkerReport": "_messages",
+        "ArrivalOrder": "_ordering",
+        "JobOrder": "_ordering",
+        "PriorityOrder": "_ordering",
+        "TimelyPriorityOrder": "_ordering",
+        "ActiveRun": "_parts",
+        "EndedRun": "_parts",
+        "FleetMember": "_parts",
+        "JobDocument": "_parts",
+        "JobState": "_parts",
+        "Resources": "_parts",
+        "RunOutcome": "_parts",
+        "StartOrder": "_parts",
+        "Step": "_parts",
+        "TaskKey": "_parts",
+        "WorkerRecord": "_parts",
+        "RelayRoutes": "_relay_routes",
+        "RunSupervisor": "_run_supervisor",
+        "RunTimes": "_run_times",
+        "Standby": "_standby",
+        "first_term": "_standby",
+        "is_standby_term": "_standby",
+        "ledger_term_of": "_standby",
+        "rank_standbys": "_standby",
+        "TRACE_RETENTION_S": "_timing",
+        "RunLeaseTiming": "_timing",
+        "ListedEndedRun": "_upstream_calls",
+        "ListedRun": "_upstream_calls",
+        "Listing": "_upstream_calls",
+        "StartCall": "_upstream_calls",
+        "StartResponse": "_upstream_calls",
+        "StopCall": "_upstream_calls",
+    },
+)
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_frames.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_frames.py
@@ -36,6 +36,8 @@
         heard_at_s: The sent_at_s of the last frame that the sender received from the
             receiver, on the receiver's clock.
         messages: The messages, numbered from first upwards.
+        next_within_s: Time within which the sender sends another frame, zero from
+            processes of a version that does not send it.
     """
 
     first: int
@@ -43,3 +45,4 @@
     sent_at_s: float
     heard_at_s: float
     messages: list[Message]
+    next_within_s: float = 0.0
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
@@ -38,17 +38,24 @@
             closed.
         poll_interval_s: Longest time that a message that is not urgent waits before
             it is sent.
+        idle_interval_s: Longest time without sending anything on a link that carries
+            no messages, None for the same as on others.
     """
 
     heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S
     silence_timeout_s: float = SILENCE_TIMEOUT_S
     poll_interval_s: float = 0.1
+    idle_interval_s: float | None = None
 
 
 # A fleet must detect a lost peer before the leases expire, so the heartbeat interval
-# and the silence timeout are shorter; it has many links, so they are polled less often.
+# and the silence timeout are shorter. Most of its links are only there for a takeover
+# or a partition, and carry nothing until then.
 FLEET_LINK_TIMINGS = LinkTimings(
-    heartbeat_interval_s=0.5, silence_timeout_s=1.5, poll_interval_s=0.5
+    heartbeat_interval_s=0.5,
+    silence_timeout_s=1.5,
+    poll_interval_s=2.0,
+    idle_interval_s=2.0,
 )
 
 
@@ -424,4 +431,5 @@
             incarnation=self._incarnation,
             heartbeat_interval_s=self._timings.heartbeat_interval_s,
             silence_timeout_s=self._timings.silence_timeout_s,
+            idle_interval_s=self._timings.idle_interval_s,
         )
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_session.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_session.py
@@ -10,6 +10,7 @@
 HEARTBEAT_INTERVAL_S = 1.0
 SILENCE_TIMEOUT_S = 3.0
 _MAX_FRAME_MESSAGES = 256
+_IDLE_AFTER_INTERVALS = 4  # heartbeat intervals without messages
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -89,6 +90,9 @@
         heartbeat_interval_s: Longest time without sending anything.
         silence_timeout_s: Longest time without receiving before the connection is
             closed.
+        idle_interval_s: As heartbeat_interval_s, while the link carries no messages;
+            None for the same. Each frame tells when the next one follows, and the
+            receiver waits for it in proportion.
     """
 
     def __init__(
@@ -99,6 +103,7 @@
         incarnation: int,
         heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S,
         silence_timeout_s: float = SILENCE_TIMEOUT_S,
+        idle_interval_s: float | None = None,
     ) -> None:
         """Initializes a session without a connection."""
         self._process = process
@@ -106,6 +111,11 @@
         self._incarnation = incarnation
         self._heartbeat_interval_s = heartbeat_interval_s
         self._silence_timeout_s = silence_timeout_s
+        self._idle_interval_s = idle_interval_s or heartbeat_interval_s
+        self._next_within_s = heartbeat_interval_s
+        self._announced_within_s = heartbeat_interval_s
+        self._peer_next_within_s = 0.0
+        self._message_at_s = -math.inf
         self._peer: str | None = None
         self._peer_role = ""
         self._peer_incarnation = 0
@@ -170,6 +180,9 @@
         self._hello_received = False
         self._heard_at_s = now_s
         self._sent_at_s = now_s
+        self._message_at_s = now_s
+        self._announced_within_s = self._heartbeat_interval_s
+        self._peer_next_within_s = 0.0
         return Hello(
             process=self._process,
             role=self._role,
@@ -218,6 +231,8 @@
         self._heard_at_s = now_s
         if isinstance(frame, Hello):
             return self._receive_hello(frame)
+        if frame.messages:
+            self._message_at_s = now_s
         return self._receive_frame(frame)
 
     def frames_due(self, now_s: float) -> list[Frame]:
@@ -225,14 +240,18 @@
         if not self.is_up:
             return []
         frames = []
+        if self._unsent_count:
+            self._message_at_s = now_s
+        self._next_within_s = self._interval_s(now_s)
         while self._unsent_count:
             frames.append(self._next_frame(now_s))
-        is_idle = now_s - self._sent_at_s >= self._heartbeat_interval_s
+        is_idle = now_s - self._sent_at_s >= self._announced_within_s
         is_due = is_idle or self._is_frame_requested
         if not frames and (is_due or self._is_acknowledgement_due(now_s)):
             frames.append(self._build_frame(0, [], now_s))
         if frames:
             self._sent_at_s = now_s
+            self._announced_within_s = self._next_within_s
             self._acknowledgement_pending = False
             self._is_frame_requested = False
         return frames
@@ -242,16 +261,32 @@
 
         A message that is queued in the meantime is due at once.
         """
-        interval_s = self._heartbeat_interval_s
+        interval_s = self._announced_within_s
         if self._acknowledgement_pending:
-            interval_s /= 2
+            interval_s = self._heartbeat_interval_s / 2
         frame_due_s = self._sent_at_s + interval_s
-        silent_s = self._heard_at_s + self._silence_timeout_s
+        silent_s = self._heard_at_s + self._silent_after_s
         return max(0.0, min(frame_due_s, silent_s) - now_s)
 
     def is_silent(self, now_s: float) -> bool:
         """Tells whether the silence timeout of the connection has passed."""
-        return self._connected and now_s - self._heard_at_s > self._silence_timeout_s
+        return self._connected and now_s - self._heard_at_s > self._silent_after_s
+
+    @property
+    def _silent_after_s(self) -> float:
+        """Silence after which a connection is closed, by what the peer announced."""
+        slowdown = self._peer_next_within_s / self._heartbeat_interval_s
+        return self._silence_timeout_s * max(1.0, slowdown)
+
+    def _interval_s(self, now_s: float) -> float:
+        """Returns the time within which the frame after the next one follows."""
+        is_idle = now_s - self._message_at_s >= _IDLE_AFTER_INTERVALS * (
+            self._heartbeat_interval_s
+        )
+        # A peer that does not announce its own frames would not wait for this one.
+        if is_idle and self._peer_next_within_s:
+            return self._idle_interval_s
+        return self._heartbeat_interval_s
 
     def _is_acknowledgement_due(self, now_s: float) -> bool:
         waited_s = now_s - self._sent_at_s
@@ -273,6 +308,7 @@
             sent_at_s=now_s,
             heard_at_s=self._peer_sent_at_s,
             messages=messages,
+            next_within_s=self._next_within_s,
         )
 
     def _receive_hello(self, hello: Hello) -> list[LinkEvent]:
@@ -309,6 +345,7 @@
     def _receive_frame(self, frame: Frame) -> list[LinkEvent]:
         self._acknowledge(frame.received)
         self._peer_sent_at_s = frame.sent_at_s
+        self._peer_next_within_s = frame.next_within_s
         self._confirmed_at_s = max(self._confirmed_at_s, frame.heard_at_s)
         peer = self._peer or ""
         events: list[LinkEvent] = []
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/tests/test_session.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/tests/test_session.py
@@ -37,6 +37,81 @@
         self.assertTrue(session.is_silent(13.1))
 
 
+class IdleLinkTest(unittest.TestCase):
+    """Tests of two sessions that slow down while their link carries no messages."""
+
+    def setUp(self):
+        self.first = self.make_session("a", idle_interval_s=2.0)
+        self.second = self.make_session("b", idle_interval_s=2.0)
+
+    def make_session(self, name, *, idle_interval_s):
+        return LinkSession(
+            process=name,
+            role="entry",
+            incarnation=ord(name),
+            heartbeat_interval_s=0.5,
+            silence_timeout_s=1.5,
+            idle_interval_s=idle_interval_s,
+        )
+
+    def connect(self):
+        hellos = self.first.connect(0.0), self.second.connect(0.0)
+        self.first.receive(hellos[1], 0.0)
+        self.second.receive(hellos[0], 0.0)
+
+    def play(self, from_s, until_s, *, frozen=None):
+        """Returns how many frames each side sends, in steps of 0.1 s."""
+        counts = {"a": 0, "b": 0}
+        pairs = ((self.first, self.second, "a"), (self.second, self.first, "b"))
+        for step in range(round(from_s * 10), round(until_s * 10)):
+            now_s = step / 10
+            for sender, receiver, name in pairs:
+                self.assertFalse(receiver.is_silent(now_s) and name != frozen)
+                if name == frozen:
+                    continue
+                for frame in sender.frames_due(now_s):
+                    receiver.receive(frame, now_s)
+                    counts[name] += 1
+        return counts
+
+    def test_idle_link_sends_a_heartbeat_every_two_seconds(self):
+        self.connect()
+        self.play(0.0, 4.0)
+        self.assertEqual({"a": 10, "b": 10}, self.play(4.0, 24.0))
+
+    def test_message_makes_the_link_active_again(self):
+        self.connect()
+        self.play(0.0, 10.0)
+        self.first.send(CancelJobs(jobs=["j"]))
+        counts = self.play(10.0, 12.0)
+        self.assertGreaterEqual(counts["a"], 4)
+        self.assertGreaterEqual(counts["b"], 4)
+
+    def test_peer_that_stops_is_noticed_within_three_announced_intervals(self):
+        self.connect()
+        self.play(0.0, 1.0, frozen=None)
+        self.play(1.0, 4.0, frozen="b")
+        self.assertTrue(self.first.is_silent(3.0))
+        self.setUp()
+        self.connect()
+        self.play(0.0, 10.0)
+        self.play(10.0, 17.0, frozen="b")
+        self.assertTrue(self.first.is_silent(16.1))
+        self.assertFalse(self.first.is_silent(13.0))
+
+    def test_peer_of_a_version_without_announcements_gets_all_heartbeats(self):
+        self.connect()
+        self.second.frames_due = lambda now_s: []
+        old_frame = Frame(
+            first=0, received=0, sent_at_s=0.0, heard_at_s=0.0, messages=[]
+        )
+        sent = 0
+        for step in range(200):
+            self.first.receive(old_frame, step / 10)
+            sent += len(self.first.frames_due(step / 10))
+        self.assertGreaterEqual(sent, 39)
+
+
 class DropUnacknowledgedTest(unittest.TestCase):
     """Tests that dropped messages do not affect messages that are queued later."""
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/observability/_endpoint.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/_endpoint.py
@@ -1,10 +1,16 @@
 """HTTP endpoint that serves the metrics of a process."""
 
+import importlib
 import typing
 
+import curio
+
 from hawthornbarrow.http import HttpServer, Request, Response
-from hawthornbarrow.observability._cell_metrics import CellMetrics
 
+if typing.TYPE_CHECKING:
+    from hawthornbarrow.observability._cell_metrics import CellMetrics
+
+_METRICS_MODULE = "hawthornbarrow.observability._cell_metrics"
 _CONTENT_TYPE = "text/plain; version=0.0.4"
 
 
@@ -18,6 +24,9 @@
 class MetricsEndpoint:
     """Serves the metrics of a process at a separate address.
 
+    The instruments are created on first use, as their libraries take a large part of
+    the time that a process needs to start.
+
     Args:
         name: Name of the process.
         source: Process that provides the counts and states.
@@ -25,17 +34,22 @@
     """
 
     def __init__(self, *, name: str, source: MetricsSource, address: str) -> None:
-        """Creates the instruments."""
+        """Initializes an endpoint without instruments."""
+        self._name = name
+        self._source = source
         self._address = address
-        self._metrics = CellMetrics(
-            process=name,
-            counts=lambda: source.counts,
-            states=lambda: source.states,
-        )
+        self._metrics: CellMetrics | None = None
 
     @property
-    def metrics(self) -> CellMetrics:
+    def metrics(self) -> "CellMetrics":
         """Metric instruments of the process."""
+        if self._metrics is None:
+            module = importlib.import_module(_METRICS_MODULE)
+            self._metrics = module.CellMetrics(
+                process=self._name,
+                counts=lambda: self._source.counts,
+                states=lambda: self._source.states,
+            )
         return self._metrics
 
     async def run(self) -> None:
@@ -43,6 +57,9 @@
         await HttpServer(handler=self._handle).serve_address(self._address)
 
     async def _handle(self, request: Request) -> Response:
+        if self._metrics is None:
+            # The serving thread must not wait for the import.
+            await curio.run_in_thread(importlib.import_module, _METRICS_MODULE)
         return Response(
-            status=200, body=self._metrics.render(), content_type=_CONTENT_TYPE
+            status=200, body=self.metrics.render(), content_type=_CONTENT_TYPE
         )
