Spread the first standbys over data centres, and tick idle entries less

Cause: standbys were ranked by name, and names begin with the data centre, so all three that agents link to were in one data centre. Entries without a replica woke every 0.05 s with nothing due.

Change: standbys that follow one another in rank are in different data centres; entries without a replica that hold no jobs tick every 0.15 s. Replicas tick as before, as a new leader begins to dispatch at a tick.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -71,6 +71,7 @@
 ENTRY_ROLE = "entry"
 AGENT_ROLE = "agent"
 _TICK_INTERVAL_S = 0.05
+_IDLE_TICK_INTERVAL_S = 0.15  # heartbeats of the dispatcher wake the entry as often
 _SWEEP_INTERVAL_S = 0.1
 _CONFIGURATION_RETRY_INTERVAL_S = 0.25
 _MAINTENANCE_INTERVAL_S = 0.5
@@ -395,7 +396,8 @@
         self.set_seeds(self._settings.seeds)
         await self._update_links(steady_s())
         while True:
-            items = await self._mailbox.drain(timeout_s=_TICK_INTERVAL_S)
+            tick_s = _IDLE_TICK_INTERVAL_S if self._is_idle else _TICK_INTERVAL_S
+            items = await self._mailbox.drain(timeout_s=tick_s)
             now_s = steady_s()
             for item in items:
                 await self._on_event(item, now_s)
@@ -411,6 +413,11 @@
                 await self._run_maintenance(now_s)
             await self._flush()
 
+    @property
+    def _is_idle(self) -> bool:
+        """Whether nothing here is due within a tick; a replica may begin to lead."""
+        return not (self.has_replica or self.is_dispatching or self.job_count)
+
     @property
     def _may_claim(self) -> bool:
         return self._table is not None and not self._is_stopping
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_standby.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_standby.py
@@ -12,6 +12,7 @@
 standby, and a leader that was only unreachable starts a new term above the standby's.
 """
 
+import collections
 import collections.abc
 
 import structlog
@@ -55,8 +56,16 @@
     """Returns entries in the order in which they claim, those without a replica first.
 
     While the ledger has no leader, many entries with replicas are down or recovering.
+    Entries that follow one another are in different data centres, so that the loss of
+    one does not take all of the first.
     """
-    return sorted(members, key=lambda member: (bool(member.replica), member.name))
+    ranked = []
+    by_data_centre: collections.Counter[tuple[bool, str]] = collections.Counter()
+    for member in sorted(members, key=lambda member: member.name):
+        group = (bool(member.replica), member.data_centre)
+        ranked.append((group[0], by_data_centre[group], member.name, member))
+        by_data_centre[group] += 1
+    return [member for *_, member in sorted(ranked, key=lambda rank: rank[:3])]
 
 
 class Standby:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_link_plan.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_link_plan.py
@@ -8,8 +8,10 @@
 SEEDS = ("s0", "s1")
 
 
-def make_entry(name, *, replica=""):
-    return FleetMember(name=name, address=name, data_centre="d", replica=replica)
+def make_entry(name, *, replica="", data_centre="d"):
+    return FleetMember(
+        name=name, address=name, data_centre=data_centre, replica=replica
+    )
 
 
 def make_members(*, replicas, others):
@@ -75,6 +77,19 @@
         standbys = {name for name in chosen & up if not members[name].replica}
         self.assertEqual(3, len(standbys))
 
+    def test_first_standbys_are_in_different_data_centres(self):
+        members = {
+            f"{place}-{index}": make_entry(f"{place}-{index}", data_centre=place)
+            for place in ("x", "y", "z")
+            for index in range(5)
+        }
+        for index in range(6):
+            members[f"d{index}"] = make_entry(f"d{index}", replica=f"d{index}.1")
+        plan = self.make_plan(members)
+        chosen = plan.choose(set(members), set(), 0.0)
+        places = {members[name].data_centre for name in chosen if "-" in name}
+        self.assertEqual({"x", "y", "z"}, places)
+
     def test_link_in_use_is_kept(self):
         members = make_members(replicas=6, others=34)
         plan = self.make_plan(members)
