Answer that a job has not run only once its end is committed

When the claim was applied there, the entry closed the job and answered "cancelled, not run" at once. The ledger had meanwhile expired the entry and moved the job to another one, refused the late end, and the new owner ran the tasks.

Change: an answer that states not run waits until the ledger has accepted the end of the job, which is proposed without the batch delay.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_lifecycle.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_lifecycle.py
@@ -38,6 +38,8 @@
         self._cancel_batch_started_at_s = 0.0
         self.cancels_awaiting_claim: dict[str, list[ReplyTarget]] = {}
         self.closed_jobs: list[Job] = []
+        # Callers to tell that a job has not run, with the time since when they wait.
+        self._awaiting_end: dict[str, list[tuple[ReplyTarget, float]]] = {}
 
     def open_job(
         self,
@@ -115,6 +117,7 @@
         if now_s - self._last_expiry_at_s < EXPIRY_INTERVAL_S:
             return
         self._last_expiry_at_s = now_s
+        self._expire_awaited_ends(now_s)
         for job in self._context.job_table.open_jobs:
             if job.status is JobStatus.CLAIMING:
                 if now_s - job.submitted_at_s >= CLAIM_TIMEOUT_S:
@@ -138,19 +141,21 @@
             self._add_pending_cancel(job.job_id, placed, now_s)
         answer = Answer(status=status_code_of(status), body=job.answer_body())
         self._context.job_table.close(job, answer)
-        for target in self._context.job_table.take_waiters(job.job_id):
-            self._context.answer(target, answer)
         self._context.uncommitted_closes[job.job_id] = sorted(job.agents)
+        for target in self._context.job_table.take_waiters(job.job_id):
+            self.answer_with(target, job, now_s)
         is_small = len(answer.body) <= MAX_LEDGER_ANSWER_BYTES
-        self._context.propose_later(
-            Complete(
-                job=job.job_id,
-                epoch=job.epoch,
-                status=status.value,
-                answer=answer.body if is_small else b"",
-                time_s=self._context.time_s,
-            )
+        command = Complete(
+            job=job.job_id,
+            epoch=job.epoch,
+            status=status.value,
+            answer=answer.body if is_small else b"",
+            time_s=self._context.time_s,
         )
+        if job.never_dispatched:
+            self._context.propose(command)
+        else:
+            self._context.propose_later(command)
         self.closed_jobs.append(job)
         job.release_payloads()
 
@@ -242,6 +247,38 @@
         service = self._context.configuration.services.get(spec.service)
         return service.deadline_s if service else 60.0
 
+    def answer_with(self, target: ReplyTarget, job: Job, now_s: float) -> None:
+        """Answers a caller with the state of a job that is recorded here.
+
+        The answer that a job has not run waits until its end is committed. Until then
+        the job may move to another entry, which would run it.
+        """
+        is_end_open = job.job_id in self._context.uncommitted_closes
+        if is_end_open and job.status.is_final and job.never_dispatched:
+            awaiting = self._awaiting_end.setdefault(job.job_id, [])
+            awaiting.append((target, now_s))
+        else:
+            self._context.answer(target, self.answer_for(job))
+
+    def on_end_decided(self, job: Job, *, accepted: bool) -> None:
+        """Answers the callers that waited until the end of a job was committed."""
+        for target, _ in self._awaiting_end.pop(job.job_id, []):
+            if accepted:
+                self._context.answer(target, self.answer_for(job))
+            else:
+                detail = "the job's owner is changing; resubmit"
+                answer = unavailable("owner_changing", detail, not_run=False)
+                self._context.answer(target, answer)
+
+    def _expire_awaited_ends(self, now_s: float) -> None:
+        """Answers callers whose job's end is not committed within CLAIM_TIMEOUT_S."""
+        detail = "the end of the job was not committed; resubmit"
+        answer = unavailable("no_quorum", detail, not_run=False)
+        for job_id, awaiting in list(self._awaiting_end.items()):
+            if now_s - awaiting[0][1] >= CLAIM_TIMEOUT_S:
+                for target, _ in self._awaiting_end.pop(job_id):
+                    self._context.answer(target, answer)
+
     def answer_for(self, job: Job) -> Answer:
         """Returns the answer for a job that is recorded here."""
         if not job.status.is_final:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_ownership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_ownership.py
@@ -146,6 +146,7 @@
         if job is None or command.epoch != job.epoch or not job.status.is_final:
             return
         agents = self._context.uncommitted_closes.pop(command.job, [])
+        self._lifecycle.on_end_decided(job, accepted=accepted)
         if not accepted:
             self._context.job_table.remove(command.job)
             return
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_request_handler.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_request_handler.py
@@ -104,7 +104,7 @@
         """Answers with the state of an open job or the answer of a closed one."""
         job = self._context.job_table.jobs.get(job_id_of(member, key))
         if job is not None:
-            self._context.answer(target, self._lifecycle.answer_for(job))
+            self._lifecycle.answer_with(target, job, now_s)
         else:
             self._answer_or_forward(target, ForwardKind.FETCH, member, key)
 
@@ -122,7 +122,7 @@
             self._lifecycle.close(
                 job, JobStatus.CANCELLED, "cancelled by the caller", now_s
             )
-            self._context.answer(target, self._lifecycle.answer_for(job))
+            self._lifecycle.answer_with(target, job, now_s)
         else:
             self._answer_or_forward(target, ForwardKind.CANCEL, member, key)
 
@@ -304,7 +304,7 @@
         if job.status is JobStatus.ORPHANED and job.spec is None:
             self._ownership.set_document(job, body, now_s)
         if job.status.is_final:
-            self._context.answer(target, self._lifecycle.answer_for(job))
+            self._lifecycle.answer_with(target, job, now_s)
         elif wait:
             job.timeline.add(now_s, "joined", "a resubmission waits for this job")
             self._context.job_table.add_waiter(job.job_id, target)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_ownership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_ownership.py
@@ -87,6 +87,38 @@
         self.assertFalse(document["not_run"])
 
 
+class UncommittedCancelTest(unittest.TestCase):
+    """Tests of a job that is cancelled at an owner that is cut off at that moment."""
+
+    def cancel_at(self, fleet, entry):
+        """Cancels a job that is being claimed; returns the number of the request."""
+        fleet.submit(entry, "k", tasks=4, repeatable=True, wait=False)
+        return fleet.cancel(entry, "k")
+
+    def test_job_that_another_owner_runs_is_not_answered_as_not_run(self):
+        fleet = Fleet()
+        fleet.quiesce(0.5)
+        number = self.cancel_at(fleet, "e1")
+        fleet.isolate("e1")
+        fleet.quiesce(2.0)
+        fleet.heal()
+        fleet.quiesce(8.0)
+        self.assertEqual(4, len(fleet.runs))
+        fleet.check_not_run()
+        document = msgspec.json.decode(fleet.requests[number].answer.body)
+        self.assertFalse(document["not_run"])
+
+    def test_cancelled_job_is_answered_as_not_run_once_that_is_committed(self):
+        fleet = Fleet()
+        fleet.quiesce(0.5)
+        number = self.cancel_at(fleet, "e1")
+        fleet.quiesce(0.5)
+        document = msgspec.json.decode(fleet.requests[number].answer.body)
+        self.assertTrue(document["not_run"])
+        fleet.recover()
+        self.assertEqual([], fleet.runs)
+
+
 class OwnerFailureTest(unittest.TestCase):
     def running_job(self, repeatable, stops_on_disconnect=True):
         fleet = Fleet(stops_on_disconnect=stops_on_disconnect)
