Send configurations compressed, and repeat requests for them ever more rarely

The entries without a disk, on links of 2 Mbit/s, ask for it every 0.25 s until they have it, and each request puts another copy of the document on their link. The dispatcher's heartbeats queue behind the copies, so those entries hear nothing for seconds, refuse all jobs (85 in the window from 18 s) and claim the agents as standbys (18.63, 18.87, 19.04 s; refused, as the agents hear the dispatcher).

Change: replies are compressed if the request accepts that (new last fields, so processes of the version before get plain documents), each version once. ConfigurationFetch asks once for each version and term, then after 0.25 s, 0.5 s, 1 s and every 2 s.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -12,7 +12,7 @@
     AttachWorker,
     CellMessage,
     ConfigurationOutcome,
-    ConfigurationReply,
+    ConfigurationSender,
     Dispatcher,
     GetConfiguration,
     GetJobState,
@@ -112,6 +112,7 @@
         self._voter_repair = VoterRepair(tolerated_losses=settings.tolerated_losses)
         self._sent_agents: dict[str, frozenset[str]] = {}
         self._table: QueueTable | None = None
+        self._configuration_sender = ConfigurationSender()
         self._pending_proposals: dict[int, tuple[str, int]] = {}
         self._heartbeat_sent_at_s = -1e9
         self._sent_version = -1
@@ -340,8 +341,8 @@
         put = ledger.state.put
         match message:
             case GetConfiguration():
-                reply = ConfigurationReply(
-                    number=message.number, version=put.version, document=put.document
+                reply = self._configuration_sender.reply(
+                    message, put.version, put.document
                 )
                 await self._send(peer, reply)
             case ProposeConfiguration():
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -33,6 +33,7 @@
     WithdrawJob,
     WorkerReport,
     rank_standbys,
+    with_document,
 )
 from hawthornbarrow.clock import seconds_since, steady_s
 from hawthornbarrow.ledger import Applied, LedgerFailed
@@ -59,6 +60,7 @@
     CallerOutcome,
     Waiter,
 )
+from hawthornbarrow_entry.fleet._configuration_fetch import ConfigurationFetch
 from hawthornbarrow_entry.fleet._dispatcher_role import DispatcherRole
 from hawthornbarrow_entry.fleet._leader_requests import (
     LeaderRequests,
@@ -73,7 +75,6 @@
 _TICK_INTERVAL_S = 0.05
 _IDLE_TICK_INTERVAL_S = 0.15  # heartbeats of the dispatcher wake the entry as often
 _SWEEP_INTERVAL_S = 0.1
-_CONFIGURATION_RETRY_INTERVAL_S = 0.25
 _MAINTENANCE_INTERVAL_S = 0.5
 _READ_TIMEOUT_S = 0.8
 _PROPOSAL_TIMEOUT_S = 0.9
@@ -146,8 +147,7 @@
         self._uninformed_roles: set[str] = set()
         self._leader_requests = LeaderRequests(send=self._send_leader_request)
         self._outcome_events: dict[Waiter, curio.Event] = {}
-        self._configuration_requested_at_s = -1e9
-        self._requested_version = 0
+        self._configuration_fetch = ConfigurationFetch()
         self._swept_at_s = -1e9
         self._maintained_at_s = -1e9
         self._is_stopping = False
@@ -338,7 +338,8 @@
             LeaderUnavailableError: No leader answered in time.
         """
         answer = await self._leader_requests.request(
-            lambda number: GetConfiguration(number=number), _READ_TIMEOUT_S
+            lambda number: GetConfiguration(number=number, accepts_compressed=True),
+            _READ_TIMEOUT_S,
         )
         return answer.document
 
@@ -501,8 +502,7 @@
             case JobStateReply() | ConfigurationOutcome():
                 await self._leader_requests.on_reply(message)
             case ConfigurationReply():
-                await self._on_configuration(message)
-                await self._leader_requests.on_reply(message)
+                await self._on_configuration_reply(peer, message)
             case Directory():
                 await self._on_directory(peer, message, now_s)
             case BootstrapLedger():
@@ -570,15 +570,25 @@
 
     async def _request_configuration_if_newer(self, now_s: float) -> None:
         current_version = self._table.version if self._table else 0
-        is_due = (
-            now_s - self._configuration_requested_at_s
-            >= _CONFIGURATION_RETRY_INTERVAL_S
+        is_due = self._configuration_fetch.is_due(
+            known_version=self._caller_jobs.version,
+            current_version=current_version,
+            term=self._caller_jobs.term,
+            now_s=now_s,
         )
-        is_newer = self._caller_jobs.version > self._requested_version
-        if self._caller_jobs.version > current_version and (is_due or is_newer):
-            self._configuration_requested_at_s = now_s
-            self._requested_version = self._caller_jobs.version
-            await self._send(self._caller_jobs.dispatcher, GetConfiguration(number=0))
+        if is_due:
+            request = GetConfiguration(number=0, accepts_compressed=True)
+            await self._send(self._caller_jobs.dispatcher, request)
+
+    async def _on_configuration_reply(
+        self, peer: str, message: ConfigurationReply
+    ) -> None:
+        reply = with_document(message)
+        if reply is None:
+            _log.error("configuration_damaged", peer=peer, version=message.version)
+            return
+        await self._on_configuration(reply)
+        await self._leader_requests.on_reply(reply)
 
     async def _on_configuration(self, message: ConfigurationReply) -> None:
         current_version = self._table.version if self._table else 0
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -6,6 +6,10 @@
 
 if typing.TYPE_CHECKING:
     from hawthornbarrow.cells._admission import Admission, AdmissionDecision
+    from hawthornbarrow.cells._configuration_transfer import (
+        ConfigurationSender,
+        with_document,
+    )
     from hawthornbarrow.cells._dispatcher import Dispatcher
     from hawthornbarrow.cells._job_record import GIVE_UP_FACTOR, JobRecord
     from hawthornbarrow.cells._link_plan import LinkPlan
@@ -84,6 +88,7 @@
     "CellMessage",
     "ClaimAgents",
     "ConfigurationOutcome",
+    "ConfigurationSender",
     "RunSupervisor",
     "Directory",
     "Dispatcher",
@@ -134,6 +139,7 @@
     "is_standby_term",
     "ledger_term_of",
     "rank_standbys",
+    "with_document",
 ]
 
 # An agent uses no modules of the dispatcher, and starts faster without them.
@@ -142,6 +148,8 @@
     {
         "Admission": "_admission",
         "AdmissionDecision": "_admission",
+        "ConfigurationSender": "_configuration_transfer",
+        "with_document": "_configuration_transfer",
         "Dispatcher": "_dispatcher",
         "GIVE_UP_FACTOR": "_job_record",
         "JobRecord": "_job_record",
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
@@ -175,17 +175,31 @@
 
 
 class GetConfiguration(_Message, kw_only=True, tag="AskConfiguration"):
-    """An entry requests the newest configuration."""
+    """An entry requests the newest configuration.
+
+    Attributes:
+        number: Number of the request.
+        accepts_compressed: Whether the document of the reply may be compressed.
+    """
 
     number: int
+    accepts_compressed: bool = False
 
 
 class ConfigurationReply(_Message, kw_only=True, tag="NewestConfiguration"):
-    """Reply to GetConfiguration from a leader that has confirmed its leadership."""
+    """Reply to GetConfiguration from a leader that has confirmed its leadership.
+
+    Attributes:
+        number: Number of the request.
+        version: Version of the configuration.
+        document: The document, empty for none or where it is compressed.
+        compressed: The document, compressed by zlib, if the request accepts that.
+    """
 
     number: int
     version: int
     document: bytes
+    compressed: bytes = b""
 
 
 class Directory(_Message, kw_only=True):
