Fetch one configuration at a time, and do not close links while a frame arrives

Change: bytes that arrive count as a sign of life for the connection, also before the frame is whole (leases still rest on frames). ConfigurationFetch keeps one request open at a time.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_configuration_fetch.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_configuration_fetch.py
@@ -2,21 +2,22 @@
 
 import math
 
-MIN_RETRY_INTERVAL_S = 0.25
+MIN_RETRY_INTERVAL_S = 0.5
 MAX_RETRY_INTERVAL_S = 2.0
 
 
 class ConfigurationFetch:
-    """Asks once for each new version and term, then ever more rarely.
+    """Keeps one request open at a time, and repeats it ever more rarely.
 
     A leader that cannot answer yet drops the request, so it is repeated. But a large
-    configuration may take seconds on a slow link, and each repetition would put
-    another copy behind it.
+    configuration may take seconds on a slow link, and each further request would put
+    another copy behind it, also when versions follow one another quickly: the reply
+    brings the version that is the newest when the leader sends it.
     """
 
     def __init__(self) -> None:
-        """Initializes a fetch that has not asked yet."""
-        self._requested = (0, 0)
+        """Initializes a fetch without an open request."""
+        self._open_term = 0
         self._requested_at_s = -math.inf
         self._retry_interval_s = MIN_RETRY_INTERVAL_S
 
@@ -33,8 +34,7 @@
         """
         if known_version <= current_version:
             return False
-        wanted = (term, known_version)
-        if wanted != self._requested:
+        if term != self._open_term:
             self._retry_interval_s = MIN_RETRY_INTERVAL_S
         elif now_s - self._requested_at_s < self._retry_interval_s:
             return False
@@ -42,6 +42,10 @@
             self._retry_interval_s = min(
                 2 * self._retry_interval_s, MAX_RETRY_INTERVAL_S
             )
-        self._requested = wanted
+        self._open_term = term
         self._requested_at_s = now_s
         return True
+
+    def on_reply(self) -> None:
+        """Records that a reply arrived, so that the next request can be sent."""
+        self._open_term = 0
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -337,10 +337,24 @@
         Raises:
             LeaderUnavailableError: No leader answered in time.
         """
+        asked_at_s = steady_s()
         answer = await self._leader_requests.request(
             lambda number: GetConfiguration(number=number, accepts_compressed=True),
             _READ_TIMEOUT_S,
         )
+        took_s = steady_s() - asked_at_s
+        known_version = self._caller_jobs.version
+        is_current = took_s <= _READ_TIMEOUT_S and answer.version >= known_version
+        _log.info(
+            "configuration_read" if is_current else "configuration_read_refused",
+            version=answer.version,
+            known_version=known_version,
+            dispatcher=self._caller_jobs.dispatcher,
+            term=self._caller_jobs.term,
+            took_s=round(took_s, 3),
+        )
+        if not is_current:
+            raise LeaderUnavailableError("the leader's answer is out of date")
         return answer.document
 
     # Tasks
@@ -587,8 +601,11 @@
         if reply is None:
             _log.error("configuration_damaged", peer=peer, version=message.version)
             return
+        if not reply.number:
+            self._configuration_fetch.on_reply()
         await self._on_configuration(reply)
         await self._leader_requests.on_reply(reply)
+        await self._request_configuration_if_newer(steady_s())
 
     async def _on_configuration(self, message: ConfigurationReply) -> None:
         current_version = self._table.version if self._table else 0
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
@@ -359,6 +359,7 @@
     ) -> None:
         while not connection.closed:
             now_s = steady_s()
+            session.record_bytes(connection.stream.received_at_s)
             if session.is_silent(now_s):
                 break
             frames = session.frames_due(now_s)
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_session.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_session.py
@@ -235,6 +235,15 @@
             self._message_at_s = now_s
         return self._receive_frame(frame)
 
+    def record_bytes(self, received_at_s: float) -> None:
+        """Records when the last bytes arrived on the connection.
+
+        A large frame may take longer on a slow link than the silence timeout. Closing
+        the connection meanwhile would begin it anew each time.
+        """
+        if self._connected:
+            self._heard_at_s = max(self._heard_at_s, received_at_s)
+
     def frames_due(self, now_s: float) -> list[Frame]:
         """Returns the frames to put on the connection now."""
         if not self.is_up:
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_stream.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_stream.py
@@ -1,10 +1,12 @@
 """Length-prefixed blocks of bytes over a curio TCP socket."""
 
+import math
 import socket
 import struct
 
 import curio
 
+from hawthornbarrow.clock import steady_s
 from hawthornbarrow.links._codec import LinkProtocolError
 
 MAX_BLOCK_BYTES = 64 * 1024 * 1024
@@ -23,6 +25,12 @@
         """Initializes a stream with an empty buffer."""
         self._sock = sock
         self._buffer = bytearray()
+        self._received_at_s = -math.inf
+
+    @property
+    def received_at_s(self) -> float:
+        """Time at which the last bytes arrived, also of a block that is not whole."""
+        return self._received_at_s
 
     async def send_all(self, blocks: list[bytes]) -> None:
         """Sends blocks in one write."""
@@ -82,4 +90,5 @@
             if not data:
                 return False
             self._buffer += data
+            self._received_at_s = steady_s()
         return True
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/tests/test_session.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/tests/test_session.py
@@ -37,6 +37,24 @@
         self.assertTrue(session.is_silent(13.1))
 
 
+class SlowFrameTest(unittest.TestCase):
+    def test_connection_on_which_a_frame_is_arriving_is_not_silent(self):
+        session = LinkSession(process="a", role="entry", incarnation=1)
+        session.connect(10.0)
+        for at_s in (11.0, 12.0, 13.0, 14.0):
+            session.record_bytes(at_s)
+            self.assertFalse(session.is_silent(at_s + 0.9))
+        self.assertTrue(session.is_silent(17.1))
+
+    def test_bytes_of_a_former_connection_do_not_count(self):
+        session = LinkSession(process="a", role="entry", incarnation=1)
+        session.connect(10.0)
+        session.disconnect()
+        session.record_bytes(15.0)
+        session.connect(11.0)
+        self.assertTrue(session.is_silent(14.1))
+
+
 class IdleLinkTest(unittest.TestCase):
     """Tests of two sessions that slow down while their link carries no messages."""
 
