--- a/packages/hawthornbarrow/src/hawthornbarrow/shutdown/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/shutdown/__init__.py
@@ -1,6 +1,6 @@
 """Graceful shutdown of a process on SIGTERM or SIGINT, and the tasks it runs."""
 
-from hawthornbarrow.shutdown._signals import serve_until_signalled
+from hawthornbarrow.shutdown._signals import SignalEvent, serve_until_signalled
 from hawthornbarrow.shutdown._tasks import TaskFunction, run_all
 
-__all__ = ["TaskFunction", "run_all", "serve_until_signalled"]
+__all__ = ["SignalEvent", "TaskFunction", "run_all", "serve_until_signalled"]
--- a/packages/hawthornbarrow/src/hawthornbarrow/shutdown/_signals.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/shutdown/_signals.py
@@ -2,10 +2,49 @@
 
 import collections.abc
 import signal
+import socket
+import types
 
 import curio
 
 _CoroutineFunction = collections.abc.Callable[[], collections.abc.Awaitable[None]]
+_MAX_PENDING_SIGNALS = 64
+
+
+class SignalEvent:
+    """Wakes a task when one of the given signals arrives.
+
+    The handler only writes a byte to a socket. `curio.UniversalEvent` cannot be set by
+    a handler: where the signal interrupts a coroutine, `set` returns a coroutine that
+    nobody awaits, and the signal is lost.
+
+    Args:
+        signal_numbers: Signals to wait for.
+    """
+
+    def __init__(self, *signal_numbers: signal.Signals) -> None:
+        """Installs the handler."""
+        receiver, self._sender = socket.socketpair()
+        self._sender.setblocking(False)
+        self._receiver = curio.io.Socket(receiver)
+        for signal_number in signal_numbers:
+            signal.signal(signal_number, self._on_signal)
+
+    def _on_signal(self, number: int, frame: types.FrameType | None) -> None:
+        try:
+            self._sender.send(b"\0")
+        except BlockingIOError:
+            # Enough signals are pending already to wake the task.
+            return
+
+    async def wait(self) -> None:
+        """Waits for a signal that arrived since the last wait."""
+        await self._receiver.recv(_MAX_PENDING_SIGNALS)
+
+    async def close(self) -> None:
+        """Closes the sockets; the handler must have been replaced before."""
+        await self._receiver.close()
+        self._sender.close()
 
 
 async def serve_until_signalled(
@@ -17,9 +56,7 @@
         serve: Runs until cancelled; when it fails before that, its error is raised.
         drain: Finishes the work in progress while `serve` still runs.
     """
-    signalled = curio.UniversalEvent()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, lambda *_: signalled.set())
+    signalled = SignalEvent(signal.SIGTERM, signal.SIGINT)
     async with curio.TaskGroup(wait=any) as group:
         serve_task = await group.spawn(serve)
         await group.spawn(_drain_on_signal, signalled, drain)
@@ -30,8 +67,6 @@
         raise serve_task.exception
 
 
-async def _drain_on_signal(
-    signalled: curio.UniversalEvent, drain: _CoroutineFunction
-) -> None:
+async def _drain_on_signal(signalled: SignalEvent, drain: _CoroutineFunction) -> None:
     await signalled.wait()
     await drain()
