Let an unexpected error cost one event, not the process

Cause (by reading): an error raised while an entry or an agent of the fleet processes a message ended its message loop and with it the process.

Change: the event is dropped with a log line (event_failed, with traceback) and a counter. Errors of a periodic step still end the process, which is then restarted, as they would come back at each step.

Measured: a test posts a malformed submission to the dispatcher; the next job is served.

--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -175,11 +175,15 @@
         self._links_checked_at_s = -1e9
         self._relays: set[str] = set()
         self._calls: curio.Queue = curio.Queue()
+        self._failed_event_count = 0
 
     @property
     def counts(self) -> dict[str, int]:
         """Number of events since the start, by kind."""
-        return dict(self._supervisor.counts)
+        return {
+            **self._supervisor.counts,
+            "event_failed": self._failed_event_count,
+        }
 
     @property
     def states(self) -> dict[str, int]:
@@ -230,7 +234,7 @@
             items = await self._mailbox.drain(timeout_s=tick_s)
             now_s = steady_s()
             for item in items:
-                await self._on_event(item, now_s)
+                await self._handle(item, now_s)
             if now_s - self._links_checked_at_s >= _LINK_CHECK_INTERVAL_S:
                 await self._update_links(now_s)
             self._supervisor.tick(now_s)
@@ -268,6 +272,21 @@
             source=self._settings.name, target="", sent_at_s=now_s, message=message
         )
 
+    async def _handle(self, item: object, now_s: float) -> None:
+        """Processes an event; an unexpected error costs this event only."""
+        try:
+            await self._on_event(item, now_s)
+        except Exception as error:
+            message = getattr(item, "message", None)
+            self._failed_event_count += 1
+            _log.exception(
+                "event_failed",
+                kind=type(item).__name__,
+                message=type(message).__name__ if message is not None else "",
+                peer=getattr(item, "peer", ""),
+                error=repr(error),
+            )
+
     async def _on_event(self, item: object, now_s: float) -> None:
         match item:
             case PeerUp():
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -150,6 +150,7 @@
         self._configuration_fetch = ConfigurationFetch()
         self._swept_at_s = -1e9
         self._maintained_at_s = -1e9
+        self._failed_event_count = 0
         self._is_stopping = False
         self._is_closing = False
         self._stopping_at_s = 0.0
@@ -184,9 +185,10 @@
 
     @property
     def counts(self) -> dict[str, int]:
-        """Number of events in its term, by kind, empty unless this entry dispatches."""
+        """Number of events by kind: those of its term if this entry dispatches."""
         dispatcher = self._dispatcher_role.dispatcher
-        return dict(dispatcher.counts) if dispatcher else {}
+        counts = dict(dispatcher.counts) if dispatcher else {}
+        return {**counts, "event_failed": self._failed_event_count}
 
     @property
     def states(self) -> dict[str, int]:
@@ -415,7 +417,7 @@
             items = await self._mailbox.drain(timeout_s=tick_s)
             now_s = steady_s()
             for item in items:
-                await self._on_event(item, now_s)
+                await self._handle(item, now_s)
             await self._dispatcher_role.tick(now_s, self._table, self._membership)
             if self._may_claim and self._dispatcher_role.is_dispatcher_silent(now_s):
                 await self._dispatcher_role.claim_agents(self._standby_rank, now_s)
@@ -473,6 +475,21 @@
 
     # Events
 
+    async def _handle(self, item: object, now_s: float) -> None:
+        """Processes an event; an unexpected error costs this event only."""
+        try:
+            await self._on_event(item, now_s)
+        except Exception as error:
+            message = getattr(item, "message", None)
+            self._failed_event_count += 1
+            _log.exception(
+                "event_failed",
+                kind=type(item).__name__,
+                message=type(message).__name__ if message is not None else "",
+                peer=getattr(item, "peer", ""),
+                error=repr(error),
+            )
+
     async def _on_event(self, item: object, now_s: float) -> None:
         match item:
             case PeerUp():
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
@@ -16,11 +16,13 @@
     RunOutcome,
     StartResponse,
     Step,
+    SubmitJob,
     WorkerRecord,
     is_standby_term,
 )
 from hawthornbarrow.clock import steady_s
 from hawthornbarrow.ledger import LedgerStorageError
+from hawthornbarrow.links import MessageReceived
 from hawthornbarrow.queues import ConfigurationFormat, Queue, QueueTable, Service
 from hawthornbarrow_agent.fleet import FleetAgent, FleetAgentSettings, UpstreamClient
 
@@ -311,6 +313,18 @@
 
         self.run_scenario(scenario)
 
+    def test_error_in_a_handler_costs_one_event_and_not_the_process(self):
+        async def scenario(fleet):
+            index = fleet.dispatching_index()
+            entry = fleet.entries[index]
+            message = SubmitJob(document=None, age_s=0.0, was_offered=False)
+            await entry._mailbox.post(MessageReceived(peer="e9", message=message))
+            await fleet.wait_until(lambda: entry.counts["event_failed"])
+            await fleet.submit(index, "after")
+            self.assertEqual(1, entry.counts["event_failed"])
+
+        self.run_scenario(scenario)
+
     def test_stopping_entry_accepts_jobs_that_end_in_time(self):
         async def scenario(fleet):
             entry = fleet.entries[0]
