Move an entry's configuration out of its process

Cause: FleetEntry held the table, the fetch and the read's check beside its sockets; they are decisions of their own.

Change: EntryConfiguration, without I/O, holds the newest configuration, says when to ask for it and which read is current. Tests play late and older replies and a read that a paused process answers late.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -33,7 +33,6 @@
     WithdrawJob,
     WorkerReport,
     rank_standbys,
-    with_document,
 )
 from hawthornbarrow.clock import seconds_since, steady_s
 from hawthornbarrow.ledger import Applied, LedgerFailed
@@ -50,7 +49,6 @@
 )
 from hawthornbarrow.queues import (
     ConfigurationFormat,
-    InvalidConfigurationError,
     Queue,
     QueueTable,
 )
@@ -60,8 +58,11 @@
     CallerOutcome,
     Waiter,
 )
-from hawthornbarrow_entry.fleet._configuration_fetch import ConfigurationFetch
 from hawthornbarrow_entry.fleet._dispatcher_role import DispatcherRole
+from hawthornbarrow_entry.fleet._entry_configuration import (
+    READ_TIMEOUT_S,
+    EntryConfiguration,
+)
 from hawthornbarrow_entry.fleet._leader_requests import (
     LeaderRequests,
     LeaderUnavailableError,
@@ -76,7 +77,6 @@
 _IDLE_TICK_INTERVAL_S = 0.15  # heartbeats of the dispatcher wake the entry as often
 _SWEEP_INTERVAL_S = 0.1
 _MAINTENANCE_INTERVAL_S = 0.5
-_READ_TIMEOUT_S = 0.8
 _PROPOSAL_TIMEOUT_S = 0.9
 _JOB_STATE_TIMEOUT_S = 0.8
 _ESTIMATE_SAFETY_FACTOR = 2.5  # on a caller's estimate, which is often inaccurate
@@ -137,7 +137,9 @@
             send=self._send,
             now_s=steady_s(),
         )
-        self._table: QueueTable | None = None
+        self._configuration = EntryConfiguration(
+            configuration_format=configuration_format
+        )
         self._created_at_s = steady_s()
         self._first_configuration = curio.Event()
         self._roles: dict[str, str] = {}
@@ -147,7 +149,6 @@
         self._uninformed_roles: set[str] = set()
         self._leader_requests = LeaderRequests(send=self._send_leader_request)
         self._outcome_events: dict[Waiter, curio.Event] = {}
-        self._configuration_fetch = ConfigurationFetch()
         self._swept_at_s = -1e9
         self._maintained_at_s = -1e9
         self._failed_event_count = 0
@@ -197,12 +198,16 @@
         return {
             "held_jobs": self._caller_jobs.job_count,
             "term": self._caller_jobs.term,
-            "configuration_version": self._table.version if self._table else 0,
+            "configuration_version": self._configuration.version,
             "dispatching": int(dispatcher is not None),
             "attached_workers": len(dispatcher.workers) if dispatcher else 0,
             "waiting_jobs": dispatcher.waiting_count if dispatcher else 0,
         }
 
+    @property
+    def _table(self) -> QueueTable | None:
+        return self._configuration.table
+
     # Requests of callers and operators
 
     async def find_queue(self, host: str, path: str) -> Queue | None:
@@ -224,7 +229,7 @@
                 "request_refused",
                 path=path,
                 reason="the configuration here may be out of date",
-                version=self._table.version if self._table else 0,
+                version=self._configuration.version,
                 known_version=self._caller_jobs.version,
                 information_age_s=round(self._caller_jobs.information_age_s(now_s), 3),
             )
@@ -342,18 +347,10 @@
         asked_at_s = steady_s()
         answer = await self._leader_requests.request(
             lambda number: GetConfiguration(number=number, accepts_compressed=True),
-            _READ_TIMEOUT_S,
+            READ_TIMEOUT_S,
         )
-        took_s = steady_s() - asked_at_s
-        known_version = self._caller_jobs.version
-        is_current = took_s <= _READ_TIMEOUT_S and answer.version >= known_version
-        _log.info(
-            "configuration_read" if is_current else "configuration_read_refused",
-            version=answer.version,
-            known_version=known_version,
-            dispatcher=self._caller_jobs.dispatcher,
-            term=self._caller_jobs.term,
-            took_s=round(took_s, 3),
+        is_current = self._configuration.is_read_current(
+            answer, self._caller_jobs.version, steady_s() - asked_at_s
         )
         if not is_current:
             raise LeaderUnavailableError("the leader's answer is out of date")
@@ -600,47 +597,23 @@
         )
 
     async def _request_configuration_if_newer(self, now_s: float) -> None:
-        current_version = self._table.version if self._table else 0
-        is_due = self._configuration_fetch.is_due(
-            known_version=self._caller_jobs.version,
-            current_version=current_version,
-            term=self._caller_jobs.term,
-            now_s=now_s,
+        request = self._configuration.request_if_due(
+            self._caller_jobs.version, self._caller_jobs.term, now_s
         )
-        if is_due:
-            request = GetConfiguration(number=0, accepts_compressed=True)
+        if request is not None:
             await self._send(self._caller_jobs.dispatcher, request)
 
     async def _on_configuration_reply(
         self, peer: str, message: ConfigurationReply
     ) -> None:
-        reply = with_document(message)
+        reply = self._configuration.on_reply(peer, message)
         if reply is None:
-            _log.error("configuration_damaged", peer=peer, version=message.version)
             return
-        if not reply.number:
-            self._configuration_fetch.on_reply()
-        await self._on_configuration(reply)
+        if self._table is not None:
+            await self._first_configuration.set()
         await self._leader_requests.on_reply(reply)
         await self._request_configuration_if_newer(steady_s())
 
-    async def _on_configuration(self, message: ConfigurationReply) -> None:
-        current_version = self._table.version if self._table else 0
-        if message.version <= current_version or not message.document:
-            return
-        try:
-            self._table = self._format.decode(message.document)
-        except InvalidConfigurationError as error:
-            _log.error("configuration_unreadable", reason=str(error))
-            return
-        await self._first_configuration.set()
-        _log.info(
-            "configuration_in_force",
-            version=message.version,
-            former=current_version,
-            queues=len(self._table.queues),
-        )
-
     # Messages
 
     async def _send_leader_request(self, request: CellMessage) -> bool:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_configuration_fetch.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_configuration_fetch.py
@@ -10,12 +10,14 @@
     GetConfiguration,
     with_document,
 )
+from hawthornbarrow.queues import ConfigurationFormat, QueueTable
 
 from hawthornbarrow_entry.fleet._configuration_fetch import (
     MAX_RETRY_INTERVAL_S,
     MIN_RETRY_INTERVAL_S,
     ConfigurationFetch,
 )
+from hawthornbarrow_entry.fleet._entry_configuration import EntryConfiguration
 
 HEARTBEAT_INTERVAL_S = 0.15
 INFORMATION_LEASE_S = 1.2
@@ -99,6 +101,40 @@
         self.assertLess(latest_delay_s, INFORMATION_LEASE_S / 2)
 
 
+class VersionFormat(ConfigurationFormat):
+    """Decodes a document that consists of its version."""
+
+    def decode(self, document):
+        return QueueTable(version=int(document), queues=[], services=[])
+
+
+class EntryConfigurationTest(unittest.TestCase):
+    def setUp(self):
+        self.configuration = EntryConfiguration(configuration_format=VersionFormat())
+
+    def reply(self, version, number=0):
+        return ConfigurationReply(
+            number=number, version=version, document=str(version).encode()
+        )
+
+    def test_older_configuration_that_arrives_late_is_not_put_in_force(self):
+        for version in (5, 3, 4):
+            self.configuration.on_reply("e", self.reply(version))
+            self.assertEqual(5, self.configuration.version)
+
+    def test_read_that_a_paused_process_answers_late_is_refused(self):
+        self.configuration.on_reply("e", self.reply(5))
+        reply = self.reply(5, number=1)
+        self.assertTrue(self.configuration.is_read_current(reply, 5, 0.1))
+        self.assertFalse(self.configuration.is_read_current(reply, 5, 3.0))
+
+    def test_read_that_is_older_than_what_the_entry_knows_is_refused(self):
+        reply = self.reply(5, number=1)
+        self.assertFalse(self.configuration.is_read_current(reply, 6, 0.1))
+        self.configuration.on_reply("e", self.reply(7))
+        self.assertFalse(self.configuration.is_read_current(reply, 0, 0.1))
+
+
 class ConfigurationTransferTest(unittest.TestCase):
     def test_document_arrives_unchanged(self):
         sender = ConfigurationSender()
