--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -35,6 +35,7 @@
     PeerDown,
     PeerUp,
 )
+from hawthornbarrow.observability import EventGuard
 
 _TICK_INTERVAL_S = 0.05
 _IDLE_TICK_INTERVAL_S = 0.15  # without runs; heartbeats of the dispatcher wake it too
@@ -175,14 +176,14 @@
         self._links_checked_at_s = -1e9
         self._relays: set[str] = set()
         self._calls: curio.Queue = curio.Queue()
-        self._failed_event_count = 0
+        self._events = EventGuard(handler=self._on_event)
 
     @property
     def counts(self) -> dict[str, int]:
         """Number of events since the start, by kind."""
         return {
             **self._supervisor.counts,
-            "event_failed": self._failed_event_count,
+            "event_failed": self._events.failed_count,
         }
 
     @property
@@ -234,7 +235,7 @@
             items = await self._mailbox.drain(timeout_s=tick_s)
             now_s = steady_s()
             for item in items:
-                await self._handle(item, now_s)
+                await self._events.handle(item, now_s)
             if now_s - self._links_checked_at_s >= _LINK_CHECK_INTERVAL_S:
                 await self._update_links(now_s)
             self._supervisor.tick(now_s)
@@ -272,21 +273,6 @@
             source=self._settings.name, target="", sent_at_s=now_s, message=message
         )
 
-    async def _handle(self, item: object, now_s: float) -> None:
-        """Processes an event; an unexpected error costs this event only."""
-        try:
-            await self._on_event(item, now_s)
-        except Exception as error:
-            message = getattr(item, "message", None)
-            self._failed_event_count += 1
-            _log.exception(
-                "event_failed",
-                kind=type(item).__name__,
-                message=type(message).__name__ if message is not None else "",
-                peer=getattr(item, "peer", ""),
-                error=repr(error),
-            )
-
     async def _on_event(self, item: object, now_s: float) -> None:
         match item:
             case PeerUp():
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -47,6 +47,7 @@
     PeerUp,
     ReplicaPayload,
 )
+from hawthornbarrow.observability import EventGuard
 from hawthornbarrow.queues import (
     ConfigurationFormat,
     Queue,
@@ -151,7 +152,7 @@
         self._outcome_events: dict[Waiter, curio.Event] = {}
         self._swept_at_s = -1e9
         self._maintained_at_s = -1e9
-        self._failed_event_count = 0
+        self._events = EventGuard(handler=self._on_event)
         self._is_stopping = False
         self._is_closing = False
         self._stopping_at_s = 0.0
@@ -189,7 +190,7 @@
         """Number of events by kind: those of its term if this entry dispatches."""
         dispatcher = self._dispatcher_role.dispatcher
         counts = dict(dispatcher.counts) if dispatcher else {}
-        return {**counts, "event_failed": self._failed_event_count}
+        return {**counts, "event_failed": self._events.failed_count}
 
     @property
     def states(self) -> dict[str, int]:
@@ -414,7 +415,7 @@
             items = await self._mailbox.drain(timeout_s=tick_s)
             now_s = steady_s()
             for item in items:
-                await self._handle(item, now_s)
+                await self._events.handle(item, now_s)
             await self._dispatcher_role.tick(now_s, self._table, self._membership)
             if self._may_claim and self._dispatcher_role.is_dispatcher_silent(now_s):
                 await self._dispatcher_role.claim_agents(self._standby_rank, now_s)
@@ -472,21 +473,6 @@
 
     # Events
 
-    async def _handle(self, item: object, now_s: float) -> None:
-        """Processes an event; an unexpected error costs this event only."""
-        try:
-            await self._on_event(item, now_s)
-        except Exception as error:
-            message = getattr(item, "message", None)
-            self._failed_event_count += 1
-            _log.exception(
-                "event_failed",
-                kind=type(item).__name__,
-                message=type(message).__name__ if message is not None else "",
-                peer=getattr(item, "peer", ""),
-                error=repr(error),
-            )
-
     async def _on_event(self, item: object, now_s: float) -> None:
         match item:
             case PeerUp():
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_link_plan.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_link_plan.py
@@ -43,7 +43,7 @@
         self._seeds = addresses
 
     def set_members(self, members: collections.abc.Mapping[str, FleetMember]) -> None:
-        """Sets the known other entries by name."""
+        """Sets the known other entries by name; the mapping may change later."""
         self._members = members
 
     def choose(
--- a/packages/hawthornbarrow/src/hawthornbarrow/observability/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/__init__.py
@@ -13,6 +13,7 @@
     )
     from hawthornbarrow.observability._cell_metrics import CellMetrics
     from hawthornbarrow.observability._endpoint import MetricsEndpoint
+    from hawthornbarrow.observability._event_guard import EventGuard
     from hawthornbarrow.observability._log_timeline import (
         LogLine,
         build_timeline,
@@ -32,6 +33,7 @@
     "BurnRow",
     "Cause",
     "CellMetrics",
+    "EventGuard",
     "LogLine",
     "Metrics",
     "MetricsEndpoint",
@@ -54,6 +56,7 @@
         "BurnRateTracker": "_burn",
         "BurnRow": "_burn",
         "CellMetrics": "_cell_metrics",
+        "EventGuard": "_event_guard",
         "Metrics": "_metrics",
         "Cause": "_unserved_jobs",
         "UnservedJob": "_unserved_jobs",
