--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_link_plan.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_link_plan.py
@@ -20,7 +20,7 @@
     """Chooses the entries that a process keeps links to.
 
     A standby that cannot be reached is replaced by the next one in rank until it can be
-    reached again. Seeds are used while fewer than half of the chosen entries are
+    reached again. Seeds are used while at most half of the chosen entries are
     linked, as then the process may know only entries that are gone.
 
     An entry that others choose keeps links to all entries, and dials those that come
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/tests/test_session.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/tests/test_session.py
@@ -1,5 +1,6 @@
 import unittest
 
+import msgspec
 from hypothesis import Phase, settings
 
 from hawthornbarrow.links import (
@@ -177,6 +178,40 @@
         self.assertEqual(["later"], self.deliver())
 
 
+class _FrameBefore(msgspec.Struct, array_like=True, tag="Frame"):
+    """Frame of the version before, without the time of the next frame."""
+
+    first: int
+    received: int
+    sent_at_s: float
+    heard_at_s: float
+    messages: list
+
+
+class MixedVersionTest(unittest.TestCase):
+    """Tests that frames are read by processes of the version before, and theirs."""
+
+    def test_frame_is_read_by_the_version_before(self):
+        frame = Frame(
+            first=3,
+            received=2,
+            sent_at_s=1.0,
+            heard_at_s=0.5,
+            messages=[],
+            next_within_s=2.0,
+        )
+        data = msgspec.msgpack.encode(frame)
+        before = msgspec.msgpack.decode(data, type=_FrameBefore)
+        self.assertEqual((3, 2), (before.first, before.received))
+
+    def test_frame_of_the_version_before_announces_nothing(self):
+        before = _FrameBefore(
+            first=3, received=2, sent_at_s=1.0, heard_at_s=0.5, messages=[]
+        )
+        data = msgspec.msgpack.encode(before)
+        self.assertEqual(0.0, msgspec.msgpack.decode(data, type=Frame).next_within_s)
+
+
 class CodecTest(unittest.TestCase):
     frame = Frame(
         first=1,
