Log what tells the hypotheses on crashing upstreams apart

A crash logs its youngest run and that run's age; an agent that attaches without an upstream logs how many ended runs it reports; a refused job that a previous dispatcher had logs why it is, or is not, said to have run; a task that waits again after a detachment logs the reason. No decision changes.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -253,7 +253,7 @@
         for task in tasks:
             self._pool.remove_run(worker, task, now_s)
         for task in tasks:
-            self._requeue(worker, task, RunOutcome.LOST, now_s)
+            self._requeue(worker, task, RunOutcome.LOST, now_s, reason)
         self._has_changes = True
 
     def _adopt_run(self, worker: WorkerView, active: ActiveRun, now_s: float) -> None:
@@ -430,9 +430,20 @@
         For a job that was submitted to a previous dispatcher this is known only once
         all agents that may have run its tasks have reported their runs.
         """
-        return not self._previous_runs.may_have_run(
-            job, reported_from_s=self._pool.reported_from_s
+        reported_from_s = self._pool.reported_from_s
+        may_have_run = self._previous_runs.may_have_run(
+            job, reported_from_s=reported_from_s
         )
+        if self._previous_runs.was_submitted_before(job):
+            _log.info(
+                "previous_runs_checked",
+                job=job,
+                may_have_run=may_have_run,
+                has_trace=self._previous_runs.has_trace(job),
+                reported_from_s=round(reported_from_s, 3),
+                term=self._term,
+            )
+        return not may_have_run
 
     def _assign_previous_runs(self, record: JobRecord, now_s: float) -> None:
         """Assigns runs and results of a previous dispatcher to a job's tasks."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_previous_runs.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_previous_runs.py
@@ -65,10 +65,14 @@
             reported_from_s: Time since when agents have reported all their runs. A job
                 that arrived earlier may have run and left no trace.
         """
-        if job not in self._submitted_before:
+        if not self.was_submitted_before(job):
             return False
         return self._arrived_at_s[job] < reported_from_s or job in self._traces
 
+    def was_submitted_before(self, job: str) -> bool:
+        """Returns whether a job was submitted to a previous dispatcher."""
+        return job in self._submitted_before
+
     def has_trace(self, job: str) -> bool:
         """Returns whether an agent has reported a run of a job."""
         return job in self._traces
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
@@ -205,7 +205,16 @@
         Attach requests include the worker again once an upstream announces itself.
         """
         if self._worker is not None and self._worker.upstream == upstream:
-            _log.warning("upstream_gone", upstream=upstream, held=len(self._runs))
+            youngest = max(
+                self._runs.values(), key=lambda run: run.ordered_at_s, default=None
+            )
+            _log.warning(
+                "upstream_gone",
+                upstream=upstream,
+                held=len(self._runs),
+                youngest=str(youngest.order.task) if youngest else "",
+                ran_s=round(now_s - youngest.ordered_at_s, 3) if youngest else 0.0,
+            )
             self._end_all_as_lost("the upstream is gone", now_s)
             self._worker = None
             self._end_session()
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -114,6 +114,13 @@
             self._expected.remove(agent)
             self._reported_at_s = now_s
         if message.worker is None:
+            _log.info(
+                "agent_without_upstream",
+                agent=agent,
+                session=message.session,
+                term=self._term,
+                ended=len(message.ended),
+            )
             return None
         self._without_worker.discard(agent)
         worker = WorkerView(
@@ -134,6 +141,7 @@
             session=message.session,
             term=self._term,
             running=len(message.running),
+            ended=len(message.ended),
             leaving=message.is_leaving,
         )
         return worker
