Reproduce the crashing tasks and the untrue refusals in failing tests

A dispatcher that takes over ignores what an agent without an upstream reports: it says of a job that ran that it has not, and runs a completed task again.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell_simulation.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell_simulation.py
@@ -5,8 +5,10 @@
 upstream never exceed its capacity.
 """
 
+import collections
 import heapq
 import itertools
+import math
 import random
 
 from hawthornbarrow.cells import (
@@ -40,6 +42,7 @@
 
 STEP_S = 0.01
 RENEW_INTERVAL_S = 0.1
+DOWN_S = 3.0  # time until a crashed upstream is back
 COMPLETE_HANDOVER_PROBABILITY = 0.7  # that no entry is missing at a takeover
 TIMING = RunLeaseTiming(run_lease_s=1.0, stop_s=0.05)
 CAPACITY = Resources(cpu=4000, memory_mb=4000)
@@ -75,10 +78,14 @@
         self.rate = rate
         self.generator = generator
         self.incarnation = 0
+        self.capacity = CAPACITY
+        # Time from its start until a task of one of these jobs crashes the upstream.
+        self.crash_delays_s = {}
         self.restart()
 
     def restart(self):
         self.incarnation += 1
+        self.crashes_at_s = math.inf
         self.is_up = True
         self.fails_all = False
         self.hangs = False
@@ -119,6 +126,10 @@
             "began_s": now_s,
             "ends_s": now_s + run_s,
         }
+        delay_s = self.crash_delays_s.get(order.task.job)
+        if delay_s is not None:
+            self.runs[key]["ends_s"] = math.inf
+            self.crashes_at_s = min(self.crashes_at_s, now_s + delay_s)
         return StartResponse.STARTED
 
     def stop(self, task, attempt, token, now_s):
@@ -192,12 +203,17 @@
         self.unresponsive = set()
         self.lossy_responses = set()
         self.upstreams = {}
+        self.crash_delays_s = {}
+        self.back_at_s = {}
+        self.crashed_under = collections.defaultdict(list)
+        self.starts = collections.Counter()
         self.agents = {}
         self.renewed_at_s = {}
         for index in range(agents):
             name = f"a{index}"
             rate = self.generator.choice([1.0, 0.98])
             self.upstreams[name] = FakeUpstream(name, rate, self.generator)
+            self.upstreams[name].crash_delays_s = self.crash_delays_s
             self.start_agent(name)
         self.complete_handover_probability = COMPLETE_HANDOVER_PROBABILITY
         self.ledger_term = 0
@@ -226,7 +242,7 @@
             service="s",
             data_centre="d",
             labels=(),
-            capacity=CAPACITY,
+            capacity=upstream.capacity,
         )
         self.agents[name].announce(record, False, self.now_s)
 
@@ -308,6 +324,7 @@
         for upstream in self.upstreams.values():
             if upstream.is_up:
                 upstream.tick(self.now_s)
+        self.step_crashes()
         self.run_delayed_starts()
         self.deliver()
         self.step_dispatcher()
@@ -405,7 +422,10 @@
         for call in agent.take_calls():
             self.execute_call(agent, upstream, call)
         is_due = self.now_s - self.renewed_at_s[name] >= RENEW_INTERVAL_S
-        if is_due and upstream.is_up and name not in self.unresponsive:
+        if is_due and name in self.back_at_s:
+            self.renewed_at_s[name] = self.now_s
+            agent.on_upstream_gone(upstream.id, self.now_s)
+        elif is_due and upstream.is_up and name not in self.unresponsive:
             self.renewed_at_s[name] = self.now_s
             self.renew(agent, upstream)
         for receiver, message in agent.take_messages():
@@ -440,6 +460,7 @@
                 agent.on_start_response(call, StartResponse.NO_ANSWER, self.now_s)
                 return
             response = upstream.start(call.order, lease_until, call.term, self.now_s)
+            self.starts[str(call.order.task)] += response is StartResponse.STARTED
             if self.drops_response(upstream):
                 response = StartResponse.NO_ANSWER
             agent.on_start_response(call, response, self.now_s)
@@ -481,6 +502,25 @@
         )
         agent.on_listing(listing, self.now_s)
 
+    def stop_upstream(self, name, down_s=DOWN_S):
+        """Crashes an upstream, which is back as another incarnation later."""
+        upstream = self.upstreams[name]
+        upstream.is_up = False
+        for task in upstream.runs:
+            self.crashed_under[task].append(upstream.id)
+        upstream.runs = {}
+        self.back_at_s[name] = self.now_s + down_s
+
+    def step_crashes(self):
+        for name, upstream in self.upstreams.items():
+            if upstream.is_up and self.now_s >= upstream.crashes_at_s:
+                self.stop_upstream(name)
+        for name, back_at_s in list(self.back_at_s.items()):
+            if self.now_s >= back_at_s:
+                del self.back_at_s[name]
+                self.upstreams[name].restart()
+                self.announce(name)
+
     def crash_upstream(self, name):
         upstream = self.upstreams[name]
         upstream.restart()
