Count a test with a failed subtest as failed

The runner recorded the outcome of subtests under ids of their own, and "subtest" was not among the outcomes that count as failures. So the test of the crashing tasks, of which 18 of 18 subtests fail, did not fail the run.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -13,6 +13,7 @@
 import structlog
 from nose2.events import TestOutcomeEvent
 
+_SUBTEST_OUTCOME = "subtest"  # as nose2 names it, for subtests that failed
 _KNOWN_RED_TEST = re.compile(r"^test: (\S+)", re.MULTILINE)
 
 
@@ -28,8 +29,15 @@
         self.outcomes: dict[str, str] = {}
 
     def testOutcome(self, event: TestOutcomeEvent) -> None:  # noqa: N802
-        """Records one outcome; nose2 requires this method name for the hook."""
-        self.outcomes[event.test.id()] = event.outcome
+        """Records one outcome; nose2 requires this method name for the hook.
+
+        A failed subtest fails the test that contains it.
+        """
+        if event.outcome == _SUBTEST_OUTCOME:
+            if event.exc_info:
+                self.outcomes[event.test.test_case.id()] = "failed"
+            return
+        self.outcomes.setdefault(event.test.id(), event.outcome)
 
 
 def main(packages: list[str]) -> int:
