Take ended runs of agents without an upstream into account at a takeover

Cause: Dispatcher.attach returned as soon as the agent had no upstream, before it read the ended runs that the agent lists. The agent then counted as reported, so the runs were known not to exist. Fix: the ended runs are read whether or not the agent has an upstream.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -207,12 +207,11 @@
         if known is not None:
             self._detach(known, "attached anew", now_s)
         worker = self._pool.attach(agent, message, now_s)
-        if worker is None:
-            return
         for run in message.running:
-            self._adopt_run(worker, run, now_s)
+            if worker is not None:
+                self._adopt_run(worker, run, now_s)
         for ended in message.ended:
-            self._adopt_ended_run(worker, ended, now_s)
+            self._adopt_ended_run(agent, ended, now_s)
         self._has_changes = True
 
     def on_agent_restarted(self, agent: str) -> None:
@@ -253,7 +252,7 @@
         for task in tasks:
             self._pool.remove_run(worker, task, now_s)
         for task in tasks:
-            self._requeue(worker, task, RunOutcome.LOST, now_s, reason)
+            self._requeue(worker.agent, task, RunOutcome.LOST, now_s, reason)
         self._has_changes = True
 
     def _adopt_run(self, worker: WorkerView, active: ActiveRun, now_s: float) -> None:
@@ -271,10 +270,11 @@
         else:
             self._previous_runs.record_run(active.task, worker.agent, now_s)
 
-    def _adopt_ended_run(
-        self, worker: WorkerView, ended: EndedRun, now_s: float
-    ) -> None:
-        worker.acknowledged = max(worker.acknowledged, ended.number)
+    def _adopt_ended_run(self, agent: str, ended: EndedRun, now_s: float) -> None:
+        """Takes an ended run into account, also of an agent without an upstream."""
+        worker = self._pool.workers.get(agent)
+        if worker is not None:
+            worker.acknowledged = max(worker.acknowledged, ended.number)
         self._previous_runs.record_trace(ended.task.job, now_s)
         if ended.end is not RunOutcome.DONE:
             return
@@ -282,7 +282,7 @@
         if record is None:
             self._previous_runs.record_done(ended.task, now_s)
             return
-        self._end_task(record, worker, ended, now_s)
+        self._end_task(record, agent, ended, now_s)
 
     def _assign_run(self, record: JobRecord, worker: WorkerView, run: Run) -> None:
         """Assigns a run that a previous dispatcher started to its task."""
@@ -492,17 +492,17 @@
             if ended.end is RunOutcome.DONE:
                 self._previous_runs.record_done(ended.task, now_s)
             return
-        self._end_task(record, worker, ended, now_s)
+        self._end_task(record, worker.agent, ended, now_s)
 
     def _end_task(
-        self, record: JobRecord, worker: WorkerView, ended: EndedRun, now_s: float
+        self, record: JobRecord, agent: str, ended: EndedRun, now_s: float
     ) -> None:
         key = ended.task
         progress = record.progress(key)
         if progress is None or progress.is_done:
             return
         is_done = ended.end is RunOutcome.DONE
-        if progress.worker and progress.worker != worker.agent and not is_done:
+        if progress.worker and progress.worker != agent and not is_done:
             return
         if record.state.is_final:
             if progress.worker:
@@ -515,11 +515,11 @@
                 self._close(record, JobState.COMPLETE, "all tasks done", now_s)
             return
         if progress.worker:
-            self._requeue(worker, key, ended.end, now_s, ended.reason)
+            self._requeue(agent, key, ended.end, now_s, ended.reason)
 
     def _requeue(
         self,
-        worker: WorkerView,
+        agent: str,
         key: TaskKey,
         end: RunOutcome,
         now_s: float,
@@ -528,13 +528,13 @@
         """Queues a task again after a run that did not complete."""
         record = self._job_registry.jobs.get(key.job)
         progress = record.progress(key) if record else None
-        if record is None or progress is None or progress.worker != worker.agent:
+        if record is None or progress is None or progress.worker != agent:
             return
         record.end(key.step, key.index, is_done=False)
         if end is RunOutcome.SUPERSEDED:
             progress.attempts += ATTEMPTS_PER_TERM
         if end is not RunOutcome.STOPPED:
-            progress.avoided.add(worker.agent)
+            progress.avoided.add(agent)
         if end is RunOutcome.FAILED:
             progress.failures += 1
         if record.state.is_final:
@@ -543,7 +543,7 @@
             "task_waits_again",
             job=key.job,
             task=str(key),
-            agent=worker.agent,
+            agent=agent,
             end=end.value,
             reason=reason,
             failures=progress.failures,
