Follow the capacity that an upstream announces while it runs

Cause: an agent read the capacity of an incarnation only from its first announcement, and the dispatcher only from the attach request. Fix: a changed capacity is reported at once; agent and dispatcher refuse and place by the newest one. Runs that no longer fit go on and count, also while they are being stopped; a start call is not repeated while they do not fit. WorkerReport carries it in a new last field with a default.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -28,6 +28,7 @@
     ActiveRun,
     EndedRun,
     JobState,
+    Resources,
     RunOutcome,
     TaskKey,
 )
@@ -234,6 +235,8 @@
             worker.is_leaving = True
             _log.info("worker_leaving", agent=agent, upstream=worker.record.upstream)
         worker.is_silent = message.is_silent
+        if message.capacity not in (None, worker.record.capacity):
+            self._set_capacity(worker, message.capacity)
         self._record_crashes(message.ended, None, now_s)
         for ended in message.ended:
             if ended.number > worker.acknowledged:
@@ -244,6 +247,18 @@
         self._pool.refresh(worker, now_s)
         self._has_changes = True
 
+    def _set_capacity(self, worker: WorkerView, capacity: Resources) -> None:
+        _log.info(
+            "worker_capacity_changed",
+            agent=worker.agent,
+            upstream=worker.record.upstream,
+            cpu=capacity.cpu,
+            memory_mb=capacity.memory_mb,
+            former_cpu=worker.record.capacity.cpu,
+            free_cpu=worker.free.cpu,
+        )
+        worker.set_capacity(capacity)
+
     def on_frame(self, agent: str, now_s: float) -> None:
         """Records that a frame of an agent arrived."""
         if self._pool.on_frame(agent, now_s):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
@@ -13,6 +13,7 @@
     FleetMember,
     JobDocument,
     JobState,
+    Resources,
     StartOrder,
     TaskKey,
     WorkerRecord,
@@ -76,6 +77,8 @@
         ended: Ended runs that the dispatcher has not acknowledged.
         stalled: Tasks whose runs have made no progress for a while.
         is_silent: Whether its upstream does not answer.
+        capacity: Resources that its worker has now, None from agents of the version
+            before.
     """
 
     session: int
@@ -83,6 +86,7 @@
     ended: list[EndedRun]
     stalled: list[TaskKey] = []
     is_silent: bool = False
+    capacity: Resources | None = None
 
 
 class StartTasks(_Message, kw_only=True):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
@@ -202,11 +202,31 @@
         """Processes an announcement of an upstream."""
         if self._worker is None or worker.upstream != self._worker.upstream:
             self._replace_upstream(worker, now_s)
+        elif worker.capacity != self._worker.capacity:
+            self._set_capacity(worker)
         if is_leaving and not self._is_leaving:
             self._is_leaving = True
             self._needs_report = True
             _log.info("upstream_leaving", upstream=worker.upstream)
 
+    def _set_capacity(self, worker: WorkerRecord) -> None:
+        """Takes a change of the upstream's capacity into account.
+
+        Runs that no longer fit go on; nothing new starts until they do.
+        """
+        assert self._worker is not None
+        _log.info(
+            "capacity_changed",
+            upstream=worker.upstream,
+            cpu=worker.capacity.cpu,
+            memory_mb=worker.capacity.memory_mb,
+            former_cpu=self._worker.capacity.cpu,
+            former_memory_mb=self._worker.capacity.memory_mb,
+            used_cpu=self._used.cpu,
+        )
+        self._worker = worker
+        self._needs_report = True
+
     def withdraw(self, upstream: str, now_s: float) -> None:
         """Processes the departure of an upstream."""
         if self._worker is not None and self._worker.upstream == upstream:
@@ -369,7 +389,7 @@
         The upstream carries out one call of an attempt at most, so it does not matter
         which of them arrive, or when.
         """
-        if not self.may_renew(now_s):
+        if not self.may_renew(now_s) or not self._fits:
             return
         for record in self._runs.values():
             is_unanswered = record.phase is RunPhase.STARTING
@@ -383,6 +403,12 @@
                 self._counts["start_repeated"] += 1
                 self._call_start(record, now_s)
 
+    @property
+    def _fits(self) -> bool:
+        """Whether the runs, including those being stopped, fit into the capacity."""
+        assert self._worker is not None
+        return self._used.fits_into(self._worker.capacity)
+
     def _refusal_reason(self, order: StartOrder, now_s: float) -> str:
         """Returns why a start is refused, or an empty string."""
         if self._worker is None or not self.may_renew(now_s):
@@ -552,6 +578,7 @@
                     ended=[],
                     stalled=stalled,
                     is_silent=self._was_suspect,
+                    capacity=self._worker.capacity if self._worker else None,
                 )
             )
 
@@ -633,6 +660,7 @@
                 is_leaving=self._is_leaving,
                 ended=self._ended_runs.unacknowledged(),
                 is_silent=self._was_suspect,
+                capacity=self._worker.capacity if self._worker else None,
             )
         )
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_view.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_view.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import msgspec
+
 from hawthornbarrow.cells._health import WorkerHealth
 from hawthornbarrow.cells._parts import (
     Resources,
@@ -69,6 +71,12 @@
         """Free resources; runs that are being stopped still use theirs."""
         return self._free
 
+    def set_capacity(self, capacity: Resources) -> None:
+        """Sets the worker's capacity; more of it may be used than there is now."""
+        used = self.record.capacity.minus(self._free)
+        self.record = msgspec.structs.replace(self.record, capacity=capacity)
+        self._free = capacity.minus(used)
+
     def add(self, run: Run) -> None:
         """Adds a run and reserves its resources."""
         self.runs[run.task] = run
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell_simulation.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell_simulation.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import functools
 import heapq
 import itertools
 import math
@@ -42,6 +43,7 @@
 
 STEP_S = 0.01
 RENEW_INTERVAL_S = 0.1
+SHRINK_GRACE_S = 0.05  # in which starts that are under way may exceed a new capacity
 DOWN_S = 3.0  # time until a crashed upstream is back
 COMPLETE_HANDOVER_PROBABILITY = 0.7  # that no entry is missing at a takeover
 TIMING = RunLeaseTiming(run_lease_s=1.0, stop_s=0.05)
@@ -79,6 +81,7 @@
         self.generator = generator
         self.incarnation = 0
         self.capacity = CAPACITY
+        self.shrunk_at_s = -math.inf
         # Time from its start until a task of one of these jobs crashes the upstream.
         self.crash_delays_s = {}
         self.restart()
@@ -126,6 +129,11 @@
             "began_s": now_s,
             "ends_s": now_s + run_s,
         }
+        if now_s >= self.shrunk_at_s + SHRINK_GRACE_S:
+            needs = [run["needs"] for run in self.runs.values()]
+            used = functools.reduce(Resources.plus, needs, Resources())
+            if not used.fits_into(self.capacity):
+                raise ViolationError(f"{key} does not fit into {self.name} at {now_s}")
         delay_s = self.crash_delays_s.get(order.task.job)
         if delay_s is not None:
             self.runs[key]["ends_s"] = math.inf
@@ -207,6 +215,8 @@
         self.back_at_s = {}
         # Whether crashed upstreams refuse no connections, but do not answer.
         self.is_dark = False
+        # Upstreams whose runs do not fit since their capacity shrank.
+        self.over_capacity = set()
         self.crashed_under = collections.defaultdict(list)
         self.starts = collections.Counter()
         self.agents = {}
@@ -528,6 +538,13 @@
                 self.upstreams[name].restart()
                 self.announce(name)
 
+    def set_capacity(self, name, capacity):
+        """Changes an upstream's capacity; runs that do not fit go on."""
+        self.upstreams[name].capacity = capacity
+        self.upstreams[name].shrunk_at_s = self.now_s
+        self.over_capacity.add(name)
+        self.announce(name)
+
     def crash_upstream(self, name):
         upstream = self.upstreams[name]
         upstream.restart()
@@ -547,7 +564,11 @@
                         f"at {self.now_s}"
                     )
                 seen[task] = upstream.name
-            if not used.fits_into(CAPACITY):
+            if used.fits_into(upstream.capacity):
+                self.over_capacity.discard(upstream.name)
+            elif used.fits_into(CAPACITY) and upstream.name in self.over_capacity:
+                continue
+            else:
                 raise ViolationError(
                     f"{upstream.name} exceeds its capacity with {used} at {self.now_s}"
                 )
