Ignore a delayed announcement of a former upstream

What callers would see: the runs on a sound upstream are ended and run again, and the upstream gets no work until its next announcement. Cause: an agent took any announcement of another incarnation for a new one, also one that was held up while its sender crashed and a successor registered. With crashes counted it would also blame the sound upstream's tasks. An upstream that only refused one connection is used again.

--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -201,10 +201,16 @@
             "term": self._supervisor.term,
         }
 
-    def announce(self, worker: WorkerRecord, address: str, is_leaving: bool) -> None:
-        """Processes an announcement of the upstream."""
+    def announce(self, worker: WorkerRecord, address: str, is_leaving: bool) -> bool:
+        """Processes an announcement of the upstream.
+
+        Returns:
+            Whether it is not an announcement of a former incarnation.
+        """
+        if not self._supervisor.announce(worker, is_leaving, steady_s()):
+            return False
         self._client.set_address(address)
-        self._supervisor.announce(worker, is_leaving, steady_s())
+        return True
 
     def withdraw(self, upstream: str) -> None:
         """Processes the departure of the upstream."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
@@ -46,6 +46,7 @@
 REPORT_RETRY_INTERVAL_S = 0.4
 STOP_RETRY_INTERVAL_S = 0.25
 MAX_START_CALLS = 3
+MAX_FORMER_UPSTREAMS = 64  # incarnations whose delayed announcements are known
 _SESSION_BITS = 48
 # Responses that the upstream did not give, or that were decided before the call.
 _UNANSWERED = frozenset(
@@ -108,6 +109,10 @@
         self._unknown_stopped_at_s: dict[tuple[str, int], float] = {}
         # Runs that were lost while the upstream may have crashed, until a listing.
         self._lost_runs: list[_LostRun] = []
+        self._gone_upstream = ""
+        self._former_upstreams: collections.deque[str] = collections.deque(
+            maxlen=MAX_FORMER_UPSTREAMS
+        )
         self._needs_report = False
         self._attach_sent_at_s = -1e9
         self._counts: collections.Counter[str] = collections.Counter()
@@ -198,8 +203,20 @@
 
     # Upstream
 
-    def announce(self, worker: WorkerRecord, is_leaving: bool, now_s: float) -> None:
-        """Processes an announcement of an upstream."""
+    def announce(self, worker: WorkerRecord, is_leaving: bool, now_s: float) -> bool:
+        """Processes an announcement of an upstream.
+
+        Returns:
+            Whether it is the current incarnation, or a new one. An announcement of a
+            former one was delayed.
+        """
+        if worker.upstream in self._former_upstreams:
+            _log.info(
+                "late_announcement_ignored",
+                upstream=worker.upstream,
+                current=self.upstream,
+            )
+            return False
         if self._worker is None or worker.upstream != self._worker.upstream:
             self._replace_upstream(worker, now_s)
         elif worker.capacity != self._worker.capacity:
@@ -208,6 +225,7 @@
             self._is_leaving = True
             self._needs_report = True
             _log.info("upstream_leaving", upstream=worker.upstream)
+        return True
 
     def _set_capacity(self, worker: WorkerRecord) -> None:
         """Takes a change of the upstream's capacity into account.
@@ -253,6 +271,7 @@
                 ran_s=round(now_s - youngest.ordered_at_s, 3) if youngest else 0.0,
             )
             self._end_after_crash("the upstream is gone", now_s)
+            self._gone_upstream = upstream
             self._worker = None
             self._end_session()
 
@@ -270,6 +289,10 @@
         )
         if self._worker is not None:
             self._end_after_crash("the upstream is another incarnation", now_s)
+            self._former_upstreams.append(self._worker.upstream)
+        if self._gone_upstream not in ("", worker.upstream):
+            self._former_upstreams.append(self._gone_upstream)
+        self._gone_upstream = ""
         self._lost_runs.clear()
         self._worker = worker
         self._is_leaving = False
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_crash_reports.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_crash_reports.py
@@ -38,7 +38,7 @@
     )
 
 
-class CrashReportTest(unittest.TestCase):
+class _AgentTestCase(unittest.TestCase):
     """Plays an upstream that starts tasks and crashes."""
 
     def setUp(self):
@@ -97,6 +97,10 @@
         self.heartbeat()
         return [run for run in self.attach_requests[-1].ended if run.crashed_upstream]
 
+
+class CrashReportTest(_AgentTestCase):
+    """Tests which runs are reported as those of a crash."""
+
     def test_runs_under_a_crash_are_reported_with_the_time_they_survived(self):
         self.agent.on_start_response(self.start(0), StartResponse.STARTED, self.now_s)
         self.now_s += 0.5
@@ -156,6 +160,31 @@
         self.assertEqual([task_at(0)], [run.task for run in self.crashed()])
 
 
+class DelayedAnnouncementTest(_AgentTestCase):
+    """Tests that an announcement of a former incarnation changes nothing."""
+
+    def check_ignored(self):
+        self.announce("u2")
+        self.list_runs("u2")
+        self.attach()
+        self.start(1)
+        self.announce("u1")
+        self.assertEqual("u2", self.agent.upstream)
+        self.assertEqual(1, self.agent.run_count)
+
+    def test_announcement_that_arrives_after_a_replacement_is_ignored(self):
+        self.check_ignored()
+
+    def test_announcement_that_arrives_after_a_crash_is_ignored(self):
+        self.agent.on_upstream_gone("u1", self.now_s)
+        self.check_ignored()
+
+    def test_upstream_that_refused_a_connection_once_is_used_again(self):
+        self.agent.on_upstream_gone("u1", self.now_s)
+        self.announce("u1")
+        self.assertEqual("u1", self.agent.upstream)
+
+
 class _EndedRunBefore(msgspec.Struct, array_like=True, kw_only=True):
     """EndedRun of the version before, without crashes."""
 
