Confine a queue whose jobs crash upstreams to a quarter of the workers

Change: QueueIsolation. After two jobs of a queue were found to crash upstreams its tasks may use a quarter of its service's workers only, and other queues the rest; workers that are away are chosen first, and one that crashes again stays chosen. Admission and refusals count the workers that a queue may use. The queue is released 10 s after the last such job or crash, and is not confined while no other queue has jobs. Queue and service travel with the reports of crashes, so a new dispatcher concludes the same.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_history.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_history.py
@@ -51,10 +51,29 @@
     Attributes:
         task: The task.
         survived_s: Time from its start for which the upstream is known to have run.
+        service: Service of the upstream.
+        queue: Name of the job's queue.
     """
 
     task: TaskKey
     survived_s: float
+    service: str = ""
+    queue: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CrashCause:
+    """A task that crashes the upstreams that start it.
+
+    Attributes:
+        task: The task.
+        service: Service of the upstream that crashed last.
+        queue: Name of the job's queue.
+    """
+
+    task: TaskKey
+    service: str
+    queue: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -74,9 +93,13 @@
         upstreams: Incarnations that crashed under it.
         unexplained: Runs that were lost for unknown reasons, by attempt number.
         is_suspect: Whether it may have caused the last crash.
+        service: Service of the upstream that crashed last.
+        queue: Name of the job's queue.
     """
 
     changed_at_s: float
+    service: str = ""
+    queue: str = ""
     upstreams: list[str] = dataclasses.field(default_factory=list)
     unexplained: dict[int, _LostRun] = dataclasses.field(default_factory=dict)
     is_suspect: bool = False
@@ -209,6 +232,8 @@
             crashes = self._crashes_of(run.task, now_s)
             if upstream not in crashes.upstreams:
                 crashes.upstreams.append(upstream)
+                crashes.service = run.service
+                crashes.queue = run.queue
         if is_known:
             return False
         suspects = self._suspects(runs)
@@ -245,7 +270,7 @@
         if crashes is not None:
             crashes.is_suspect = False
 
-    def take_causes(self, now_s: float) -> list[TaskKey]:
+    def take_causes(self, now_s: float) -> list[CrashCause]:
         """Judges suspicions, and returns the tasks that are found to be causes.
 
         Each one waits for REPORT_WINDOW_S, so that crashes that belong together are
@@ -266,7 +291,14 @@
         ]
         for task in found:
             self._causes[task.job] = (task, now_s)
-        return found
+        return [
+            CrashCause(
+                task=task,
+                service=self._tasks[task].service,
+                queue=self._tasks[task].queue,
+            )
+            for task in found
+        ]
 
     def remove_old(self, now_s: float) -> None:
         """Removes what is older than its retention time, once a CLEANING_INTERVAL_S."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -33,6 +33,8 @@
     TaskKey,
 )
 from hawthornbarrow.cells._previous_runs import PreviousRuns
+from hawthornbarrow.cells._queue_isolation import QueueIsolation
+from hawthornbarrow.cells._ready_capacity import CapacitySum
 from hawthornbarrow.cells._run_times import RunTimes
 from hawthornbarrow.cells._task_placer import TaskPlacer
 from hawthornbarrow.cells._timing import RunLeaseTiming
@@ -91,6 +93,7 @@
         )
         self._previous_runs = PreviousRuns(recovery_until_s=self._pool.recovery_until_s)
         self._crash_history = CrashHistory()
+        self._isolation = QueueIsolation()
         self._table: QueueTable | None = None
         self._swept_at_s = now_s
         self._has_changes = True
@@ -102,6 +105,7 @@
             job_registry=self._job_registry,
             run_times=self._run_times,
             crash_history=self._crash_history,
+            isolation=self._isolation,
             counts=self._counts,
         )
 
@@ -300,7 +304,12 @@
             if not ended.is_upstream_silent:
                 self._crash_history.explain_loss(ended.task, ended.attempt)
             if ended.crashed_upstream:
-                crashed = CrashedRun(task=ended.task, survived_s=ended.run_s)
+                crashed = CrashedRun(
+                    task=ended.task,
+                    survived_s=ended.run_s,
+                    service=ended.service,
+                    queue=ended.queue,
+                )
                 runs.setdefault(ended.crashed_upstream, []).append(crashed)
                 age_s = 0.0 if sent_at_s is None else sent_at_s - ended.ended_at_s
                 crashed_at_s[ended.crashed_upstream] = now_s - age_s
@@ -309,6 +318,8 @@
                 upstream, crashed_runs, crashed_at_s[upstream], now_s
             ):
                 self._counts["upstream_crashed"] += 1
+                queues = {run.queue for run in crashed_runs}
+                self._isolation.record_crash(crashed_runs[0].service, queues, now_s)
 
     def _adopt_run(self, worker: WorkerView, active: ActiveRun, now_s: float) -> None:
         run = Run(
@@ -395,6 +406,7 @@
             queue.name, record.document.longest_chain_s
         )
         record.set_times(chain_s)
+        self._isolation.record_submission(queue.service, queue.name, now_s)
         record.entries.add(entry)
         record.is_new = not message.was_offered and not self._previous_runs.has_trace(
             job
@@ -430,7 +442,7 @@
     ) -> bool:
         if message.was_offered or self._pool.is_in_attach_window(now_s):
             return False
-        capacity = self._pool.ready_capacity(record.queue.service)
+        capacity = self._capacity_for(record.queue.service, record.queue.name)
         delay_s = self._start_delay_s(record, now_s)
         decision = self._admission.evaluate(
             record,
@@ -464,17 +476,41 @@
         waiting = self._job_registry.waiting
         if not self._pool.is_recovering(now_s):
             return waiting.work_ahead_core_s(
-                record.queue.priority, self._run_times, now_s
+                record.queue.priority,
+                self._run_times,
+                now_s,
+                shares_workers=lambda queue: self._share_workers(record, queue),
             )
         ahead = (
             job
             for job in waiting.records.values()
             if self._start_delay_s(job, now_s) <= delay_s
+            and self._share_workers(record, job.queue.name)
         )
         return plain_work_ahead_core_s(
             ahead, record.queue.priority, self._run_times, now_s
         )
 
+    def _capacity_for(self, service: str, queue: str) -> CapacitySum:
+        """Returns the capacity of the workers that a queue may use."""
+        capacity = self._pool.ready_capacity(service)
+        if not self._isolation.is_active:
+            return capacity
+        agents = self._isolation.confined_agents(service)
+        confined = self._pool.ready_capacity_of(service, agents)
+        if self._isolation.is_confined(service, queue):
+            return confined
+        return capacity.minus(confined)
+
+    def _share_workers(self, record: JobRecord, queue: str) -> bool:
+        """Returns whether a queue uses the same workers as a job."""
+        if not self._isolation.is_active:
+            return True
+        service = record.queue.service
+        return self._isolation.is_confined(
+            service, record.queue.name
+        ) == self._isolation.is_confined(service, queue)
+
     def _refuse(self, entry: str, job: str, reason: str, retry_after_s: float) -> None:
         answer = JobAnswer(
             job=job,
@@ -651,17 +687,24 @@
             if now_s > job.give_up_at_s and not job.running_count:
                 self._give_up(job, now_s)
         self._job_registry.remove_old_jobs(now_s)
-        for task in self._crash_history.take_causes(now_s):
-            job_record = self._job_registry.jobs.get(task.job)
-            if job_record is not None and not job_record.state.is_final:
-                self._fail_crashing(job_record, task, now_s)
-        self._crash_history.remove_old(now_s)
+        self._fail_causes(now_s)
+        self._isolation.update(self._pool.workers.values(), now_s)
         for task, agent in self._previous_runs.take_unclaimed(now_s):
             worker = self._pool.workers.get(agent)
             if worker is not None and task in worker.runs:
                 self._pool.order_stop(worker, worker.runs[task])
         self._has_changes = True
 
+    def _fail_causes(self, now_s: float) -> None:
+        """Fails jobs that are found to crash upstreams, and confines their queues."""
+        for cause in self._crash_history.take_causes(now_s):
+            job = cause.task.job
+            self._isolation.record_cause(cause.service, cause.queue, job, now_s)
+            record = self._job_registry.jobs.get(job)
+            if record is not None and not record.state.is_final:
+                self._fail_crashing(record, cause.task, now_s)
+        self._crash_history.remove_old(now_s)
+
     def _start_delay_s(self, job: JobRecord, now_s: float) -> float:
         """Returns the time until a job may start if missing agents do not attach."""
         if job.is_new and self._is_handover_complete:
@@ -670,13 +713,15 @@
 
     def _refuse_infeasible(self, now_s: float) -> None:
         """Refuses jobs as soon as they are expected to start after ``refuse_by_s``."""
-        jobs: dict[str, list[JobRecord]] = {}
+        jobs: dict[tuple[str, bool], list[JobRecord]] = {}
         for job in self._job_registry.waiting_in_order(now_s):
-            jobs.setdefault(self._task_placer.service_of(job), []).append(job)
-        for service, waiting in jobs.items():
+            service = self._task_placer.service_of(job)
+            is_confined = self._isolation.is_confined(service, job.queue.name)
+            jobs.setdefault((service, is_confined), []).append(job)
+        for (service, _), waiting in jobs.items():
             infeasible = self._admission.find_infeasible(
                 waiting,
-                self._pool.ready_capacity(service),
+                self._capacity_for(service, waiting[0].queue.name),
                 now_s,
                 start_delay_s=lambda job: self._start_delay_s(job, now_s),
             )
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_ended_run_log.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_ended_run_log.py
@@ -48,6 +48,7 @@
         reason: str = "",
         run_s: float = 0.0,
         is_crashed: bool = False,
+        service: str = "",
         is_upstream_silent: bool = False,
     ) -> None:
         """Adds and logs an ended run.
@@ -60,6 +61,7 @@
             reason: Why it was refused or lost, otherwise empty.
             run_s: Run time.
             is_crashed: Whether the upstream crashed during the run.
+            service: Service of the upstream.
             is_upstream_silent: Whether it may have crashed, as it does not answer.
         """
         self._last_number += 1
@@ -74,6 +76,8 @@
             crashes=order.crashes,
             is_upstream_silent=is_upstream_silent,
             ended_at_s=now_s,
+            queue=order.queue if is_crashed else "",
+            service=service if is_crashed else "",
         )
         self._ended.append((now_s, ended))
         if is_crashed:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_parts.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_parts.py
@@ -179,6 +179,7 @@
         needs: Resources that the task uses.
         expected_s: Expected run time.
         crashes: Incarnations of upstreams that crashed under the task before.
+        queue: Name of the job's queue, which reports of crashes contain.
     """
 
     task: TaskKey
@@ -187,6 +188,7 @@
     needs: Resources
     expected_s: float = 0.0
     crashes: tuple[str, ...] = ()
+    queue: str = ""
 
 
 class ActiveRun(_Part, kw_only=True):
@@ -224,6 +226,8 @@
         is_upstream_silent: Whether the upstream did not answer, so that it may have
             crashed.
         ended_at_s: When the agent recorded its end, on the agent's clock.
+        queue: Name of the job's queue if the upstream crashed, otherwise empty.
+        service: Service of the upstream if it crashed, otherwise empty.
     """
 
     number: int
@@ -236,6 +240,8 @@
     crashes: tuple[str, ...] = ()
     is_upstream_silent: bool = False
     ended_at_s: float = 0.0
+    queue: str = ""
+    service: str = ""
 
 
 class FleetMember(_Part, kw_only=True):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_ready_capacity.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_ready_capacity.py
@@ -21,6 +21,14 @@
     rate_cores: float = 0.0
     free_cores: float = 0.0
 
+    def minus(self, part: "CapacitySum") -> "CapacitySum":
+        """Returns the capacity without that of some of the workers."""
+        return CapacitySum(
+            worker_count=self.worker_count - part.worker_count,
+            rate_cores=max(0.0, self.rate_cores - part.rate_cores),
+            free_cores=max(0.0, self.free_cores - part.free_cores),
+        )
+
 
 @dataclasses.dataclass(kw_only=True)
 class _Sum:
@@ -58,6 +66,19 @@
             free_cores=total.free_cpu / 1000,
         )
 
+    def of_workers(
+        self, service: str, agents: collections.abc.Iterable[str]
+    ) -> CapacitySum:
+        """Returns the sum over some of the workers of a service that accept tasks."""
+        total = self._sums.get(service)
+        parts = [self._parts[agent] for agent in agents if agent in self._parts]
+        parts = [part for part in parts if part[0] is total]
+        return CapacitySum(
+            worker_count=len(parts),
+            rate_cores=sum(rate_cores for _, rate_cores, _ in parts),
+            free_cores=sum(free_cpu for _, _, free_cpu in parts) / 1000,
+        )
+
     def refresh(self, worker: WorkerView, now_s: float) -> None:
         """Adds a worker, or updates its part of the sum."""
         self.remove(worker)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
@@ -854,6 +854,7 @@
             reason=reason,
             run_s=run_s,
             is_crashed=is_crashed,
+            service=self._worker.service if self._worker else "",
             is_upstream_silent=is_upstream_silent,
         )
         self._needs_report = True
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_task_placer.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_task_placer.py
@@ -9,6 +9,7 @@
 from hawthornbarrow.cells._job_record import JobRecord
 from hawthornbarrow.cells._job_registry import JobRegistry
 from hawthornbarrow.cells._parts import StartOrder, TaskKey
+from hawthornbarrow.cells._queue_isolation import QueueIsolation
 from hawthornbarrow.cells._run_times import RunTimes
 from hawthornbarrow.cells._start_reservations import StartReservations
 from hawthornbarrow.cells._worker_pool import WorkerPool
@@ -30,6 +31,7 @@
         job_registry: The jobs.
         run_times: Expected run times.
         crash_history: Tasks that may crash the upstreams that start them.
+        isolation: Queues that are confined to some of the workers.
         counts: Event counters, in which starts are counted.
     """
 
@@ -41,6 +43,7 @@
         job_registry: JobRegistry,
         run_times: RunTimes,
         crash_history: CrashHistory,
+        isolation: QueueIsolation,
         counts: collections.Counter[str],
     ) -> None:
         """Initializes a placer that places nothing until it has a configuration."""
@@ -49,6 +52,7 @@
         self._job_registry = job_registry
         self._run_times = run_times
         self._crash_history = crash_history
+        self._isolation = isolation
         self._reservations = StartReservations(crash_history=crash_history)
         self._counts = counts
         self._worker_selector = WorkerSelector(suspect_after_s=pool.suspect_after_s)
@@ -89,12 +93,11 @@
                     if worker is None:
                         continue
                 else:
-                    candidates = self._pool.candidates(service, needed_cpu)
                     worker = self._worker_selector.choose(
                         job,
                         step,
                         index,
-                        self._reservations.unreserved(candidates),
+                        self._candidates(job, service, needed_cpu),
                         now_s,
                     )
                 if worker is None:
@@ -114,6 +117,19 @@
                 waiting=len(self._job_registry.waiting),
             )
 
+    def _candidates(
+        self, job: JobRecord, service: str, cpu: int
+    ) -> collections.abc.Iterable[tuple[int, WorkerView]]:
+        """Returns the speed classes and workers that a job may use, best first."""
+        candidates = self._reservations.unreserved(self._pool.candidates(service, cpu))
+        if not self._isolation.is_active:
+            return candidates
+        return (
+            (speed_class, worker)
+            for speed_class, worker in candidates
+            if self._isolation.may_use(service, job.queue.name, worker.agent)
+        )
+
     def _is_waiting(self, task: TaskKey) -> bool:
         job = self._job_registry.waiting.records.get(task.job)
         return job is not None and task.index in job.waiting_tasks(task.step)
@@ -131,6 +147,7 @@
             for worker in self._pool.workers_of(service)
             if needs.fits_into(worker.free if must_fit_now else worker.record.capacity)
             and self._worker_selector.may_run(job, task.step, worker, now_s)
+            and self._isolation.may_use(service, job.queue.name, worker.agent)
         ]
         worker_count = self._pool.ready_capacity(service).worker_count
         worker = self._reservations.choose(task, care, candidates, worker_count)
@@ -167,5 +184,6 @@
             needs=step_request.each,
             expected_s=expected_s,
             crashes=self._crash_history.crashes_under(key),
+            queue=job.queue.name,
         )
         self._pool.order_start(worker, order)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_waiting_jobs.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_waiting_jobs.py
@@ -90,7 +90,12 @@
         return [record for _, _, record in self._sorted]
 
     def work_ahead_core_s(
-        self, priority: int, run_times: RunTimes, now_s: float
+        self,
+        priority: int,
+        run_times: RunTimes,
+        now_s: float,
+        *,
+        shares_workers: collections.abc.Callable[[str], bool] | None = None,
     ) -> float:
         """Returns the expected work of jobs that go first and can start in time.
 
@@ -98,12 +103,15 @@
             priority: Priority of a new job; jobs of the same one go first.
             run_times: Expected run times.
             now_s: Current time.
+            shares_workers: Returns whether a queue uses the workers of the new job,
+                or None when all do.
         """
         self._update(now_s)
         return sum(
             run_times.expected_s(queue, work.core_s)
             for (queue, queue_priority), work in self._work.items()
             if queue_priority <= priority
+            and (shares_workers is None or shares_workers(queue))
         )
 
     def _update(self, now_s: float) -> None:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -186,6 +186,12 @@
         """Returns the capacity of the workers of a service that accept new tasks."""
         return self._ready.of_service(service)
 
+    def ready_capacity_of(
+        self, service: str, agents: collections.abc.Iterable[str]
+    ) -> CapacitySum:
+        """Returns the capacity of some of the workers that accept new tasks."""
+        return self._ready.of_workers(service, agents)
+
     def workers_of(self, service: str) -> list[WorkerView]:
         """Returns the attached workers of a service."""
         return [
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell_simulation.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell_simulation.py
@@ -55,21 +55,24 @@
 
 
 def make_table(max_attempts=3, objective_s=60.0):
-    queue = Queue(
-        name="q",
-        host="h",
-        prefix="/q/",
-        service="s",
-        max_attempts=max_attempts,
-        slack_factor=1.6,
-        objective_s=objective_s,
-    )
-    return QueueTable(version=1, queues=[queue], services=[Service(name="s")])
-
-
-def make_job(name, *, count=3, cpu=1000, run_s=0.3):
+    queues = [
+        Queue(
+            name=name,
+            host="h",
+            prefix=f"/{name}/",
+            service="s",
+            max_attempts=max_attempts,
+            slack_factor=1.6,
+            objective_s=objective_s,
+        )
+        for name in ("q", "r")
+    ]
+    return QueueTable(version=1, queues=queues, services=[Service(name="s")])
+
+
+def make_job(name, *, count=3, cpu=1000, run_s=0.3, queue="q"):
     step = Step(count=count, each=Resources(cpu=cpu, memory_mb=10), estimated_s=run_s)
-    return JobDocument(job=name, queue="q", spec="x", steps=(step,))
+    return JobDocument(job=name, queue=queue, spec="x", steps=(step,))
 
 
 class FakeUpstream:
