Refuse a job that no worker can run as soon as that is known

What callers saw: a job that needs more than any worker has left, or whose label only workers that left had, waited until the last moment at which it could have started; with a long objective that is many seconds. Fix: a job that has not begun is refused on arrival, and within 0.1 s while it waits, when no attached worker could run a step of it even if idle. Workers whose upstream was lost in the last 4 s count if the job has that much time. Nothing is concluded while agents are yet to attach. Jobs that have begun go on.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -48,6 +48,9 @@
 # may have ordered.
 ATTEMPTS_PER_TERM = 8
 _RETRY_AFTER_S = 1.0
+_UNRUNNABLE_REASON = "no worker can run it"
+# Upstreams that crashed are back after some seconds.
+_UNRUNNABLE_RETRY_AFTER_S = 3.0
 _SWEEP_INTERVAL_S = 0.1
 
 _log = structlog.get_logger()
@@ -442,6 +445,9 @@
     ) -> bool:
         if message.was_offered or self._pool.is_in_attach_window(now_s):
             return False
+        if not self._can_run(record, now_s):
+            self._refuse_unrunnable(record, now_s)
+            return True
         capacity = self._capacity_for(record.queue.service, record.queue.name)
         delay_s = self._start_delay_s(record, now_s)
         decision = self._admission.evaluate(
@@ -511,6 +517,37 @@
             service, record.queue.name
         ) == self._isolation.is_confined(service, queue)
 
+    def _can_run(self, record: JobRecord, now_s: float) -> bool:
+        """Returns whether there are workers for each step of a job.
+
+        While agents are yet to attach, this is assumed.
+        """
+        if self._pool.is_recovering(now_s):
+            return True
+        service = self._task_placer.service_of(record)
+        slack_s = record.start_by_s - now_s
+        return all(
+            self._pool.can_run(service, step, slack_s, now_s)
+            for step in set(record.document.steps)
+        )
+
+    def _refuse_unrunnable(self, record: JobRecord, now_s: float) -> None:
+        """Refuses a job of which no worker can run a step."""
+        self._counts["job_unrunnable"] += 1
+        _log.info(
+            "job_refused",
+            job=record.job,
+            queue=record.queue.name,
+            reason=_UNRUNNABLE_REASON,
+            slack_s=round(record.start_by_s - now_s, 3),
+            workers=len(self._pool.workers),
+        )
+        for entry in record.entries:
+            self._refuse(
+                entry, record.job, _UNRUNNABLE_REASON, _UNRUNNABLE_RETRY_AFTER_S
+            )
+        record.entries.clear()
+
     def _refuse(self, entry: str, job: str, reason: str, retry_after_s: float) -> None:
         answer = JobAnswer(
             job=job,
@@ -719,6 +756,13 @@
             is_confined = self._isolation.is_confined(service, job.queue.name)
             jobs.setdefault((service, is_confined), []).append(job)
         for (service, _), waiting in jobs.items():
+            for job in [job for job in waiting if not job.has_begun]:
+                if not self._can_run(job, now_s):
+                    waiting.remove(job)
+                    self._refuse_unrunnable(job, now_s)
+                    self._close(job, JobState.CANCELLED, _UNRUNNABLE_REASON, now_s)
+            if not waiting:
+                continue
             infeasible = self._admission.find_infeasible(
                 waiting,
                 self._capacity_for(service, waiting[0].queue.name),
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -13,7 +13,9 @@
 )
 from hawthornbarrow.cells._parts import (
     StartOrder,
+    Step,
     TaskKey,
+    WorkerRecord,
 )
 from hawthornbarrow.cells._ready_capacity import CapacitySum, ReadyCapacity
 from hawthornbarrow.cells._run_times import RunTimes
@@ -21,11 +23,19 @@
 from hawthornbarrow.cells._worker_index import WorkerIndex
 from hawthornbarrow.cells._worker_view import Run, WorkerView
 
+UPSTREAM_RETURN_S = 4.0  # time within which a lost upstream is expected back
 ATTACH_WINDOW_S = 0.25  # time in which reachable workers attach to a new dispatcher
 
 _log = structlog.get_logger()
 
 
+def _fits_step(record: WorkerRecord, service: str, step: Step) -> bool:
+    """Returns whether a worker that is idle can run a task of a step."""
+    if record.service != service or not step.each.fits_into(record.capacity):
+        return False
+    return not step.label or step.label in record.labels
+
+
 class WorkerPool:
     """Tracks which agents are attached and which are still awaited.
 
@@ -63,6 +73,7 @@
         self._ready = ReadyCapacity(
             run_times=run_times, suspect_after_s=timing.suspect_after_s
         )
+        self._lost: dict[str, tuple[WorkerRecord, float]] = {}
         self._runs_by_job: dict[str, dict[tuple[str, TaskKey], Run]] = {}
         self._starts: dict[str, list[StartOrder]] = {}
         self._stops: dict[str, list[TaskKey]] = {}
@@ -132,6 +143,7 @@
         )
         worker.is_leaving = message.is_leaving
         self._workers[agent] = worker
+        self._lost.pop(agent, None)
         self._index.add(worker)
         self._ready.refresh(worker, now_s)
         _log.info(
@@ -149,6 +161,8 @@
     def detach(self, worker: WorkerView, reason: str, now_s: float) -> None:
         """Detaches an agent; no run of its session can exist any more."""
         del self._workers[worker.agent]
+        if not worker.is_leaving:
+            self._lost[worker.agent] = (worker.record, now_s)
         self._index.remove(worker)
         self._ready.remove(worker)
         self._starts.pop(worker.agent, None)
@@ -200,6 +214,29 @@
             if worker.record.service == service
         ]
 
+    def can_run(self, service: str, step: Step, slack_s: float, now_s: float) -> bool:
+        """Returns whether a worker is or will be able to run a task of a step in time.
+
+        Whether it has free capacity now does not matter.
+
+        Args:
+            service: Service of the workers.
+            step: The step.
+            slack_s: Time until the task must start. A worker whose upstream was lost
+                counts only if that is long enough for its return.
+            now_s: Current time.
+        """
+        attached = (
+            worker.record for worker in self._workers.values() if not worker.is_leaving
+        )
+        if any(_fits_step(record, service, step) for record in attached):
+            return True
+        return slack_s >= UPSTREAM_RETURN_S and any(
+            _fits_step(record, service, step)
+            for record, lost_at_s in self._lost.values()
+            if now_s - lost_at_s <= UPSTREAM_RETURN_S
+        )
+
     def candidates(
         self, service: str, cpu: int
     ) -> collections.abc.Iterator[tuple[int, WorkerView]]:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_capacity_changes.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_capacity_changes.py
@@ -85,5 +85,57 @@
         self.assertEqual(4, len(cell.upstreams["a0"].runs))
 
 
+class UnrunnableJobTest(unittest.TestCase):
+    """Tests that a job that no worker can run any longer is refused at once."""
+
+    def setUp(self):
+        self.cell = CellSimulation(seed=1, agents=2)
+        self.cell.delays_s = [0.002]
+        self.cell.run(0.5)
+
+    def shrink_all(self):
+        for name in self.cell.upstreams:
+            self.cell.set_capacity(name, SMALL)
+        self.cell.run(0.3)
+
+    def test_job_that_arrives_after_all_have_shrunk_is_refused_at_once(self):
+        self.shrink_all()
+        self.cell.submit(make_job("big", count=1, cpu=3000))
+        self.cell.submit(make_job("small", count=1))
+        self.cell.run(0.02)
+        self.assertEqual({"big": JobState.UNKNOWN}, self.cell.answers)
+        self.assertTrue(self.cell.dispatcher.has_not_run("big"))
+        self.cell.run(2.0)
+        self.assertEqual(JobState.COMPLETE, self.cell.answers["small"])
+
+    def test_job_that_waits_while_all_shrink_is_refused_at_once(self):
+        self.cell.submit(make_job("first", count=8))
+        self.cell.run(0.02)
+        self.cell.submit(make_job("big", count=1, cpu=3000))
+        self.cell.run(0.02)
+        self.shrink_all()
+        self.assertEqual(JobState.UNKNOWN, self.cell.answers.get("big"))
+
+    def test_job_that_has_begun_waits_for_capacity_to_grow(self):
+        self.cell.submit(make_job("big", count=4, cpu=3000))
+        self.cell.run(0.05)
+        self.shrink_all()
+        self.cell.run(2.0)
+        self.assertNotIn("big", self.cell.answers)
+        for name in self.cell.upstreams:
+            self.cell.set_capacity(name, CAPACITY)
+        self.cell.run(4.0)
+        self.assertEqual(JobState.COMPLETE, self.cell.answers["big"])
+
+    def test_job_with_time_left_waits_for_an_upstream_that_crashed(self):
+        self.cell.set_capacity("a0", SMALL)
+        self.cell.run(0.3)
+        self.cell.stop_upstream("a1")
+        self.cell.run(0.3)
+        self.cell.submit(make_job("big", count=1, cpu=3000))
+        self.cell.run(5.0)
+        self.assertEqual(JobState.COMPLETE, self.cell.answers["big"])
+
+
 if __name__ == "__main__":
     unittest.main()
