Check the limits of a job before an entry hands it over

The same class of fault, found by looking for it: one input that ends a process is handed to the next one. A job with 10**9 tasks made a dispatcher build that many records, until its memory limit ends the process; the entry then hands the job over to the next dispatcher. A step that depends on a later one raised an error in each, and a job without steps never ended.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -11,6 +11,7 @@
         with_document,
     )
     from hawthornbarrow.cells._dispatcher import Dispatcher
+    from hawthornbarrow.cells._job_limits import InvalidJobError, check_document
     from hawthornbarrow.cells._job_record import GIVE_UP_FACTOR, JobRecord
     from hawthornbarrow.cells._link_plan import LinkPlan
     from hawthornbarrow.cells._messages import (
@@ -97,6 +98,7 @@
     "BootstrapLedger",
     "GrantClaim",
     "ActiveRun",
+    "InvalidJobError",
     "JobAnswer",
     "JobDocument",
     "JobOrder",
@@ -135,6 +137,7 @@
     "WithdrawJob",
     "WorkerRecord",
     "WorkerReport",
+    "check_document",
     "first_term",
     "is_standby_term",
     "ledger_term_of",
@@ -151,6 +154,8 @@
         "ConfigurationSender": "_configuration_transfer",
         "with_document": "_configuration_transfer",
         "Dispatcher": "_dispatcher",
+        "InvalidJobError": "_job_limits",
+        "check_document": "_job_limits",
         "GIVE_UP_FACTOR": "_job_record",
         "JobRecord": "_job_record",
         "LinkPlan": "_link_plan",
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -13,6 +13,7 @@
 
 from hawthornbarrow.cells._admission import Admission
 from hawthornbarrow.cells._crash_history import CrashedRun, CrashHistory
+from hawthornbarrow.cells._job_limits import InvalidJobError, check_document
 from hawthornbarrow.cells._job_record import JobRecord
 from hawthornbarrow.cells._job_registry import JobRegistry
 from hawthornbarrow.cells._messages import (
@@ -389,6 +390,11 @@
             if known.state.is_final:
                 self._job_registry.answer(known)
             return
+        try:
+            check_document(message.document)
+        except InvalidJobError as error:
+            self._refuse(entry, job, str(error), _RETRY_AFTER_S)
+            return
         queue = self._table.queues.get(message.document.queue) if self._table else None
         if queue is None:
             self._refuse(entry, job, "the queue is not in force", _RETRY_AFTER_S)
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_limits.py
@@ -0,0 +1,43 @@
+"""Limits of a job document, checked before any process acts on it.
+
+An entry hands its callers' jobs over to one dispatcher after the other, so a job that
+ends or blocks a dispatcher would do that to all of them.
+"""
+
+import math
+
+from hawthornbarrow.cells._parts import JobDocument, Resources, Step
+
+MAX_STEPS = 1_000
+MAX_TASKS = 10_000  # of all steps; a dispatcher keeps a record of each
+MAX_RUN_S = 7 * 86_400.0  # estimated run time of a task
+
+
+class InvalidJobError(Exception):
+    """The job document is not valid."""
+
+
+def check_document(document: JobDocument) -> None:
+    """Checks that a job can be run.
+
+    Raises:
+        InvalidJobError: A limit is exceeded, or a step depends on a later one.
+    """
+    if not 1 <= len(document.steps) <= MAX_STEPS:
+        raise InvalidJobError(f"{len(document.steps)} steps, expected 1 to {MAX_STEPS}")
+    for position, step in enumerate(document.steps):
+        _check_step(position, step)
+    task_count = sum(step.count for step in document.steps)
+    if task_count > MAX_TASKS:
+        raise InvalidJobError(f"{task_count} tasks, expected {MAX_TASKS} at most")
+
+
+def _check_step(position: int, step: Step) -> None:
+    if step.count < 1:
+        raise InvalidJobError(f"step {position} has {step.count} tasks")
+    if not all(0 <= index < position for index in step.after):
+        raise InvalidJobError(f"step {position} depends on a step that is not earlier")
+    if not math.isfinite(step.estimated_s) or not 0 <= step.estimated_s <= MAX_RUN_S:
+        raise InvalidJobError(f"step {position} is estimated at {step.estimated_s} s")
+    if not Resources().fits_into(step.each) or step.most_on_worker < 0:
+        raise InvalidJobError(f"step {position} needs a negative amount")
