Do not vouch for runs from before an agent's start

What callers would see: 503 with the statement that a job has not run, after a dispatcher and an agent that had run it were both lost. Cause: a restarted agent attaches with an empty list of ended runs, and the new dispatcher took it as complete for the last 3.5 s. Fix: an agent sends for how long it has recorded runs (new last field, infinite for the version before), and a dispatcher relies on no more than that.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
@@ -5,6 +5,8 @@
 of lower terms, and agents drop orders of other terms or sessions.
 """
 
+import math
+
 import msgspec
 
 from hawthornbarrow.cells._parts import (
@@ -57,6 +59,8 @@
         ended: Ended runs that the agent still retains, acknowledged or not.
         sent_at_s: When the agent sent it, on its own clock. Requests may overtake each
             other on different paths, so the dispatcher ignores an earlier one.
+        recorded_s: Time for which the agent has recorded ended runs, that is since its
+            start. Agents of the version before do not send it.
     """
 
     term: int
@@ -66,6 +70,7 @@
     running: list[ActiveRun]
     ended: list[EndedRun]
     sent_at_s: float = 0.0
+    recorded_s: float = math.inf
 
 
 class WorkerReport(_Message, kw_only=True):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
@@ -87,6 +87,7 @@
         """
         self._timing = timing
         self._generator = generator
+        self._started_at_s = now_s
         self._worker: WorkerRecord | None = None
         self._is_leaving = False
         self._tracker = DispatcherTracker(timing=timing, now_s=now_s)
@@ -728,6 +729,7 @@
                 running=running,
                 ended=self._ended_runs.retained(),
                 sent_at_s=now_s,
+                recorded_s=now_s - self._started_at_s,
             )
         )
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -63,7 +63,7 @@
         self._timing = timing
         self._expected = set(expected)
         self._without_worker = set(self._expected)
-        self._reported_at_s = now_s
+        self._reported_from_s = now_s - TRACE_RETENTION_S
         self._attach_window_until_s = now_s + ATTACH_WINDOW_S
         self._recovery_until_s = now_s + (
             0.0 if has_lease_expired else timing.lost_after_s
@@ -93,9 +93,10 @@
         """Time since when all runs on expected agents have been reported.
 
         On attachment an agent reports its runs and the outcomes of the last
-        TRACE_RETENTION_S. The value is infinite while an expected agent is missing.
+        TRACE_RETENTION_S, but none from before it was started. The value is infinite
+        while an expected agent is missing.
         """
-        return math.inf if self._expected else self._reported_at_s - TRACE_RETENTION_S
+        return math.inf if self._expected else self._reported_from_s
 
     @property
     def suspect_after_s(self) -> float:
@@ -123,7 +124,8 @@
         """Attaches an agent; returns None when it has no worker."""
         if agent in self._expected:
             self._expected.remove(agent)
-            self._reported_at_s = now_s
+            recorded_s = min(TRACE_RETENTION_S, message.recorded_s)
+            self._reported_from_s = max(self._reported_from_s, now_s - recorded_s)
         if message.worker is None:
             _log.info(
                 "agent_without_upstream",
