Split crash reports, queue capacity and lost runs from the state machines

Dispatcher and RunSupervisor had grown a second subject: CrashMonitor reads reports of crashes, QueueCapacity says which workers a queue may use, LostRuns and FormerUpstreams keep what an agent knows of runs and incarnations that are over. StartReservations looks reservations up by job, and lists workers only when it may reserve one, so a waiting suspect costs no scan of all workers; a task that is held until crashes are known gives its reservation back.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -12,7 +12,8 @@
 import structlog
 
 from hawthornbarrow.cells._admission import Admission
-from hawthornbarrow.cells._crash_history import CrashedRun, CrashHistory
+from hawthornbarrow.cells._crash_history import CrashHistory
+from hawthornbarrow.cells._crash_monitor import CrashMonitor
 from hawthornbarrow.cells._job_limits import InvalidJobError, check_document
 from hawthornbarrow.cells._job_record import JobRecord
 from hawthornbarrow.cells._job_registry import JobRegistry
@@ -34,8 +35,8 @@
     TaskKey,
 )
 from hawthornbarrow.cells._previous_runs import PreviousRuns
+from hawthornbarrow.cells._queue_capacity import QueueCapacity
 from hawthornbarrow.cells._queue_isolation import QueueIsolation
-from hawthornbarrow.cells._ready_capacity import CapacitySum
 from hawthornbarrow.cells._run_times import RunTimes
 from hawthornbarrow.cells._task_placer import TaskPlacer
 from hawthornbarrow.cells._timing import RunLeaseTiming
@@ -98,11 +99,17 @@
         self._previous_runs = PreviousRuns(recovery_until_s=self._pool.recovery_until_s)
         self._crash_history = CrashHistory()
         self._isolation = QueueIsolation()
+        self._capacity = QueueCapacity(pool=self._pool, isolation=self._isolation)
         self._table: QueueTable | None = None
         self._swept_at_s = now_s
         self._has_changes = True
         self._is_handover_complete = False
         self._counts: collections.Counter[str] = collections.Counter()
+        self._crash_monitor = CrashMonitor(
+            history=self._crash_history,
+            isolation=self._isolation,
+            counts=self._counts,
+        )
         self._task_placer = TaskPlacer(
             term=term,
             pool=self._pool,
@@ -222,7 +229,9 @@
         for run in message.running:
             if worker is not None:
                 self._adopt_run(worker, run, now_s)
-        self._record_crashes(message.ended, message.sent_at_s, now_s)
+        self._crash_monitor.on_ended_runs(
+            message.ended, now_s, sent_at_s=message.sent_at_s
+        )
         for ended in message.ended:
             self._adopt_ended_run(agent, ended, now_s)
         self._has_changes = True
@@ -245,7 +254,7 @@
         worker.is_silent = message.is_silent
         if message.capacity not in (None, worker.record.capacity):
             self._set_capacity(worker, message.capacity)
-        self._record_crashes(message.ended, None, now_s)
+        self._crash_monitor.on_ended_runs(message.ended, now_s)
         for ended in message.ended:
             if ended.number > worker.acknowledged:
                 worker.acknowledged = ended.number
@@ -277,54 +286,13 @@
         self._counts["worker_lost"] += 1
         self._pool.detach(worker, reason, now_s)
         tasks = list(worker.runs)
-        if not worker.is_leaving:
-            for run in worker.runs.values():
-                self._crash_history.record_unexplained_loss(
-                    run.task, run.attempt, worker.record.upstream, now_s
-                )
+        self._crash_monitor.on_detached(worker, now_s)
         for task in tasks:
             self._pool.remove_run(worker, task, now_s)
         for task in tasks:
             self._requeue(worker.agent, task, RunOutcome.LOST, now_s, reason)
         self._has_changes = True
 
-    def _record_crashes(
-        self,
-        ended_runs: collections.abc.Iterable[EndedRun],
-        sent_at_s: float | None,
-        now_s: float,
-    ) -> None:
-        """Records which upstreams crashed under which of the reported runs.
-
-        Args:
-            ended_runs: The reported runs.
-            sent_at_s: When the agent sent the report, on its clock, None if unknown.
-            now_s: Current time.
-        """
-        runs: dict[str, list[CrashedRun]] = {}
-        crashed_at_s: dict[str, float] = {}
-        for ended in ended_runs:
-            self._crash_history.learn(ended.task, ended.crashes, now_s)
-            if not ended.is_upstream_silent:
-                self._crash_history.explain_loss(ended.task, ended.attempt)
-            if ended.crashed_upstream:
-                crashed = CrashedRun(
-                    task=ended.task,
-                    survived_s=ended.run_s,
-                    service=ended.service,
-                    queue=ended.queue,
-                )
-                runs.setdefault(ended.crashed_upstream, []).append(crashed)
-                age_s = 0.0 if sent_at_s is None else sent_at_s - ended.ended_at_s
-                crashed_at_s[ended.crashed_upstream] = now_s - age_s
-        for upstream, crashed_runs in runs.items():
-            if self._crash_history.record_crash(
-                upstream, crashed_runs, crashed_at_s[upstream], now_s
-            ):
-                self._counts["upstream_crashed"] += 1
-                queues = {run.queue for run in crashed_runs}
-                self._isolation.record_crash(crashed_runs[0].service, queues, now_s)
-
     def _adopt_run(self, worker: WorkerView, active: ActiveRun, now_s: float) -> None:
         run = Run(
             task=active.task,
@@ -333,8 +301,7 @@
             started_at_s=now_s - active.age_s,
         )
         self._pool.add_run(worker, run, now_s)
-        self._crash_history.learn(active.task, active.crashes, now_s)
-        self._crash_history.explain_loss(active.task, active.attempt)
+        self._crash_monitor.on_adopted_run(active, now_s)
         self._previous_runs.record_trace(active.task.job, now_s)
         record = self._job_registry.jobs.get(active.task.job)
         if record is not None and not record.state.is_final:
@@ -454,7 +421,7 @@
         if not self._can_run(record, now_s):
             self._refuse_unrunnable(record, now_s)
             return True
-        capacity = self._capacity_for(record.queue.service, record.queue.name)
+        capacity = self._capacity.of_queue(record.queue.service, record.queue.name)
         delay_s = self._start_delay_s(record, now_s)
         decision = self._admission.evaluate(
             record,
@@ -491,51 +458,25 @@
                 record.queue.priority,
                 self._run_times,
                 now_s,
-                shares_workers=lambda queue: self._share_workers(record, queue),
+                shares_workers=lambda other: self._capacity.are_shared(
+                    record.queue.service, record.queue.name, other
+                ),
             )
         ahead = (
             job
             for job in waiting.records.values()
             if self._start_delay_s(job, now_s) <= delay_s
-            and self._share_workers(record, job.queue.name)
+            and self._capacity.are_shared(
+                record.queue.service, record.queue.name, job.queue.name
+            )
         )
         return plain_work_ahead_core_s(
             ahead, record.queue.priority, self._run_times, now_s
         )
 
-    def _capacity_for(self, service: str, queue: str) -> CapacitySum:
-        """Returns the capacity of the workers that a queue may use."""
-        capacity = self._pool.ready_capacity(service)
-        if not self._isolation.is_active:
-            return capacity
-        agents = self._isolation.confined_agents(service)
-        confined = self._pool.ready_capacity_of(service, agents)
-        if self._isolation.is_confined(service, queue):
-            return confined
-        return capacity.minus(confined)
-
-    def _share_workers(self, record: JobRecord, queue: str) -> bool:
-        """Returns whether a queue uses the same workers as a job."""
-        if not self._isolation.is_active:
-            return True
-        service = record.queue.service
-        return self._isolation.is_confined(
-            service, record.queue.name
-        ) == self._isolation.is_confined(service, queue)
-
     def _can_run(self, record: JobRecord, now_s: float) -> bool:
-        """Returns whether there are workers for each step of a job.
-
-        While agents are yet to attach, this is assumed.
-        """
-        if self._pool.is_recovering(now_s):
-            return True
         service = self._task_placer.service_of(record)
-        slack_s = record.start_by_s - now_s
-        return all(
-            self._pool.can_run(service, step, slack_s, now_s)
-            for step in set(record.document.steps)
-        )
+        return self._capacity.can_run(record, service, now_s)
 
     def _refuse_unrunnable(self, record: JobRecord, now_s: float) -> None:
         """Refuses a job of which no worker can run a step."""
@@ -631,10 +572,7 @@
         if run is None or run.attempt != ended.attempt:
             return
         self._pool.remove_run(worker, ended.task, now_s)
-        if ended.is_upstream_silent:
-            self._crash_history.record_unexplained_loss(
-                ended.task, ended.attempt, worker.record.upstream, now_s
-            )
+        self._crash_monitor.on_run_ended(worker, ended, now_s)
         self._counts[f"run_{ended.end.value}"] += 1
         self._previous_runs.remove_run(ended.task)
         record = self._job_registry.jobs.get(ended.task.job)
@@ -730,24 +668,16 @@
             if now_s > job.give_up_at_s and not job.running_count:
                 self._give_up(job, now_s)
         self._job_registry.remove_old_jobs(now_s)
-        self._fail_causes(now_s)
-        self._isolation.update(self._pool.workers.values(), now_s)
+        for cause in self._crash_monitor.update(self._pool.workers.values(), now_s):
+            crashing = self._job_registry.jobs.get(cause.task.job)
+            if crashing is not None and not crashing.state.is_final:
+                self._fail_crashing(crashing, cause.task, now_s)
         for task, agent in self._previous_runs.take_unclaimed(now_s):
             worker = self._pool.workers.get(agent)
             if worker is not None and task in worker.runs:
                 self._pool.order_stop(worker, worker.runs[task])
         self._has_changes = True
 
-    def _fail_causes(self, now_s: float) -> None:
-        """Fails jobs that are found to crash upstreams, and confines their queues."""
-        for cause in self._crash_history.take_causes(now_s):
-            job = cause.task.job
-            self._isolation.record_cause(cause.service, cause.queue, job, now_s)
-            record = self._job_registry.jobs.get(job)
-            if record is not None and not record.state.is_final:
-                self._fail_crashing(record, cause.task, now_s)
-        self._crash_history.remove_old(now_s)
-
     def _start_delay_s(self, job: JobRecord, now_s: float) -> float:
         """Returns the time until a job may start if missing agents do not attach."""
         if job.is_new and self._is_handover_complete:
@@ -762,22 +692,29 @@
             is_confined = self._isolation.is_confined(service, job.queue.name)
             jobs.setdefault((service, is_confined), []).append(job)
         for (service, _), waiting in jobs.items():
-            for job in [job for job in waiting if not job.has_begun]:
-                if not self._can_run(job, now_s):
-                    waiting.remove(job)
-                    self._refuse_unrunnable(job, now_s)
-                    self._close(job, JobState.CANCELLED, _UNRUNNABLE_REASON, now_s)
-            if not waiting:
-                continue
+            runnable = self._refuse_waiting_unrunnable(waiting, now_s)
             infeasible = self._admission.find_infeasible(
-                waiting,
-                self._capacity_for(service, waiting[0].queue.name),
+                runnable,
+                self._capacity.of_queue(service, waiting[0].queue.name),
                 now_s,
                 start_delay_s=lambda job: self._start_delay_s(job, now_s),
             )
             for job in infeasible:
                 self._give_up(job, now_s)
 
+    def _refuse_waiting_unrunnable(
+        self, waiting: list[JobRecord], now_s: float
+    ) -> list[JobRecord]:
+        """Refuses waiting jobs that no worker can run; returns the others."""
+        runnable = []
+        for job in waiting:
+            if job.has_begun or self._can_run(job, now_s):
+                runnable.append(job)
+                continue
+            self._refuse_unrunnable(job, now_s)
+            self._close(job, JobState.CANCELLED, _UNRUNNABLE_REASON, now_s)
+        return runnable
+
     def _give_up(self, record: JobRecord, now_s: float) -> None:
         """Cancels a job whose result would come too late to be of use to its caller.
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
@@ -6,7 +6,6 @@
 """
 
 import collections
-import dataclasses
 import random
 
 import structlog
@@ -14,6 +13,8 @@
 from hawthornbarrow.cells._dispatcher_path import DispatcherPath
 from hawthornbarrow.cells._dispatcher_tracker import DispatcherTracker
 from hawthornbarrow.cells._ended_run_log import EndedRunLog
+from hawthornbarrow.cells._former_upstreams import FormerUpstreams
+from hawthornbarrow.cells._lost_runs import LostRuns
 from hawthornbarrow.cells._messages import (
     AttachWorker,
     ClaimAgents,
@@ -46,7 +47,6 @@
 REPORT_RETRY_INTERVAL_S = 0.4
 STOP_RETRY_INTERVAL_S = 0.25
 MAX_START_CALLS = 3
-MAX_FORMER_UPSTREAMS = 64  # incarnations whose delayed announcements are known
 _SESSION_BITS = 48
 # Responses that the upstream did not give, or that were decided before the call.
 _UNANSWERED = frozenset(
@@ -56,19 +56,6 @@
 _log = structlog.get_logger()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _LostRun:
-    """A run that was lost while the upstream may still have it.
-
-    Attributes:
-        order: The order that started it.
-        survived_s: Time from the order until the upstream was last known to run.
-    """
-
-    order: StartOrder
-    survived_s: float
-
-
 class RunSupervisor:
     """Starts, renews and stops the runs of one upstream.
 
@@ -108,12 +95,8 @@
         self._messages: list[tuple[str, object]] = []
         self._calls: list[StartCall | StopCall] = []
         self._unknown_stopped_at_s: dict[tuple[str, int], float] = {}
-        # Runs that were lost while the upstream may have crashed, until a listing.
-        self._lost_runs: list[_LostRun] = []
-        self._gone_upstream = ""
-        self._former_upstreams: collections.deque[str] = collections.deque(
-            maxlen=MAX_FORMER_UPSTREAMS
-        )
+        self._lost_runs = LostRuns()
+        self._former_upstreams = FormerUpstreams()
         self._needs_report = False
         self._attach_sent_at_s = -1e9
         self._counts: collections.Counter[str] = collections.Counter()
@@ -251,7 +234,7 @@
         if self._worker is not None and self._worker.upstream == upstream:
             _log.info("upstream_left", upstream=upstream, held=len(self._runs))
             self._end_all_as_lost("the upstream left", now_s)
-            self._lost_runs.clear()
+            self._lost_runs.take()
             self._worker = None
             self._end_session()
 
@@ -272,7 +255,7 @@
                 ran_s=round(now_s - youngest.ordered_at_s, 3) if youngest else 0.0,
             )
             self._end_after_crash("the upstream is gone", now_s)
-            self._gone_upstream = upstream
+            self._former_upstreams.on_gone(upstream)
             self._worker = None
             self._end_session()
 
@@ -290,11 +273,8 @@
         )
         if self._worker is not None:
             self._end_after_crash("the upstream is another incarnation", now_s)
-            self._former_upstreams.append(self._worker.upstream)
-        if self._gone_upstream not in ("", worker.upstream):
-            self._former_upstreams.append(self._gone_upstream)
-        self._gone_upstream = ""
-        self._lost_runs.clear()
+        self._former_upstreams.on_announced(worker.upstream, self.upstream)
+        self._lost_runs.take()
         self._worker = worker
         self._is_leaving = False
         self._has_no_unknown_runs = False
@@ -516,10 +496,7 @@
         if listing.upstream != self.upstream:
             return
         is_newest = self._contact.on_listing(listing.asked_at_s, now_s)
-        listed = {run.task for run in listing.running}
-        self._lost_runs = [
-            lost for lost in self._lost_runs if str(lost.order.task) in listed
-        ]
+        self._lost_runs.on_listing({run.task for run in listing.running})
         for ended in listing.ended:
             self._on_listed_end(ended, now_s)
         running = {run.task: run for run in listing.running}
@@ -790,9 +767,7 @@
         if self._runs:
             self._has_no_unknown_runs = False
         for task, record in list(self._runs.items()):
-            self._lost_runs.append(
-                _LostRun(order=record.order, survived_s=self._survived_s(record))
-            )
+            self._lost_runs.add(record.order, self._survived_s(record))
             self._end_run(
                 task,
                 RunOutcome.LOST,
@@ -810,7 +785,7 @@
         """
         if self._is_leaving:
             self._end_all_as_lost(reason, now_s)
-            self._lost_runs.clear()
+            self._lost_runs.take()
             return
         if self._runs:
             self._has_no_unknown_runs = False
@@ -825,7 +800,7 @@
                 run_s=self._survived_s(record),
                 is_crashed=record.ordered_at_s <= crashed_by_s,
             )
-        for lost in self._lost_runs:
+        for lost in self._lost_runs.take():
             self._record_end(
                 lost.order,
                 RunOutcome.LOST,
@@ -834,7 +809,6 @@
                 run_s=lost.survived_s,
                 is_crashed=True,
             )
-        self._lost_runs.clear()
 
     def _record_end(
         self,
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_start_reservations.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_start_reservations.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 from hawthornbarrow.cells._crash_history import (
     OBSERVATION_S,
@@ -34,6 +35,11 @@
     session: int
     started_at_s: float | None = None
 
+    @property
+    def has_started(self) -> bool:
+        """Whether the task was started."""
+        return self.started_at_s is not None
+
 
 class StartReservations:
     """Reserves workers for suspected tasks until they have started and are observed.
@@ -49,6 +55,7 @@
         """Initializes it without reservations."""
         self._crash_history = crash_history
         self._reservations: dict[str, _Reservation] = {}
+        self._agents: dict[str, str] = {}  # by job
         self._started_at_s: dict[str, float] = {}
 
     def unreserved(
@@ -83,70 +90,94 @@
         for agent, reservation in list(self._reservations.items()):
             worker = workers.get(agent)
             if worker is None or worker.session != reservation.session:
-                del self._reservations[agent]
-            elif reservation.started_at_s is None:
+                self._remove(agent)
+            elif not reservation.has_started:
                 if not is_waiting(reservation.task):
-                    del self._reservations[agent]
+                    self._remove(agent)
             elif self._is_observed(reservation, worker, now_s):
                 self._crash_history.clear(reservation.task)
-                del self._reservations[agent]
+                self._remove(agent)
 
-    def may_start(
-        self, task: TaskKey, care: StartCare, worker: WorkerView, now_s: float
-    ) -> bool:
-        """Returns whether a suspected task may start on a worker now.
+    def worker_for(
+        self, task: TaskKey, workers: collections.abc.Mapping[str, WorkerView]
+    ) -> WorkerView | None:
+        """Returns the worker that is reserved for the next start of a task, or None.
 
-        The worker is reserved for it if that is possible.
+        Args:
+            task: The task.
+            workers: Attached workers by agent.
         """
-        reservation = self._reservations.get(worker.agent)
-        if reservation is None:
-            reservation = _Reservation(task=task, care=care, session=worker.session)
-            self._reservations[worker.agent] = reservation
-        if reservation.task != task or reservation.started_at_s is not None:
-            return False
-        if care is StartCare.ALONE and worker.runs:
-            return False
-        started_at_s = self._started_at_s.get(worker.agent, -OBSERVATION_S)
-        if now_s - started_at_s < OBSERVATION_S:
+        agent = self._agents.get(task.job, "")
+        reservation = self._reservations.get(agent)
+        if reservation is None or reservation.task != task or reservation.has_started:
+            return None
+        return workers.get(agent)
+
+    def may_reserve(self, task: TaskKey, worker_count: int) -> bool:
+        """Returns whether a worker may be reserved for a task.
+
+        Args:
+            task: The task.
+            worker_count: Number of workers that accept tasks.
+        """
+        if task.job in self._agents:
             return False
-        reservation.started_at_s = now_s
-        return True
+        limit = max(1, worker_count * MAX_RESERVED_FRACTION)
+        return len(self._reservations) < limit
 
-    def choose(
+    def reserve(
         self,
         task: TaskKey,
         care: StartCare,
         candidates: collections.abc.Iterable[WorkerView],
-        worker_count: int,
     ) -> WorkerView | None:
-        """Returns the worker that is or can be reserved for a task, or None.
+        """Reserves one of the workers for the next start of a task.
 
-        Args:
-            task: The task.
-            care: How far it is separated from others.
-            candidates: Workers that may run it.
-            worker_count: Number of workers that accept tasks.
+        The worker with the fewest runs suits a task that runs alone, and the one that
+        has started nothing for the longest time any other.
+
+        Returns:
+            The worker, or None when all are reserved for other tasks.
         """
-        workers = {worker.agent: worker for worker in candidates}
-        for agent, reservation in self._reservations.items():
-            if reservation.task == task and reservation.started_at_s is None:
-                return workers.get(agent)
-            if reservation.task.job == task.job:
-                return None
-        if len(self._reservations) >= max(1, worker_count * MAX_RESERVED_FRACTION):
-            return None
-        return min(
-            (
-                worker
-                for worker in workers.values()
-                if worker.agent not in self._reservations
-            ),
+        worker = min(
+            (worker for worker in candidates if worker.agent not in self._reservations),
             key=lambda worker: (
                 len(worker.runs) if care is StartCare.ALONE else 0,
-                self._started_at_s.get(worker.agent, 0.0),
+                self._started_at_s.get(worker.agent, -math.inf),
             ),
             default=None,
         )
+        if worker is not None:
+            self._reservations[worker.agent] = _Reservation(
+                task=task, care=care, session=worker.session
+            )
+            self._agents[task.job] = worker.agent
+        return worker
+
+    def release(self, task: TaskKey) -> None:
+        """Ends the reservation for a task that has not started."""
+        agent = self._agents.get(task.job, "")
+        reservation = self._reservations.get(agent)
+        if reservation and reservation.task == task and not reservation.has_started:
+            self._remove(agent)
+
+    def try_start(
+        self, task: TaskKey, care: StartCare, worker: WorkerView, now_s: float
+    ) -> bool:
+        """Returns whether a task may start now on the worker reserved for it."""
+        if care is StartCare.ALONE and worker.runs:
+            return False
+        started_at_s = self._started_at_s.get(worker.agent, -math.inf)
+        if now_s - started_at_s < OBSERVATION_S:
+            return False
+        reservation = self._reservations[worker.agent]
+        reservation.care = care
+        reservation.started_at_s = now_s
+        return True
+
+    def _remove(self, agent: str) -> None:
+        reservation = self._reservations.pop(agent)
+        self._agents.pop(reservation.task.job, None)
 
     def _is_observed(
         self, reservation: _Reservation, worker: WorkerView, now_s: float
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_task_placer.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_task_placer.py
@@ -84,24 +84,18 @@
         placed: list[str] = []
         service = self.service_of(job)
         for step in job.waiting_steps():
-            needed_cpu = job.document.steps[step].each.cpu
             for index in list(job.waiting_tasks(step)):
-                key = TaskKey(job=job.job, step=step, index=index)
-                care = self._crash_history.care_for(key)
-                if care is not StartCare.NONE:
-                    worker = self._choose_with_care(job, key, care, service, now_s)
+                care = self._care_for(job, step, index)
+                if care is StartCare.NONE:
+                    worker = self._choose(job, step, index, service, now_s)
                     if worker is None:
-                        continue
+                        break
                 else:
-                    worker = self._worker_selector.choose(
-                        job,
-                        step,
-                        index,
-                        self._candidates(job, service, needed_cpu),
-                        now_s,
+                    worker = self._choose_with_care(
+                        job, step, index, care, service, now_s
                     )
-                if worker is None:
-                    break
+                    if worker is None:
+                        continue
                 self._start(job, step, index, worker, now_s)
                 placed.append(f"{step}.{index}@{worker.agent}")
         if placed:
@@ -117,10 +111,24 @@
                 waiting=len(self._job_registry.waiting),
             )
 
+    def _care_for(self, job: JobRecord, step: int, index: int) -> StartCare:
+        if not self._crash_history.has_crashes(job.job):
+            return StartCare.NONE
+        task = TaskKey(job=job.job, step=step, index=index)
+        return self._crash_history.care_for(task)
+
+    def _choose(
+        self, job: JobRecord, step: int, index: int, service: str, now_s: float
+    ) -> WorkerView | None:
+        """Returns the worker for a task that is not suspected, or None."""
+        candidates = self._candidates(job, step, service)
+        return self._worker_selector.choose(job, step, index, candidates, now_s)
+
     def _candidates(
-        self, job: JobRecord, service: str, cpu: int
+        self, job: JobRecord, step: int, service: str
     ) -> collections.abc.Iterable[tuple[int, WorkerView]]:
         """Returns the speed classes and workers that a job may use, best first."""
+        cpu = job.document.steps[step].each.cpu
         candidates = self._reservations.unreserved(self._pool.candidates(service, cpu))
         if not self._isolation.is_active:
             return candidates
@@ -135,27 +143,62 @@
         return job is not None and task.index in job.waiting_tasks(task.step)
 
     def _choose_with_care(
-        self, job: JobRecord, task: TaskKey, care: StartCare, service: str, now_s: float
+        self,
+        job: JobRecord,
+        step: int,
+        index: int,
+        care: StartCare,
+        service: str,
+        now_s: float,
     ) -> WorkerView | None:
         """Returns the worker on which a suspected task may start now, or None."""
+        task = TaskKey(job=job.job, step=step, index=index)
         if care is StartCare.HELD:
+            self._reservations.release(task)
+            return None
+        worker = self._reservations.worker_for(task, self._pool.workers)
+        if worker is None:
+            worker = self._reserve_worker(job, task, care, service, now_s)
+        if worker is None or not self._may_use(job, task, care, worker, now_s):
+            return None
+        if not self._reservations.try_start(task, care, worker, now_s):
+            return None
+        return worker
+
+    def _reserve_worker(
+        self, job: JobRecord, task: TaskKey, care: StartCare, service: str, now_s: float
+    ) -> WorkerView | None:
+        worker_count = self._pool.ready_capacity(service).worker_count
+        if not self._reservations.may_reserve(task, worker_count):
             return None
-        needs = job.document.steps[task.step].each
-        must_fit_now = care is not StartCare.ALONE
-        candidates = [
+        candidates = (
             worker
             for worker in self._pool.workers_of(service)
-            if needs.fits_into(worker.free if must_fit_now else worker.record.capacity)
+            if self._may_use(job, task, care, worker, now_s)
+        )
+        return self._reservations.reserve(task, care, candidates)
+
+    def _may_use(
+        self,
+        job: JobRecord,
+        task: TaskKey,
+        care: StartCare,
+        worker: WorkerView,
+        now_s: float,
+    ) -> bool:
+        """Returns whether a suspected task fits on a worker that may run it.
+
+        A task that is to run alone has to fit once nothing else runs there.
+        """
+        is_alone = care is StartCare.ALONE
+        available = worker.record.capacity if is_alone else worker.free
+        return (
+            job.document.steps[task.step].each.fits_into(available)
             and self._worker_selector.may_run(job, task.step, worker, now_s)
-            and self._isolation.may_use(service, job.queue.name, worker.agent)
-        ]
-        worker_count = self._pool.ready_capacity(service).worker_count
-        worker = self._reservations.choose(task, care, candidates, worker_count)
-        if worker is None or not self._reservations.may_start(
-            task, care, worker, now_s
-        ):
-            return None
-        return worker
+            and self._isolation.may_use(
+                worker.record.service, job.queue.name, worker.agent
+            )
+        )
 
     def _start(
         self, job: JobRecord, step: int, index: int, worker: WorkerView, now_s: float
