Play crashing tasks and changing capacities in the fault soak

A twentieth of the jobs crash the executor that starts their tasks, and a fault shrinks an executor's capacity for up to 6 s. New checks: fewer than three starts after three crashes, and starts against the capacity of the last 3.5 s.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -4,7 +4,8 @@
 
 Each seed runs one deployment of four entries (three with disks) and four agents.
 Checked invariants: no task has two runs at the same time, no executor runs tasks beyond
-its capacity, a refused job has not run, a configuration read never returns a version
+its capacity, a task that crashes executors is started fewer than three times after
+three crashes, a refused job has not run, a configuration read never returns a version
 older than the last acknowledged one, jobs complete again after the last fault. Logs of
 a failed seed are kept, and the exit code is 1 if any seed failed.
 """
@@ -108,7 +109,8 @@
                 node.kill()
     clients.check_refusals()
     print(
-        f"seed {seed}: {oracle.start_count} starts, answers {clients.answer_counts}, "
+        f"seed {seed}: {oracle.start_count} starts, {oracle.crash_count} crashes, "
+        f"answers {clients.answer_counts}, "
         f"{operator.read_count} reads up to version {operator.acknowledged_version}, "
         f"{len(oracle.violations)} violations"
     )
--- a/tools/soak/_callers.py
+++ b/tools/soak/_callers.py
@@ -8,11 +8,12 @@
 from hawthornbarrow.http import HttpClientError, PooledClient
 
 from tools.soak._deployment import CONTROL_PORT, FRONTEND_PORT, Node
-from tools.soak._executor import Oracle
+from tools.soak._executor import CRASHING_SUFFIX, Oracle
 
 RESUBMIT_INTERVAL_S = 1.3
 _JOB_TIMEOUT_S = 12.0
 _MAX_SUBMISSIONS = 4
+_CRASHING_SHARE = 0.05  # of the jobs
 _PUT_TIMEOUT_S = 40.0
 _RETRY_INTERVAL_S = 0.2
 _HOST = "soak.example"
@@ -153,11 +154,16 @@
         self._entries = entries
         self._oracle = oracle
         self._generator = generator
+        self._crashing_share = 0.0
         self.answer_counts: dict[str, int] = {}
         self.refused_jobs: set[str] = set()
 
     async def run(self, jobs_per_s: float) -> None:
-        """Submits ``jobs_per_s`` jobs per second on average until cancelled."""
+        """Submits ``jobs_per_s`` jobs per second on average until cancelled.
+
+        Some of them crash the executors that start their tasks.
+        """
+        self._crashing_share = _CRASHING_SHARE
         async with curio.TaskGroup(wait=None) as group:
             while True:
                 await group.spawn(self.submit)
@@ -173,8 +179,11 @@
             "memMb": 10,
             "estimatedMs": 250,
         }
+        spec = str(millicores)
+        if self._generator.random() < self._crashing_share:
+            spec += CRASHING_SUFFIX
         body = msgspec.json.encode(
-            {"spec": str(millicores), "bestEffort": True, "phases": [phase]}
+            {"spec": spec, "bestEffort": True, "phases": [phase]}
         )
         was_only_refused = True
         for _ in range(_MAX_SUBMISSIONS):
@@ -214,6 +223,7 @@
         Returns:
             Whether that happened; no new round begins after ``timeout_s``.
         """
+        self._crashing_share = 0.0
         deadline_s = steady_s() + timeout_s
         while steady_s() < deadline_s:
             results = [await self.submit() for _ in range(3)]
--- a/tools/soak/_executor.py
+++ b/tools/soak/_executor.py
@@ -1,5 +1,6 @@
 """Stand-in executors with leases, fencing and capacity, and the oracle of runs."""
 
+import collections
 import dataclasses
 import itertools
 import random
@@ -17,6 +18,13 @@
 
 MAX_LEASE_S = 1.0
 CAPACITY_MILLICORES = 4000
+CRASHING_SUFFIX = "!"  # of the spec of a task that crashes its executor
+CRASH_DELAY_S = 0.02  # from the start of such a task
+# Time after a change in which starts may still exceed a smaller capacity: the agent may
+# be out of touch, and the next heartbeat announces the change.
+CAPACITY_GRACE_S = 3.5
+MAX_CRASHES = 3  # executors that may crash under a task before its starts are limited
+MAX_LATER_STARTS = 2
 _POLL_INTERVAL_S = 0.005
 _HEARTBEAT_INTERVAL_S = 0.5
 
@@ -29,6 +37,7 @@
         executor_by_task: Executor at which each running task runs, by task.
         started_jobs: Jobs of which at least one task was started.
         start_count: Number of runs started.
+        crash_count: Number of executors that crashed under a task.
     """
 
     def __init__(self) -> None:
@@ -37,6 +46,9 @@
         self.executor_by_task: dict[str, str] = {}
         self.started_jobs: set[str] = set()
         self.start_count = 0
+        self.crash_count = 0
+        self._crashes = collections.Counter[str]()
+        self._later_starts = collections.Counter[str]()
 
     def record_start(self, task: str, executor: str) -> None:
         """Records the start of a run; two runs of one task at once are a violation."""
@@ -48,6 +60,18 @@
                 f"task {task} runs at both {other_executor} and {executor}"
             )
         self.executor_by_task[task] = executor
+        if self._crashes[task] >= MAX_CRASHES:
+            self._later_starts[task] += 1
+        if self._later_starts[task] > MAX_LATER_STARTS:
+            self.record_violation(
+                f"task {task} was started {self._later_starts[task]} times after "
+                f"{MAX_CRASHES} executors crashed under it"
+            )
+
+    def record_crash(self, task: str) -> None:
+        """Records that a task has crashed its executor."""
+        self.crash_count += 1
+        self._crashes[task] += 1
 
     def record_end(self, task: str, executor: str) -> None:
         """Records the end of a run."""
@@ -65,6 +89,7 @@
     millicores: int
     started_at_s: float
     duration_s: float
+    is_crashing: bool = False
 
 
 class Executor:
@@ -103,8 +128,21 @@
         self._clock_rate = generator.choice((1.0, 0.98))
         self.delayed_order_share = 0.0
         self.fails_runs = False
+        # Times of changes and the capacity since then, the newest last.
+        self._capacities = [(0.0, CAPACITY_MILLICORES)]
         self.crash()
 
+    def set_capacity(self, millicores: int) -> None:
+        """Changes the capacity, which the next heartbeat announces."""
+        self._capacities.append((steady_s(), millicores))
+
+    def _allowed_millicores(self) -> int:
+        """Returns the largest capacity within the last CAPACITY_GRACE_S."""
+        since_s = steady_s() - CAPACITY_GRACE_S
+        while len(self._capacities) > 1 and self._capacities[1][0] < since_s:
+            del self._capacities[0]
+        return max(millicores for _, millicores in self._capacities)
+
     def crash(self) -> None:
         """Ends all runs and begins the next incarnation."""
         for task in getattr(self, "_runs", {}):
@@ -136,6 +174,10 @@
                     self._end_run(task, "lapsed")
             now_s = steady_s()
             for task, run in list(self._runs.items()):
+                if run.is_crashing and now_s - run.started_at_s >= CRASH_DELAY_S:
+                    self._oracle.record_crash(task)
+                    self.crash()
+                    break
                 if now_s - run.started_at_s >= run.duration_s:
                     self._end_run(task, "failed" if self.fails_runs else "done")
             await curio.sleep(_POLL_INTERVAL_S)
@@ -152,7 +194,7 @@
                 "address": f"{self._app[0]}:{self._app[1]}",
                 "zone": "z",
                 "state": "ready",
-                "capacity": {"cpu": CAPACITY_MILLICORES, "memMb": 4000},
+                "capacity": {"cpu": self._capacities[-1][1], "memMb": 4000},
                 "labels": ["a", "r1"],
                 "clockMs": int(self._clock_s() * 1000),
                 "sequence": self._sequence,
@@ -202,20 +244,21 @@
         self._extend_lease(expires_at_s)
         if existing_run is not None or attempt <= self._closed_attempts.get(task, 0):
             return self._build_response(409, reason="old")
-        millicores = int(body["spec"])
+        millicores = int(body["spec"].rstrip(CRASHING_SUFFIX))
         duration_s = self._generator.uniform(0.03, 0.5)
         self._runs[task] = _Run(
             attempt=attempt,
             millicores=millicores,
             started_at_s=steady_s(),
             duration_s=duration_s,
+            is_crashing=body["spec"].endswith(CRASHING_SUFFIX),
         )
         self._oracle.record_start(task, self.id)
         used_millicores = sum(run.millicores for run in self._runs.values())
-        if used_millicores > CAPACITY_MILLICORES:
+        if used_millicores > self._allowed_millicores():
             self._oracle.record_violation(
                 f"{self.id} runs tasks of {used_millicores} millicores, "
-                f"its capacity is {CAPACITY_MILLICORES}"
+                f"its capacity is {self._allowed_millicores()}"
             )
         return self._build_response(200)
 
--- a/tools/soak/_faults.py
+++ b/tools/soak/_faults.py
@@ -9,7 +9,7 @@
 import curio
 
 from tools.soak._deployment import LINK_PORT, Node
-from tools.soak._executor import Executor
+from tools.soak._executor import CAPACITY_MILLICORES, Executor
 from tools.soak._proxy import Mode, Proxy
 
 
@@ -67,6 +67,7 @@
         for executor in self._executors.values():
             executor.delayed_order_share = 0.0
             executor.fails_runs = False
+            executor.set_capacity(CAPACITY_MILLICORES)
         for node in self._entries + self._agents:
             node.send_signal(signal.SIGCONT)
             if not node.is_running:
@@ -80,6 +81,7 @@
             self._impair_links,
             self._reset_links,
             self._crash_executor,
+            self._change_capacity,
             self._degrade_executor,
             self._reload_settings,
             self._wipe_disk,
@@ -153,6 +155,14 @@
         self._log_fault(f"executor {name} crashes")
         executor.crash()
 
+    async def _change_capacity(self) -> None:
+        name, executor = self._generator.choice(list(self._executors.items()))
+        millicores = self._generator.choice((1000, 2000, 3000))
+        self._log_fault(f"executor {name} has {millicores} millicores")
+        executor.set_capacity(millicores)
+        await self._sleep_up_to(6.0)
+        executor.set_capacity(CAPACITY_MILLICORES)
+
     async def _degrade_executor(self) -> None:
         name, executor = self._generator.choice(list(self._executors.items()))
         if self._generator.random() < 0.5:
