Group crashes by data centre and by the moment the connection broke

Cause: a pair of crashes counts for nothing beside two others within 0.25 s, as in a loss of power. With ten times the upstreams ten times as many tasks crash them, so two others were nearly always near, no task was found to be a cause and its queue was never confined. Crashes were dated 0 to 0.1 s late, by the next refused call. Fix: an agent dates a crash by the connection that broke off; only crashes of the same data centre within 0.1 s belong together.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_history.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_history.py
@@ -25,8 +25,9 @@
 # Upstreams that crashed under a task, after which it only runs alone on a worker.
 ALONE_CRASHES = 3
 MAX_CRASHES = 4  # after which a task counts as the cause in any case
-GROUP_WINDOW_S = 0.25  # time within which crashes belong together
+GROUP_WINDOW_S = 0.1  # time within which crashes in a data centre belong together
 REPORT_WINDOW_S = 0.3  # time within which crashes that belong together are reported
+IDLE_UNCERTAINTY_S = 0.4  # within which the end of an idle upstream is noticed
 GROUP_SIZE = 3  # crashes of different upstreams that are not blamed on their runs
 UNEXPLAINED_RETENTION_S = 10.0  # within which a crash that is seen late is reported
 RETENTION_S = 300.0
@@ -53,12 +54,14 @@
         survived_s: Time from its start for which the upstream is known to have run.
         service: Service of the upstream.
         queue: Name of the job's queue.
+        data_centre: Data centre of the upstream.
     """
 
     task: TaskKey
     survived_s: float
     service: str = ""
     queue: str = ""
+    data_centre: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -111,12 +114,33 @@
         return len({*self.upstreams, *lost_with})
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Crash:
+    """When and where an upstream crashed.
+
+    Attributes:
+        crashed_at_s: When its agent noticed the crash.
+        data_centre: Its data centre.
+        uncertainty_s: How much earlier it may have crashed.
+    """
+
+    crashed_at_s: float
+    data_centre: str
+    uncertainty_s: float = 0.0
+
+    def is_near(self, other: "_Crash") -> bool:
+        """Returns whether two crashes may have had the same cause."""
+        gap_s = abs(self.crashed_at_s - other.crashed_at_s)
+        most_s = GROUP_WINDOW_S + self.uncertainty_s + other.uncertainty_s
+        return gap_s <= most_s and self.data_centre == other.data_centre
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Suspicion:
     """A task that seems to have crashed an upstream, until it is judged."""
 
     task: TaskKey
-    crashed_at_s: float
+    crash: _Crash
     judged_from_s: float
 
 
@@ -131,9 +155,7 @@
         """Initializes a history without crashes."""
         self._tasks: dict[TaskKey, _TaskCrashes] = {}
         self._tasks_by_job: dict[str, set[TaskKey]] = {}
-        self._crashed_at_s: collections.OrderedDict[str, float] = (
-            collections.OrderedDict()
-        )
+        self._crashes: dict[str, _Crash] = {}  # by incarnation of the upstream
         self._suspicions: list[_Suspicion] = []
         self._causes: dict[str, tuple[TaskKey, float]] = {}
         self._cleaned_at_s = -math.inf
@@ -226,8 +248,9 @@
         Returns:
             Whether the crash was not known yet.
         """
-        is_known = upstream in self._crashed_at_s
-        self._crashed_at_s.setdefault(upstream, crashed_at_s)
+        is_known = upstream in self._crashes
+        crash = _Crash(crashed_at_s=crashed_at_s, data_centre=runs[0].data_centre)
+        self._crashes.setdefault(upstream, crash)
         for run in runs:
             crashes = self._crashes_of(run.task, now_s)
             if upstream not in crashes.upstreams:
@@ -258,12 +281,21 @@
                 self._suspicions.append(
                     _Suspicion(
                         task=task,
-                        crashed_at_s=crashed_at_s,
+                        crash=crash,
                         judged_from_s=now_s + REPORT_WINDOW_S,
                     )
                 )
         return True
 
+    def record_idle_crash(self, upstream: str, data_centre: str, now_s: float) -> None:
+        """Records the crash of an upstream that had no runs."""
+        crash = _Crash(
+            crashed_at_s=now_s,
+            data_centre=data_centre,
+            uncertainty_s=IDLE_UNCERTAINTY_S,
+        )
+        self._crashes.setdefault(upstream, crash)
+
     def clear(self, task: TaskKey) -> None:
         """Records that a task ran past its observation, or completed."""
         crashes = self._tasks.get(task)
@@ -318,11 +350,9 @@
         for job, (_, found_at_s) in list(self._causes.items()):
             if now_s - found_at_s > RETENTION_S:
                 del self._causes[job]
-        while self._crashed_at_s:
-            upstream, crashed_at_s = next(iter(self._crashed_at_s.items()))
-            if now_s - crashed_at_s <= RETENTION_S:
-                break
-            del self._crashed_at_s[upstream]
+        for upstream, crash in list(self._crashes.items()):
+            if now_s - crash.crashed_at_s > RETENTION_S:
+                del self._crashes[upstream]
 
     def _crashes_of(self, task: TaskKey, now_s: float) -> _TaskCrashes:
         crashes = self._tasks.get(task)
@@ -343,13 +373,12 @@
         return [run.task for run in runs]
 
     def _is_in_group(self, suspicion: _Suspicion) -> bool:
-        """Returns whether other upstreams crashed at the same time without the job."""
+        """Returns whether others crashed then and there without a task of the job."""
         job_upstreams: set[str] = set()
         for sibling in self._tasks_by_job.get(suspicion.task.job, ()):
             job_upstreams.update(self._tasks[sibling].upstreams)
         others = sum(
-            abs(crashed_at_s - suspicion.crashed_at_s) <= GROUP_WINDOW_S
-            and upstream not in job_upstreams
-            for upstream, crashed_at_s in self._crashed_at_s.items()
+            crash.is_near(suspicion.crash) and upstream not in job_upstreams
+            for upstream, crash in self._crashes.items()
         )
         return others + 1 >= GROUP_SIZE
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_monitor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_monitor.py
@@ -75,6 +75,18 @@
                 run.task, run.attempt, worker.record.upstream, now_s
             )
 
+    def on_attached_anew(self, worker: WorkerView, upstream: str, now_s: float) -> None:
+        """Processes an attach request that replaces an attached worker.
+
+        Args:
+            worker: The worker as it was attached.
+            upstream: Incarnation that the agent has now, empty for none.
+            now_s: Current time.
+        """
+        former = worker.record
+        if former.upstream != upstream and not worker.is_leaving:
+            self._history.record_idle_crash(former.upstream, former.data_centre, now_s)
+
     def on_run_ended(self, worker: WorkerView, ended: EndedRun, now_s: float) -> None:
         """Processes the end of a run of an attached worker."""
         if ended.is_upstream_silent:
@@ -112,4 +124,5 @@
         survived_s=ended.run_s,
         service=ended.service,
         queue=ended.queue,
+        data_centre=ended.data_centre,
     )
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -232,6 +232,9 @@
         self._crash_monitor.on_ended_runs(
             message.ended, now_s, sent_at_s=message.sent_at_s
         )
+        if known is not None:
+            upstream = message.worker.upstream if message.worker else ""
+            self._crash_monitor.on_attached_anew(known, upstream, now_s)
         for ended in message.ended:
             self._adopt_ended_run(agent, ended, now_s)
         self._has_changes = True
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_ended_run_log.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_ended_run_log.py
@@ -2,9 +2,10 @@
 
 import collections
 
+import msgspec
 import structlog
 
-from hawthornbarrow.cells._parts import EndedRun, RunOutcome, StartOrder
+from hawthornbarrow.cells._parts import EndedRun, RunOutcome, StartOrder, WorkerRecord
 from hawthornbarrow.cells._timing import (
     CRASHED_RUN_RETENTION_S,
     ENDED_RUN_RETENTION_S,
@@ -44,11 +45,10 @@
         end: RunOutcome,
         now_s: float,
         *,
-        upstream: str,
+        worker: WorkerRecord | None,
         reason: str = "",
         run_s: float = 0.0,
-        is_crashed: bool = False,
-        service: str = "",
+        crashed_at_s: float | None = None,
         is_upstream_silent: bool = False,
     ) -> None:
         """Adds and logs an ended run.
@@ -57,14 +57,14 @@
             order: Order that started it, or that was refused.
             end: Its outcome.
             now_s: Current time.
-            upstream: Incarnation of the upstream, for the log.
+            worker: The worker's upstream, None when there is none.
             reason: Why it was refused or lost, otherwise empty.
             run_s: Run time.
-            is_crashed: Whether the upstream crashed during the run.
-            service: Service of the upstream.
+            crashed_at_s: When the upstream crashed during the run, None if it did not.
             is_upstream_silent: Whether it may have crashed, as it does not answer.
         """
         self._last_number += 1
+        upstream = worker.upstream if worker else ""
         ended = EndedRun(
             number=self._last_number,
             task=order.task,
@@ -72,15 +72,21 @@
             end=end,
             run_s=run_s,
             reason=reason,
-            crashed_upstream=upstream if is_crashed else "",
             crashes=order.crashes,
             is_upstream_silent=is_upstream_silent,
             ended_at_s=now_s,
-            queue=order.queue if is_crashed else "",
-            service=service if is_crashed else "",
         )
+        if worker is not None and crashed_at_s is not None:
+            ended = msgspec.structs.replace(
+                ended,
+                crashed_upstream=upstream,
+                ended_at_s=crashed_at_s,
+                queue=order.queue,
+                service=worker.service,
+                data_centre=worker.data_centre,
+            )
         self._ended.append((now_s, ended))
-        if is_crashed:
+        if ended.crashed_upstream:
             self._crashed.append((now_s, ended))
         _log.info(
             "run_ended",
@@ -90,7 +96,7 @@
             end=end.value,
             run_s=round(run_s, 3),
             reason=reason,
-            crashed=is_crashed,
+            crashed=bool(ended.crashed_upstream),
         )
 
     def acknowledge(self, number: int) -> None:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_parts.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_parts.py
@@ -225,9 +225,11 @@
         crashes: Incarnations of upstreams that crashed under the task before.
         is_upstream_silent: Whether the upstream did not answer, so that it may have
             crashed.
-        ended_at_s: When the agent recorded its end, on the agent's clock.
+        ended_at_s: When it ended, on the agent's clock; for a crash, when the upstream
+            broke off a call, if that is known.
         queue: Name of the job's queue if the upstream crashed, otherwise empty.
         service: Service of the upstream if it crashed, otherwise empty.
+        data_centre: Data centre of the upstream if it crashed, otherwise empty.
     """
 
     number: int
@@ -242,6 +244,7 @@
     ended_at_s: float = 0.0
     queue: str = ""
     service: str = ""
+    data_centre: str = ""
 
 
 class FleetMember(_Part, kw_only=True):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
@@ -741,7 +741,7 @@
         now_s: float,
         *,
         run_s: float = 0.0,
-        is_crashed: bool = False,
+        crashed_at_s: float | None = None,
         is_upstream_silent: bool = False,
     ) -> None:
         record = self._runs.pop(task)
@@ -752,7 +752,7 @@
             now_s,
             reason=reason,
             run_s=run_s,
-            is_crashed=is_crashed,
+            crashed_at_s=crashed_at_s,
             is_upstream_silent=is_upstream_silent,
         )
 
@@ -790,15 +790,16 @@
         if self._runs:
             self._has_no_unknown_runs = False
         broken_at_s = self._contact.broken_at_s
-        crashed_by_s = now_s if broken_at_s is None else broken_at_s
+        crashed_at_s = now_s if broken_at_s is None else broken_at_s
         for task, record in list(self._runs.items()):
+            is_crashed = record.ordered_at_s <= crashed_at_s
             self._end_run(
                 task,
                 RunOutcome.LOST,
                 reason,
                 now_s,
                 run_s=self._survived_s(record),
-                is_crashed=record.ordered_at_s <= crashed_by_s,
+                crashed_at_s=crashed_at_s if is_crashed else None,
             )
         for lost in self._lost_runs.take():
             self._record_end(
@@ -807,7 +808,7 @@
                 now_s,
                 reason=reason,
                 run_s=lost.survived_s,
-                is_crashed=True,
+                crashed_at_s=crashed_at_s,
             )
 
     def _record_end(
@@ -818,7 +819,7 @@
         *,
         reason: str = "",
         run_s: float = 0.0,
-        is_crashed: bool = False,
+        crashed_at_s: float | None = None,
         is_upstream_silent: bool = False,
     ) -> None:
         self._counts[f"run_{end.value}"] += 1
@@ -826,11 +827,10 @@
             order,
             end,
             now_s,
-            upstream=self.upstream,
+            worker=self._worker,
             reason=reason,
             run_s=run_s,
-            is_crashed=is_crashed,
-            service=self._worker.service if self._worker else "",
+            crashed_at_s=crashed_at_s,
             is_upstream_silent=is_upstream_silent,
         )
         self._needs_report = True
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell_simulation.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell_simulation.py
@@ -529,6 +529,8 @@
         for task in upstream.runs:
             self.crashed_under[task].append(upstream.id)
         upstream.runs = {}
+        if not self.is_dark and name not in self.frozen:
+            self.agents[name].on_call_broken(upstream.id, self.now_s)
         self.back_at_s[name] = self.now_s + down_s
 
     def step_crashes(self):
