Judge a crash whose upstream was first taken for idle

Cause (reading the diff): an agent that restarts attaches without an upstream, and its upstream then counted as crashed without runs. When it did crash later, under a task, the crash was taken for known, so nothing was concluded from it. Change: a crash with runs replaces one without. Tests: test_crash_history, of which test_crash_with_runs_counts_although_the_upstream_seemed_idle failed before.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_history.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_history.py
@@ -128,6 +128,11 @@
     data_centre: str
     uncertainty_s: float = 0.0
 
+    @property
+    def had_runs(self) -> bool:
+        """Whether the upstream is known to have had runs."""
+        return not self.uncertainty_s
+
     def is_near(self, other: "_Crash") -> bool:
         """Returns whether two crashes may have had the same cause."""
         gap_s = abs(self.crashed_at_s - other.crashed_at_s)
@@ -157,6 +162,7 @@
         self._tasks_by_job: dict[str, set[TaskKey]] = {}
         self._crashes: dict[str, _Crash] = {}  # by incarnation of the upstream
         self._suspicions: list[_Suspicion] = []
+        self._beyond_limit: list[TaskKey] = []
         self._causes: dict[str, tuple[TaskKey, float]] = {}
         self._cleaned_at_s = -math.inf
 
@@ -210,8 +216,7 @@
             return
         crashes = self._crashes_of(task, now_s)
         for upstream in upstreams:
-            if upstream not in crashes.upstreams:
-                crashes.upstreams.append(upstream)
+            if self._add_upstream(task, crashes, upstream):
                 crashes.is_suspect = True
 
     def record_unexplained_loss(
@@ -248,16 +253,16 @@
         Returns:
             Whether the crash was not known yet.
         """
-        is_known = upstream in self._crashes
+        known = self._crashes.get(upstream)
         crash = _Crash(crashed_at_s=crashed_at_s, data_centre=runs[0].data_centre)
-        self._crashes.setdefault(upstream, crash)
+        if known is None or not known.had_runs:
+            self._crashes[upstream] = crash
         for run in runs:
             crashes = self._crashes_of(run.task, now_s)
-            if upstream not in crashes.upstreams:
-                crashes.upstreams.append(upstream)
-                crashes.service = run.service
-                crashes.queue = run.queue
-        if is_known:
+            crashes.service = run.service
+            crashes.queue = run.queue
+            self._add_upstream(run.task, crashes, upstream)
+        if known is not None and known.had_runs:
             return False
         suspects = self._suspects(runs)
         for task in suspects:
@@ -316,11 +321,8 @@
             elif not self._is_in_group(suspicion):
                 found.append(suspicion.task)
         self._suspicions = waiting
-        found += [
-            task
-            for task, crashes in self._tasks.items()
-            if len(crashes.upstreams) >= MAX_CRASHES and task.job not in self._causes
-        ]
+        found += self._beyond_limit
+        self._beyond_limit = []
         for task in found:
             self._causes[task.job] = (task, now_s)
         return [
@@ -362,6 +364,17 @@
         crashes.changed_at_s = now_s
         return crashes
 
+    def _add_upstream(
+        self, task: TaskKey, crashes: _TaskCrashes, upstream: str
+    ) -> bool:
+        """Adds an incarnation that crashed under a task; returns whether it is new."""
+        if upstream in crashes.upstreams:
+            return False
+        crashes.upstreams.append(upstream)
+        if len(crashes.upstreams) == MAX_CRASHES and task.job not in self._causes:
+            self._beyond_limit.append(task)
+        return True
+
     def _suspects(self, runs: collections.abc.Sequence[CrashedRun]) -> list[TaskKey]:
         """Returns the tasks that may have caused a crash.
 
