Do not confine a queue to the only worker of a service

What callers would see: with one worker in a service, all jobs of the other queues refused for 10 s or more while it is free. Cause (reading the diff): a quarter of one worker, rounded up, is that worker, and the other queues get the rest. Agents that are gone for good counted until a queue was confined. Fix: a queue is confined only where at least two agents were attached in the last 10 s. Causes older than that are dropped, so a record does not grow. test_only_worker_of_a_service_is_left_to_all_queues failed before.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_queue_isolation.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_queue_isolation.py
@@ -16,6 +16,7 @@
 from hawthornbarrow.cells._worker_view import WorkerView
 
 CONFINED_FRACTION = 0.25  # of the workers of a service
+MIN_WORKERS = 2  # of a service, so that the other queues keep one
 MIN_CAUSES = 2  # jobs of a queue that crashed upstreams, one after the other
 MEMORY_S = 10.0  # time after the last such job or crash until the queue is released
 
@@ -41,7 +42,7 @@
     """Decides which queues are confined, and to which workers.
 
     A queue is confined only while other queues of its service have jobs, as nobody
-    else would use the other workers.
+    else would use the other workers, and never to the only worker.
     """
 
     def __init__(self) -> None:
@@ -79,10 +80,12 @@
         """Records that a job was found to crash upstreams."""
         record = self._record_of(service, queue)
         record.caused_at_s[job] = now_s
-        recent = [
-            at_s for at_s in record.caused_at_s.values() if now_s - at_s <= MEMORY_S
-        ]
-        if len(recent) >= MIN_CAUSES:
+        record.caused_at_s = {
+            cause: at_s
+            for cause, at_s in record.caused_at_s.items()
+            if now_s - at_s <= MEMORY_S
+        }
+        if len(record.caused_at_s) >= MIN_CAUSES:
             record.confined_until_s = now_s + MEMORY_S
 
     def record_crash(
@@ -111,10 +114,12 @@
             self._known_at_s.setdefault(service, {})[worker.agent] = now_s
         for service, queues in self._queues.items():
             confined = self._queues_to_confine(queues, now_s)
+            if confined and self._known_count(service, now_s) < MIN_WORKERS:
+                confined = frozenset()
             if confined != self._confined.get(service, frozenset()):
                 self._set_confined(service, confined)
             if confined:
-                self._choose_agents(service, attached.get(service, {}), now_s)
+                self._choose_agents(service, attached.get(service, {}))
 
     def _record_of(self, service: str, queue: str) -> _QueueRecord:
         return self._queues.setdefault(service, {}).setdefault(queue, _QueueRecord())
@@ -145,19 +150,22 @@
             self._confined.pop(service, None)
             self._agents.pop(service, None)
 
-    def _choose_agents(
-        self, service: str, attached: dict[str, WorkerView], now_s: float
-    ) -> None:
+    def _known_count(self, service: str, now_s: float) -> int:
+        """Returns the number of agents attached in the last MEMORY_S; drops others."""
+        known_at_s = self._known_at_s.get(service, {})
+        for agent, at_s in list(known_at_s.items()):
+            if now_s - at_s > MEMORY_S:
+                del known_at_s[agent]
+        return len(known_at_s)
+
+    def _choose_agents(self, service: str, attached: dict[str, WorkerView]) -> None:
         """Chooses agents, and replaces those that have been away for MEMORY_S.
 
         Agents whose upstreams have crashed and are away go first, as they are not
         needed elsewhere for the moment. One that crashes again stays chosen, so that
         the others are not used up one after the other.
         """
-        known_at_s = self._known_at_s.get(service, {})
-        for agent, at_s in list(known_at_s.items()):
-            if now_s - at_s > MEMORY_S:
-                del known_at_s[agent]
+        known_at_s = self._known_at_s[service]
         kept = [agent for agent in self._agents.get(service, ()) if agent in known_at_s]
         count = math.ceil(CONFINED_FRACTION * len(known_at_s))
         others = sorted(
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_queue_isolation.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_queue_isolation.py
@@ -103,6 +103,15 @@
         self.confine(NOW_S + MEMORY_S + 1)
         self.assertFalse(self.isolation.is_active)
 
+    def test_only_worker_of_a_service_is_left_to_all_queues(self):
+        self.workers = make_workers(1)
+        self.isolation = QueueIsolation()
+        self.isolation.record_submission("s", "q", NOW_S)
+        self.isolation.record_submission("s", "r", NOW_S)
+        self.confine()
+        self.assertEqual({"a0"}, self.usable("q"))
+        self.assertEqual({"a0"}, self.usable("r"))
+
 
 class CrashingQueueTest(unittest.TestCase):
     """Plays two queues, of which one has many jobs that crash upstreams."""
