Hold a task after four losses for as long as nothing explains them

Fix: from the third on, losses are kept as long as crashes. Also tested: a job that was given up and is submitted again, within 60 s and later, fails at once without a start.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_history.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_history.py
@@ -29,7 +29,9 @@
 REPORT_WINDOW_S = 0.3  # time within which crashes that belong together are reported
 IDLE_UNCERTAINTY_S = 0.4  # within which the end of an idle upstream is noticed
 GROUP_SIZE = 3  # crashes of different upstreams that are not blamed on their runs
-UNEXPLAINED_RETENTION_S = 10.0  # within which a crash that is seen late is reported
+# Time within which a crash that is seen late is reported. Fewer losses than
+# ALONE_CRASHES that stay unexplained count for nothing after it.
+UNEXPLAINED_RETENTION_S = 10.0
 RETENTION_S = 300.0
 CLEANING_INTERVAL_S = 1.0
 
@@ -113,6 +115,12 @@
         lost_with = (lost.upstream for lost in self.unexplained.values())
         return len({*self.upstreams, *lost_with})
 
+    def drop_losses_before(self, time_s: float) -> None:
+        """Removes unexplained losses that are older than a time."""
+        for attempt, lost in list(self.unexplained.items()):
+            if lost.lost_at_s < time_s:
+                del self.unexplained[attempt]
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Crash:
@@ -340,9 +348,8 @@
             return
         self._cleaned_at_s = now_s
         for task, crashes in list(self._tasks.items()):
-            for attempt, lost in list(crashes.unexplained.items()):
-                if now_s - lost.lost_at_s > UNEXPLAINED_RETENTION_S:
-                    del crashes.unexplained[attempt]
+            if crashes.possible_count < ALONE_CRASHES:
+                crashes.drop_losses_before(now_s - UNEXPLAINED_RETENTION_S)
             if now_s - crashes.changed_at_s > RETENTION_S:
                 del self._tasks[task]
                 siblings = self._tasks_by_job[task.job]
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_monitor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_monitor.py
@@ -4,9 +4,10 @@
 import collections.abc
 
 from hawthornbarrow.cells._crash_history import CrashCause, CrashedRun, CrashHistory
+from hawthornbarrow.cells._messages import AttachWorker
 from hawthornbarrow.cells._parts import ActiveRun, EndedRun
 from hawthornbarrow.cells._queue_isolation import QueueIsolation
-from hawthornbarrow.cells._worker_view import WorkerView
+from hawthornbarrow.cells._worker_view import Run, WorkerView
 
 
 class CrashMonitor:
@@ -75,15 +76,35 @@
                 run.task, run.attempt, worker.record.upstream, now_s
             )
 
-    def on_attached_anew(self, worker: WorkerView, upstream: str, now_s: float) -> None:
+    def on_attached_anew(
+        self,
+        worker: WorkerView,
+        runs: collections.abc.Iterable[Run],
+        message: AttachWorker,
+        now_s: float,
+    ) -> None:
         """Processes an attach request that replaces an attached worker.
 
+        Orders that the request does not mention never reached the agent, if it was
+        running when they were sent.
+
         Args:
             worker: The worker as it was attached.
-            upstream: Incarnation that the agent has now, empty for none.
+            runs: Runs that it had.
+            message: The request.
             now_s: Current time.
         """
+        silent = {
+            (ended.task, ended.attempt)
+            for ended in message.ended
+            if ended.is_upstream_silent
+        }
+        for run in runs:
+            is_known = now_s - run.started_at_s < message.recorded_s
+            if is_known and (run.task, run.attempt) not in silent:
+                self._history.explain_loss(run.task, run.attempt)
         former = worker.record
+        upstream = message.worker.upstream if message.worker else ""
         if former.upstream != upstream and not worker.is_leaving:
             self._history.record_idle_crash(former.upstream, former.data_centre, now_s)
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -223,6 +223,7 @@
             # It lists fewer runs than exist by now.
             _log.info("attach_request_outdated", agent=agent, session=message.session)
             return
+        former_runs = list(known.runs.values()) if known is not None else []
         if known is not None:
             self._detach(known, "attached anew", now_s)
         worker = self._pool.attach(agent, message, now_s)
@@ -233,8 +234,7 @@
             message.ended, now_s, sent_at_s=message.sent_at_s
         )
         if known is not None:
-            upstream = message.worker.upstream if message.worker else ""
-            self._crash_monitor.on_attached_anew(known, upstream, now_s)
+            self._crash_monitor.on_attached_anew(known, former_runs, message, now_s)
         for ended in message.ended:
             self._adopt_ended_run(agent, ended, now_s)
         self._has_changes = True
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_crash_history.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_crash_history.py
@@ -115,10 +115,21 @@
             self.history.record_unexplained_loss(
                 task_of("a"), attempt, f"u{attempt}", NOW_S
             )
+        self.history.remove_old(NOW_S + UNEXPLAINED_RETENTION_S + 1)
         self.assertIs(StartCare.HELD, self.care("a"))
         self.history.explain_loss(task_of("a"), 2)
         self.assertIs(StartCare.ALONE, self.care("a"))
+
+    def test_few_losses_of_unknown_cause_are_dropped(self):
+        for attempt in (1, 2):
+            self.history.record_unexplained_loss(
+                task_of("a"), attempt, f"u{attempt}", NOW_S
+            )
         self.history.remove_old(NOW_S + UNEXPLAINED_RETENTION_S + 1)
+        for attempt in (3, 4):
+            self.history.record_unexplained_loss(
+                task_of("a"), attempt, f"u{attempt}", NOW_S
+            )
         self.assertIs(StartCare.NONE, self.care("a"))
 
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_crashing_tasks.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_crashing_tasks.py
@@ -12,6 +12,7 @@
     SubmitJob,
     TaskKey,
 )
+from hawthornbarrow.cells._job_registry import ENDED_JOB_RETENTION_S
 from hawthornbarrow.cells.tests._cell_simulation import (
     TIMING,
     CellSimulation,
@@ -123,6 +124,35 @@
                 self.check_starts(cell, "deadly")
                 self.assertEqual([], condemned_of(cell, "good"))
 
+    def test_task_that_ends_its_agents_too_is_held(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                cell = start_cell(seed)
+                cell.crash_delays_s["deadly"] = 0.05
+                cell.submit(make_job("deadly", count=1))
+                down = set()
+                for _ in range(900):
+                    cell.run(0.01)
+                    for name in set(cell.back_at_s) - down:
+                        cell.start_agent(name, is_announced=False)
+                    down = set(cell.back_at_s)
+                self.check_starts(cell, "deadly")
+
+    def test_job_that_was_given_up_is_not_started_again_when_resubmitted(self):
+        for retention_s in (1.0, ENDED_JOB_RETENTION_S + 1.0):
+            with self.subTest(retention_s=retention_s):
+                cell = start_cell(seed=1)
+                cell.crash_delays_s["deadly"] = 0.01
+                cell.submit(make_job("deadly", count=1))
+                cell.run(5.0 + retention_s)
+                self.check_given_up(cell, "deadly")
+                starts = cell.starts.total()
+                del cell.answers["deadly"]
+                cell.submit(make_job("deadly", count=1))
+                cell.run(1.0)
+                self.assertIs(JobState.FAILED, cell.answers.get("deadly"))
+                self.assertEqual(starts, cell.starts.total())
+
     def test_crashes_that_are_seen_late_limit_the_starts(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
