Let a restarted agent wait for the leases that its predecessor renewed

Cause: an agent was killed and back 0.86 s later, with its upstream still up. It had not heard of the upstream yet, so it attached without one at 15.54 s; the dispatcher took that for a loss and started the runs elsewhere, 40 to 80 ms before the upstream ended them with their lease at 15.58 s. Evidence: worker_lost reason='attached anew' lost_runs=1 and agent_without_upstream at 15.541 s, agent_started start_took_s=0.276 at 15.463 s. Fix: an agent that has had no upstream since its start attaches without one only after lost_after_s, as its predecessor renewed nothing after its own end.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -155,7 +155,7 @@
         """Processes a new link, to a process that may not know the agents yet."""
         self._sent_agents.pop(peer, None)
         if is_restarted and self._dispatcher is not None:
-            self._dispatcher.on_agent_restarted(peer)
+            self._dispatcher.on_agent_restarted(peer, steady_s())
 
     async def tick(
         self, now_s: float, table: QueueTable | None, membership: Membership
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -239,11 +239,16 @@
             self._adopt_ended_run(agent, ended, now_s)
         self._has_changes = True
 
-    def on_agent_restarted(self, agent: str) -> None:
-        """Records that an agent has restarted, perhaps with an earlier clock."""
+    def on_agent_restarted(self, agent: str, now_s: float) -> None:
+        """Records that an agent has restarted, perhaps with an earlier clock.
+
+        It drops orders of its former attachment, so it gets none until it attaches. It
+        does so once the leases of all former runs have expired, or earlier.
+        """
         worker = self._pool.workers.get(agent)
         if worker is not None:
             worker.attach_sent_at_s = -math.inf
+            self._pool.await_attach(worker, now_s)
 
     def report(self, agent: str, message: WorkerReport, now_s: float) -> None:
         """Processes a report of an attached agent."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
@@ -75,6 +75,8 @@
         self._timing = timing
         self._generator = generator
         self._started_at_s = now_s
+        self._inherited_runs_until_s = now_s + timing.lost_after_s
+        self._has_had_upstream = False
         self._worker: WorkerRecord | None = None
         self._is_leaving = False
         self._tracker = DispatcherTracker(timing=timing, now_s=now_s)
@@ -273,6 +275,7 @@
         )
         if self._worker is not None:
             self._end_after_crash("the upstream is another incarnation", now_s)
+        self._has_had_upstream = True
         self._former_upstreams.on_announced(worker.upstream, self.upstream)
         self._lost_runs.take()
         self._worker = worker
@@ -679,11 +682,17 @@
         self._new_session()
 
     def _send_attach_request(self, now_s: float) -> None:
-        """Sends an attach request if no unknown runs exist at the upstream."""
+        """Sends an attach request if no unknown runs exist at the upstream.
+
+        After a restart of this process, an upstream that has not announced itself yet
+        may still have runs, until the leases that its predecessor renewed expire.
+        """
         if self._is_attached or not self._tracker.dispatcher:
             return
         if self._worker is not None and not self._has_no_unknown_runs:
             return
+        if not self._has_had_upstream and now_s < self._inherited_runs_until_s:
+            return
         if now_s - self._attach_sent_at_s < REPORT_RETRY_INTERVAL_S:
             return
         self._attach_sent_at_s = now_s
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -160,6 +160,11 @@
         )
         return worker
 
+    def await_attach(self, worker: WorkerView, now_s: float) -> None:
+        """Starts nothing on a worker until its agent has attached again, or is late."""
+        worker.awaits_attach_until_s = now_s + 2 * self._timing.lost_after_s
+        self.refresh(worker, now_s)
+
     def detach(self, worker: WorkerView, reason: str, now_s: float) -> None:
         """Detaches an agent; no run of its session can exist any more."""
         del self._workers[worker.agent]
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_view.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_view.py
@@ -1,6 +1,7 @@
 """WorkerView: the dispatcher's view of one agent and its worker."""
 
 import dataclasses
+import math
 
 import msgspec
 
@@ -61,6 +62,7 @@
         self.heard_at_s = now_s
         self.is_leaving = False
         self.is_silent = False
+        self.awaits_attach_until_s = -math.inf
         self.acknowledged = 0
         self.health = WorkerHealth()
         self.runs: dict[TaskKey, Run] = {}
@@ -91,6 +93,8 @@
 
     def accepts_work(self, now_s: float, suspect_after_s: float) -> bool:
         """Returns whether the worker accepts new tasks now."""
+        if now_s < self.awaits_attach_until_s:
+            return False
         if self.is_leaving or self.is_silent or self.health.is_ejected(now_s):
             return False
         if now_s - self.heard_at_s > suspect_after_s:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_cell.py
@@ -101,6 +101,26 @@
             cell.run(10.0)
             self.assertEqual(20, len(cell.answers), seed)
 
+    def test_agent_that_restarts_beside_running_tasks_does_not_let_them_run_twice(self):
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                cell = CellSimulation(seed=300 + seed)
+                cell.run(0.5)
+                for round_number in range(4):
+                    cell.upstreams["a1"].hangs = True
+                    for index in range(4):
+                        cell.submit(make_job(f"j{round_number}-{index}", run_s=0.5))
+                    cell.run(0.1)
+                    cell.start_agent("a1", is_announced=False)
+                    cell.dispatcher.on_agent_restarted("a1", cell.now_s)
+                    cell.run(1.3)
+                    cell.announce("a1")
+                    cell.upstreams["a1"].hangs = False
+                    cell.run(2.0)
+                cell.run(8.0)
+                self.assertEqual({JobState.COMPLETE}, set(cell.answers.values()))
+                self.assertEqual(16, len(cell.answers))
+
     def test_worker_that_fails_every_run_gets_few_tasks(self):
         cell = CellSimulation(seed=5)
         cell.upstreams["a1"].fails_all = True
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_relays.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_relays.py
@@ -124,7 +124,7 @@
 
     def test_request_of_a_restarted_agent_with_an_earlier_clock_is_taken(self):
         self.attach(22, sent_at_s=5.0)
-        self.dispatcher.on_agent_restarted("a")
+        self.dispatcher.on_agent_restarted("a", 100.0)
         self.assertEqual(33, self.attach(33, sent_at_s=0.5).session)
 
 
