--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -8,6 +8,7 @@
 import curio
 import structlog
 from hawthornbarrow.cells import (
+    NO_FEATURES,
     CellMessage,
     ClaimAgents,
     Directory,
@@ -15,6 +16,7 @@
     FleetMember,
     LinkPlan,
     Listing,
+    LoadFeature,
     RelayedMessage,
     RunLeaseTiming,
     RunSupervisor,
@@ -118,6 +120,7 @@
         cluster_key: Secret shared by all processes of the deployment.
         started_at_s: When the process started, on the steady clock, or None when
             unknown.
+        features: Optional features that the deployment has enabled.
     """
 
     name: str
@@ -125,6 +128,7 @@
     timing: RunLeaseTiming
     cluster_key: bytes
     started_at_s: float | None = None
+    features: frozenset[LoadFeature] = NO_FEATURES
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
@@ -8,11 +8,13 @@
 import structlog
 from hawthornbarrow.cells import (
     GIVE_UP_FACTOR,
+    NO_FEATURES,
     DispatcherHeartbeat,
     HandoverComplete,
     JobAnswer,
     JobDocument,
     JobState,
+    LoadFeature,
     SubmitJob,
     WithdrawJob,
 )
@@ -104,10 +106,22 @@
 
 
 class CallerJobs:
-    """Tracks the jobs of this entry's callers and submits them to the dispatcher."""
+    """Tracks the jobs of this entry's callers and submits them to the dispatcher.
 
-    def __init__(self) -> None:
+    Args:
+        features: Optional features that the deployment has enabled.
+        data_centre: Data centre of this entry.
+    """
+
+    def __init__(
+        self,
+        *,
+        features: frozenset[LoadFeature] = NO_FEATURES,
+        data_centre: str = "",
+    ) -> None:
         """Initializes the state without jobs and without a known dispatcher."""
+        self._features = features
+        self._data_centre = data_centre
         self._dispatcher = ""
         self._term = 0
         self._version = 0
@@ -364,6 +378,7 @@
             document=job.document,
             age_s=now_s - job.received_at_s,
             was_offered=job.submission_count > 1,
+            data_centre=self._data_centre,
         )
         self._messages.append((self._dispatcher, message))
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -385,6 +385,7 @@
             expected=authority.agents,
             now_s=now_s,
             has_lease_expired=authority.is_standby,
+            features=self._settings.features,
         )
         self._table = None
         is_own = self._last_heartbeat_from == self._settings.name
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -130,7 +130,9 @@
             is_relay=True,
         )
         self._membership = Membership(own=own, now_s=steady_s())
-        self._caller_jobs = CallerJobs()
+        self._caller_jobs = CallerJobs(
+            features=settings.features, data_centre=settings.data_centre
+        )
         self._dispatcher_role = DispatcherRole(
             settings=settings,
             replica=self._replica,
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_settings.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_settings.py
@@ -3,7 +3,7 @@
 import dataclasses
 import pathlib
 
-from hawthornbarrow.cells import RunLeaseTiming
+from hawthornbarrow.cells import NO_FEATURES, LoadFeature, RunLeaseTiming
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -25,6 +25,7 @@
         listen_host: IP address to listen at, or empty for that of ``address``.
         started_at_s: When the process started, on the steady clock, or None when
             unknown. The replica counts as inactive from then until it is opened.
+        features: Optional features that the deployment has enabled.
     """
 
     name: str
@@ -39,3 +40,4 @@
     grace_s: float = 6.0
     listen_host: str = ""
     started_at_s: float | None = None
+    features: frozenset[LoadFeature] = NO_FEATURES
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -17,6 +17,7 @@
 from hawthornbarrow.cells._job_limits import InvalidJobError, check_document
 from hawthornbarrow.cells._job_record import JobRecord
 from hawthornbarrow.cells._job_registry import JobRegistry
+from hawthornbarrow.cells._load_features import NO_FEATURES, LoadFeature
 from hawthornbarrow.cells._messages import (
     AttachWorker,
     CellMessage,
@@ -68,6 +69,7 @@
         now_s: Current time.
         has_lease_expired: Whether the leases of the previous dispatcher have expired.
         order: Order in which waiting jobs are placed.
+        features: Optional features that the deployment has enabled.
     """
 
     def __init__(
@@ -79,9 +81,11 @@
         now_s: float,
         has_lease_expired: bool = False,
         order: JobOrder | None = None,
+        features: frozenset[LoadFeature] = NO_FEATURES,
     ) -> None:
         """Initializes a dispatcher without agents, which awaits the expected ones."""
         self._term = term
+        self._features = features
         self._run_times = RunTimes()
         self._admission = Admission(run_times=self._run_times)
         self._monitor = WorkerMonitor(run_times=self._run_times)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
@@ -15,6 +15,7 @@
     FleetMember,
     JobDocument,
     JobState,
+    QueueLevel,
     Resources,
     StartOrder,
     TaskKey,
@@ -37,6 +38,12 @@
         session: For an agent, the session in which it is attached, or zero.
         noted: For an agent, number of the last ended run that was acknowledged.
         waiting: For an entry, number of jobs that have not begun, by queue.
+        evacuation_revision: For an entry, revision of the set of evacuated data
+            centres.
+        evacuated: For an entry, the evacuated data centres.
+        levels: For an entry, what new jobs of each queue can expect.
+        known_worker: For an agent without a session, the worker that the ledger lists
+            for it.
     """
 
     term: int
@@ -45,6 +52,10 @@
     session: int = 0
     noted: int = 0
     waiting: dict[str, int] = {}
+    evacuation_revision: int = 0
+    evacuated: tuple[str, ...] = ()
+    levels: tuple[QueueLevel, ...] = ()
+    known_worker: WorkerRecord | None = None
 
 
 class AttachWorker(_Message, kw_only=True):
@@ -84,6 +95,8 @@
         is_silent: Whether its upstream does not answer.
         capacity: Resources that its worker has now, None from agents of the version
             before.
+        remaining_s: Minimum time until its upstream ends, None when it is not leaving
+            or did not say.
     """
 
     session: int
@@ -92,6 +105,7 @@
     stalled: list[TaskKey] = []
     is_silent: bool = False
     capacity: Resources | None = None
+    remaining_s: float | None = None
 
 
 class StartTasks(_Message, kw_only=True):
@@ -117,11 +131,13 @@
         document: The job.
         age_s: Time since the entry received it.
         was_offered: Whether it was submitted to another dispatcher before.
+        data_centre: Data centre of the entry, which is near the caller.
     """
 
     document: JobDocument
     age_s: float
     was_offered: bool
+    data_centre: str = ""
 
 
 class WithdrawJob(_Message, kw_only=True):
@@ -211,6 +227,37 @@
     compressed: bytes = b""
 
 
+class ProposeEvacuation(_Message, kw_only=True):
+    """An entry sends the leader an operator's order to evacuate a data centre.
+
+    Attributes:
+        number: Number of the request.
+        data_centre: Name of the data centre.
+        is_evacuated: Whether to evacuate it, or to withdraw the evacuation.
+        expected_revision: Revision of the evacuated data centres on which the order is
+            based. The order has no effect under another revision.
+    """
+
+    number: int
+    data_centre: str
+    is_evacuated: bool
+    expected_revision: int
+
+
+class EvacuationOutcome(_Message, kw_only=True):
+    """Reply to ProposeEvacuation after its command was committed.
+
+    Attributes:
+        number: Number of the request.
+        is_accepted: Whether the data centre is in the requested state.
+        revision: Committed revision of the evacuated data centres.
+    """
+
+    number: int
+    is_accepted: bool
+    revision: int
+
+
 class Directory(_Message, kw_only=True):
     """Entries that the sender considers alive, itself first."""
 
@@ -300,4 +347,6 @@
     | GrantClaim
     | Superseded
     | RelayedMessage
+    | ProposeEvacuation
+    | EvacuationOutcome
 )
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_parts.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_parts.py
@@ -160,6 +160,9 @@
         data_centre: Its data centre.
         labels: Its labels.
         capacity: Its resources.
+        born_ms: When the incarnation started, as a Unix time in ms by its own clock,
+            or zero where upstreams do not say. An upstream may start again under the
+            same id.
     """
 
     upstream: str
@@ -167,6 +170,21 @@
     data_centre: str
     labels: tuple[str, ...]
     capacity: Resources
+    born_ms: int = 0
+
+
+class QueueLevel(_Part, kw_only=True):
+    """What a new job of a queue can expect at the dispatcher.
+
+    Attributes:
+        queue: Name of the queue.
+        wait_s: Predicted time until a new job starts.
+        retry_after_s: Time after which a refused caller may try again.
+    """
+
+    queue: str
+    wait_s: float
+    retry_after_s: float
 
 
 class StartOrder(_Part, kw_only=True):
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_commands.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_commands.py
@@ -86,10 +86,17 @@
 
 
 class RegisterAgent(_Command, kw_only=True):
-    """An agent joins, or rejoins as a new incarnation without its previous state."""
+    """An agent joins, or rejoins as a new incarnation without its previous state.
+
+    Attributes:
+        name: Name of the agent.
+        incarnation: Its incarnation.
+        worker: Encoded record of its worker's upstream, empty for none.
+    """
 
     name: str
     incarnation: int
+    worker: bytes = b""
 
 
 class RetireAgent(_Command, kw_only=True):
@@ -131,6 +138,22 @@
     document: bytes
 
 
+class SetEvacuation(_Command, kw_only=True):
+    """An operator evacuates a data centre or withdraws its evacuation.
+
+    Attributes:
+        data_centre: Name of the data centre.
+        is_evacuated: Whether it is to be evacuated.
+        expected_revision: Revision of the evacuated data centres on which the order is
+            based. Under another revision the command has no effect, so a delayed order
+            never overrides a newer one.
+    """
+
+    data_centre: str
+    is_evacuated: bool
+    expected_revision: int
+
+
 class Forget(_Command, kw_only=True):
     """Drops closed claims and operators' requests that are older than a given time."""
 
@@ -149,6 +172,7 @@
     | ApplyConfiguration
     | PutConfiguration
     | Forget
+    | SetEvacuation
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
