Evacuate data centres on an operator's order

Cause: an order to evacuate a data centre was answered with 404, and tasks were started on all workers whatever the operator knew.

Change: the ledger keeps the evacuated data centres under a revision; orders name the revision on which they are based, so a delayed one has no effect. Any entry proposes an order, repeats it with the returned revision, and acknowledges it once it is committed and applied by the dispatcher. Heartbeats carry the state; entries inform a standby that has an older one. Evacuated workers are no candidates, and capacity sums, can_run, confinement and reservations leave them out; their runs go on.

An order for a state that already holds raises the revision too: otherwise a delayed evacuation could override a withdrawal that was acknowledged meanwhile because nothing was evacuated yet.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -14,13 +14,18 @@
     ConfigurationOutcome,
     ConfigurationSender,
     Dispatcher,
+    EvacuationOutcome,
+    EvacuationState,
+    EvacuationView,
     GetConfiguration,
     GetJobState,
     GrantClaim,
     HandoverComplete,
     JobStateReply,
     KnownAgents,
+    KnownEvacuation,
     ProposeConfiguration,
+    ProposeEvacuation,
     RelayedMessage,
     RelayRoutes,
     Standby,
@@ -34,7 +39,9 @@
 from hawthornbarrow.clock import steady_s
 from hawthornbarrow.ledger import (
     Applied,
+    EvacuationRecord,
     PutConfiguration,
+    SetEvacuation,
 )
 from hawthornbarrow.links import LinkPort
 from hawthornbarrow.queues import QueueTable
@@ -66,11 +73,13 @@
         term: Term of the dispatcher.
         agents: Agents that may have runs of a previous dispatcher.
         version: Version of the configuration in force.
+        evacuation: Evacuated data centres.
     """
 
     term: int
     agents: collections.abc.Set[str]
     version: int
+    evacuation: EvacuationState
 
     @property
     def is_standby(self) -> bool:
@@ -86,6 +95,7 @@
         replica: Manages this entry's replica.
         port: Links of the process.
         send: Sends a message to any process, including this one.
+        evacuation: State of the evacuations that this process knows.
         now_s: Current time.
     """
 
@@ -96,6 +106,7 @@
         replica: ReplicaManager,
         port: LinkPort,
         send: _Send,
+        evacuation: EvacuationView,
         now_s: float,
     ) -> None:
         """Initializes the role without a dispatcher."""
@@ -103,6 +114,7 @@
         self._replica = replica
         self._port = port
         self._send = send
+        self._evacuation = evacuation
         self._dispatcher: Dispatcher | None = None
         self._standby = Standby(timing=settings.timing, now_s=now_s)
         self._started_at_s = now_s
@@ -116,6 +128,7 @@
         self._pending_proposals: dict[int, tuple[str, int]] = {}
         self._heartbeat_sent_at_s = -1e9
         self._sent_version = -1
+        self._sent_evacuation_revision = -1
         self._registry = AgentRegistry(timing=settings.timing)
         self._relay_routes = RelayRoutes(timing=settings.timing)
 
@@ -167,6 +180,7 @@
             table: Configuration in force at this entry.
             membership: Entries that are or were alive.
         """
+        self._observe_replica(now_s)
         authority = self._current_authority(now_s, table)
         if authority is None:
             self._suspend_dispatcher()
@@ -177,6 +191,7 @@
         if table is not None and table is not self._table:
             self._table = table
             self._dispatcher.set_table(table)
+        self._put_evacuation_in_force(authority.evacuation, now_s)
         await self._attach_agents(authority, now_s)
         await self._send_heartbeats_if_due(authority, now_s)
         if self._dispatcher.is_recovering(now_s):
@@ -184,6 +199,22 @@
         self._dispatcher.tick(now_s)
         await self._send_dispatcher_messages()
 
+    def _observe_replica(self, now_s: float) -> None:
+        """Takes a newer state of the evacuations from this entry's replica."""
+        ledger = self._replica.ledger
+        if ledger is None:
+            return
+        record = ledger.state.evacuation
+        if record.revision > self._evacuation.state.revision:
+            self._evacuation.observe(_evacuation_state(record), now_s)
+
+    def _put_evacuation_in_force(self, state: EvacuationState, now_s: float) -> None:
+        dispatcher = self._dispatcher
+        if dispatcher is None or dispatcher.evacuation.revision == state.revision:
+            return
+        withdrawn_at_s = self._evacuation.withdrawn_at_s(now_s)
+        dispatcher.set_evacuation(state, withdrawn_at_s, now_s)
+
     def is_dispatcher_silent(self, now_s: float) -> bool:
         """Returns whether no heartbeat arrived for so long that a standby may claim."""
         return self._standby.is_dispatcher_silent(now_s)
@@ -212,12 +243,14 @@
                 term=self._standby.leader_term(ledger.term, current),
                 agents=ledger.state.agents.keys(),
                 version=ledger.state.put.version,
+                evacuation=_evacuation_state(ledger.state.evacuation),
             )
         if table is not None and self._standby.is_dispatching(now_s):
             return _DispatchAuthority(
                 term=self._standby.term,
                 agents=self._standby.agents,
                 version=table.version,
+                evacuation=self._evacuation.state,
             )
         return None
 
@@ -230,6 +263,11 @@
                 self._standby.on_grant(peer, message.term, now_s)
             case Superseded():
                 self._standby.on_superseded(message.term)
+            case KnownEvacuation():
+                state = EvacuationState(
+                    revision=message.revision, data_centres=message.evacuated
+                )
+                self._evacuation.observe(state, now_s)
         if self._dispatcher is None:
             return
         match message:
@@ -347,6 +385,14 @@
                 await self._send(peer, reply)
             case ProposeConfiguration():
                 await self._on_proposal(peer, message)
+            case ProposeEvacuation():
+                command = SetEvacuation(
+                    data_centre=message.data_centre,
+                    is_evacuated=message.is_evacuated,
+                    expected_revision=message.expected_revision,
+                )
+                number = await ledger.propose(command)
+                self._pending_proposals[number] = (peer, message.number)
 
     async def repair_voters(self, membership: Membership, now_s: float) -> None:
         """Replaces lost voters and adds voters where there are too few."""
@@ -363,7 +409,9 @@
                 await ledger.drop_learner()
 
     async def on_applied(self, applied: Applied, now_s: float) -> None:
-        """Replies to the entry that proposed a configuration that is now committed."""
+        """Replies to the entry whose proposal is now committed."""
+        if isinstance(applied.command, SetEvacuation):
+            self._on_evacuation_committed(applied, now_s)
         proposal = (
             self._pending_proposals.pop(applied.number, None)
             if applied.number
@@ -372,10 +420,41 @@
         if proposal is None or applied.outcome is None:
             return
         peer, number = proposal
+        if isinstance(applied.command, SetEvacuation):
+            ledger = self._replica.ledger
+            if ledger is None or not ledger.leads(now_s):
+                # Another dispatcher may not have applied it yet; the entry asks again.
+                return
+            record = applied.outcome.evacuation
+            reply = EvacuationOutcome(
+                number=number,
+                is_accepted=applied.outcome.accepted,
+                revision=record.revision,
+                evacuated=record.data_centres,
+            )
+            await self._send(peer, reply)
+            return
         version = applied.outcome.version
         _log.info("configuration_committed", version=version, index=applied.index)
         await self._send(peer, ConfigurationOutcome(number=number, version=version))
 
+    def _on_evacuation_committed(self, applied: Applied, now_s: float) -> None:
+        """Puts a committed order in force here, before it is acknowledged."""
+        ledger = self._replica.ledger
+        if ledger is None or applied.outcome is None:
+            return
+        record = applied.outcome.evacuation
+        _log.info(
+            "evacuation_committed",
+            data_centre=applied.command.data_centre,
+            is_evacuated=applied.command.is_evacuated,
+            is_accepted=applied.outcome.accepted,
+            revision=record.revision,
+            index=applied.index,
+        )
+        self._observe_replica(now_s)
+        self._put_evacuation_in_force(_evacuation_state(ledger.state.evacuation), now_s)
+
     # Dispatching
 
     def _start_dispatcher(self, authority: _DispatchAuthority, now_s: float) -> None:
@@ -433,7 +512,10 @@
     ) -> None:
         assert self._dispatcher is not None
         version = authority.version
-        is_new_version = version != self._sent_version
+        revision = self._dispatcher.evacuation.revision
+        is_new_version = (
+            version != self._sent_version or revision != self._sent_evacuation_revision
+        )
         is_due = (
             now_s - self._heartbeat_sent_at_s
             >= self._settings.timing.heartbeat_interval_s
@@ -442,6 +524,7 @@
             return
         self._heartbeat_sent_at_s = now_s
         self._sent_version = version
+        self._sent_evacuation_revision = revision
         if not authority.is_standby:
             await self._send_known_agents(authority)
         for peer in self._port.peers_up("agent"):
@@ -485,3 +568,7 @@
             message=message,
         )
         await self._send(relay, relayed)
+
+
+def _evacuation_state(record: EvacuationRecord) -> EvacuationState:
+    return EvacuationState(revision=record.revision, data_centres=record.data_centres)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_leader_requests.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_leader_requests.py
@@ -11,6 +11,7 @@
     CellMessage,
     ConfigurationOutcome,
     ConfigurationReply,
+    EvacuationOutcome,
     JobStateReply,
 )
 
@@ -19,7 +20,9 @@
     """No leader is known or it did not answer in time."""
 
 
-LeaderReply = JobStateReply | ConfigurationOutcome | ConfigurationReply
+LeaderReply = (
+    JobStateReply | ConfigurationOutcome | ConfigurationReply | EvacuationOutcome
+)
 
 
 class _PendingReply:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -15,6 +15,8 @@
     ConfigurationReply,
     Directory,
     DispatcherHeartbeat,
+    EvacuationOutcome,
+    EvacuationView,
     FleetMember,
     GetConfiguration,
     GetJobState,
@@ -25,13 +27,16 @@
     JobState,
     JobStateReply,
     KnownAgents,
+    KnownEvacuation,
     LinkPlan,
     ProposeConfiguration,
+    ProposeEvacuation,
     RelayedMessage,
     SubmitJob,
     Superseded,
     WithdrawJob,
     WorkerReport,
+    is_standby_term,
     rank_standbys,
 )
 from hawthornbarrow.clock import seconds_since, steady_s
@@ -64,6 +69,7 @@
     READ_TIMEOUT_S,
     EntryConfiguration,
 )
+from hawthornbarrow_entry.fleet._evacuation_orders import EvacuationOrders
 from hawthornbarrow_entry.fleet._leader_requests import (
     LeaderRequests,
     LeaderUnavailableError,
@@ -133,11 +139,13 @@
         self._caller_jobs = CallerJobs(
             features=settings.features, data_centre=settings.data_centre
         )
+        self._evacuation = EvacuationView()
         self._dispatcher_role = DispatcherRole(
             settings=settings,
             replica=self._replica,
             port=self._port,
             send=self._send,
+            evacuation=self._evacuation,
             now_s=steady_s(),
         )
         self._configuration = EntryConfiguration(
@@ -151,6 +159,11 @@
         self._link_plan.set_members(self._membership.members)
         self._uninformed_roles: set[str] = set()
         self._leader_requests = LeaderRequests(send=self._send_leader_request)
+        self._evacuation_orders = EvacuationOrders(
+            requests=self._leader_requests,
+            view=self._evacuation,
+            hears_leader=self._hears_leader,
+        )
         self._outcome_events: dict[Waiter, curio.Event] = {}
         self._swept_at_s = -1e9
         self._maintained_at_s = -1e9
@@ -203,6 +216,7 @@
             "term": self._caller_jobs.term,
             "configuration_version": self._configuration.version,
             "dispatching": int(dispatcher is not None),
+            "evacuated_workers": dispatcher.evacuated_count if dispatcher else 0,
             "attached_workers": len(dispatcher.workers) if dispatcher else 0,
             "waiting_jobs": dispatcher.waiting_count if dispatcher else 0,
         }
@@ -359,6 +373,36 @@
             raise LeaderUnavailableError("the leader's answer is out of date")
         return answer.document
 
+    async def order_evacuation(
+        self,
+        data_centre: str,
+        is_evacuated: bool,
+        *,
+        is_abandoned: collections.abc.Callable[[], bool],
+    ) -> int:
+        """Orders or withdraws the evacuation of a data centre.
+
+        Args:
+            data_centre: Name of the data centre.
+            is_evacuated: Whether to evacuate it, or to withdraw the evacuation.
+            is_abandoned: Returns whether the operator has closed the connection.
+
+        Returns:
+            Revision in which the order is in force at the dispatcher.
+
+        Raises:
+            InvalidEvacuationError: The name is not possible, or too many data centres
+                are evacuated.
+            LeaderUnavailableError: It is unknown whether the order takes effect.
+        """
+        return await self._evacuation_orders.order(
+            data_centre, is_evacuated, is_abandoned
+        )
+
+    def _hears_leader(self) -> bool:
+        is_informed = self._caller_jobs.is_informed(steady_s())
+        return is_informed and not is_standby_term(self._caller_jobs.term)
+
     # Tasks
 
     async def run(self) -> None:
@@ -515,7 +559,7 @@
                 await self._on_heartbeat(peer, message, now_s)
             case JobAnswer():
                 self._caller_jobs.on_answer(message, now_s)
-            case JobStateReply() | ConfigurationOutcome():
+            case JobStateReply() | ConfigurationOutcome() | EvacuationOutcome():
                 await self._leader_requests.on_reply(message)
             case ConfigurationReply():
                 await self._on_configuration_reply(peer, message)
@@ -527,10 +571,14 @@
                 await self._dispatcher_role.on_message(peer, message, now_s)
             case HandoverComplete() | KnownAgents() | GrantClaim() | Superseded():
                 await self._dispatcher_role.on_message(peer, message, now_s)
+            case KnownEvacuation():
+                await self._dispatcher_role.on_message(peer, message, now_s)
             case RelayedMessage():
                 await self._on_relayed(peer, message, now_s)
             case GetJobState() | ProposeConfiguration() | GetConfiguration():
                 await self._dispatcher_role.on_request(peer, message, now_s)
+            case ProposeEvacuation():
+                await self._dispatcher_role.on_request(peer, message, now_s)
 
     async def _on_relayed(
         self, peer: str, relayed: RelayedMessage, now_s: float
@@ -560,6 +608,9 @@
         self, peer: str, heartbeat: DispatcherHeartbeat, now_s: float
     ) -> None:
         self._dispatcher_role.on_heartbeat(peer, heartbeat.term, now_s)
+        information = self._evacuation.on_heartbeat(heartbeat, now_s)
+        if information is not None:
+            await self._send(peer, information)
         if heartbeat.term < self._caller_jobs.term:
             await self._send(peer, Superseded(term=self._caller_jobs.term))
             return
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
@@ -111,8 +111,9 @@
 class Fleet:
     """Entries and agents with the curio tasks that run them."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, agent_data_centres=("d0", "d0")):
         self.folder = folder
+        self.agent_data_centres = agent_data_centres
         host = unused_host()
         self.addresses = [f"{host}:{port}" for port in free_ports(host, 3)]
         self.entries = {}
@@ -148,7 +149,7 @@
         record = WorkerRecord(
             upstream=f"u{index}",
             service="s",
-            data_centre="d0",
+            data_centre=self.agent_data_centres[index],
             labels=(),
             capacity=Resources(cpu=4000),
         )
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -11,6 +11,12 @@
         with_document,
     )
     from hawthornbarrow.cells._dispatcher import Dispatcher
+    from hawthornbarrow.cells._evacuation import (
+        EvacuationState,
+        EvacuationView,
+        InvalidEvacuationError,
+        check_data_centre_name,
+    )
     from hawthornbarrow.cells._job_limits import InvalidJobError, check_document
     from hawthornbarrow.cells._job_record import GIVE_UP_FACTOR, JobRecord
     from hawthornbarrow.cells._link_plan import LinkPlan
@@ -38,6 +44,7 @@
         JobAnswer,
         JobStateReply,
         KnownAgents,
+        KnownEvacuation,
         ProposeConfiguration,
         ProposeEvacuation,
         RelayedMessage,
@@ -107,10 +114,13 @@
     "Dispatcher",
     "EndedRun",
     "EvacuationOutcome",
+    "EvacuationState",
+    "EvacuationView",
     "FleetMember",
     "BootstrapLedger",
     "GrantClaim",
     "ActiveRun",
+    "InvalidEvacuationError",
     "InvalidFeatureError",
     "InvalidJobError",
     "JobAnswer",
@@ -119,6 +129,7 @@
     "JobRecord",
     "JobState",
     "KnownAgents",
+    "KnownEvacuation",
     "LinkPlan",
     "ListedEndedRun",
     "LoadFeature",
@@ -154,6 +165,7 @@
     "WithdrawJob",
     "WorkerRecord",
     "WorkerReport",
+    "check_data_centre_name",
     "check_document",
     "first_term",
     "is_standby_term",
@@ -172,6 +184,10 @@
         "ConfigurationSender": "_configuration_transfer",
         "with_document": "_configuration_transfer",
         "Dispatcher": "_dispatcher",
+        "EvacuationState": "_evacuation",
+        "EvacuationView": "_evacuation",
+        "InvalidEvacuationError": "_evacuation",
+        "check_data_centre_name": "_evacuation",
         "InvalidJobError": "_job_limits",
         "check_document": "_job_limits",
         "GIVE_UP_FACTOR": "_job_record",
@@ -198,6 +214,7 @@
         "JobAnswer": "_messages",
         "JobStateReply": "_messages",
         "KnownAgents": "_messages",
+        "KnownEvacuation": "_messages",
         "ProposeConfiguration": "_messages",
         "ProposeEvacuation": "_messages",
         "RelayedMessage": "_messages",
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -14,6 +14,7 @@
 from hawthornbarrow.cells._admission import Admission
 from hawthornbarrow.cells._crash_history import CrashHistory
 from hawthornbarrow.cells._crash_monitor import CrashMonitor
+from hawthornbarrow.cells._evacuation import EvacuationState
 from hawthornbarrow.cells._job_limits import InvalidJobError, check_document
 from hawthornbarrow.cells._job_record import JobRecord
 from hawthornbarrow.cells._job_registry import JobRegistry
@@ -139,6 +140,16 @@
         """Attached agents by name."""
         return self._pool.workers
 
+    @property
+    def evacuation(self) -> EvacuationState:
+        """The state of the evacuations in force."""
+        return self._pool.evacuation
+
+    @property
+    def evacuated_count(self) -> int:
+        """Number of attached workers in evacuated data centres."""
+        return self._pool.evacuated_count
+
     @property
     def jobs(self) -> dict[str, JobRecord]:
         """Jobs by id, including recently ended ones."""
@@ -173,6 +184,35 @@
         self._task_placer.set_table(table)
         self._has_changes = True
 
+    def set_evacuation(
+        self,
+        state: EvacuationState,
+        withdrawn_at_s: collections.abc.Mapping[str, float],
+        now_s: float,
+    ) -> None:
+        """Puts a state of the evacuations in force.
+
+        From now on no task is started in evacuated data centres. The next tick refuses
+        the jobs that only workers there could run.
+
+        Args:
+            state: The state.
+            withdrawn_at_s: When recent withdrawals were seen, by data centre.
+            now_s: Current time.
+        """
+        self._pool.set_evacuation(state, withdrawn_at_s, now_s)
+        self._swept_at_s = -math.inf
+        self._has_changes = True
+        _log.info(
+            "evacuation_in_force",
+            term=self._term,
+            revision=state.revision,
+            data_centres=" ".join(state.data_centres),
+            withdrawn=" ".join(sorted(withdrawn_at_s)),
+            evacuated_workers=self.evacuated_count,
+            workers=len(self._pool.workers),
+        )
+
     def state_of(self, job: str) -> JobState:
         """Returns the state of a job that callers see."""
         return self._job_registry.state_of(job)
@@ -207,6 +247,8 @@
             heard_at_s=heard_at_s,
             version=version,
             waiting=waiting,
+            evacuation_revision=self.evacuation.revision,
+            evacuated=self.evacuation.data_centres,
         )
 
     def take_messages(self) -> list[tuple[str, CellMessage]]:
@@ -583,6 +625,8 @@
         run = worker.runs.get(ended.task)
         if run is None or run.attempt != ended.attempt:
             return
+        if ended.end is RunOutcome.DONE:
+            worker.record_done(run, ended.run_s or now_s - run.started_at_s)
         self._pool.remove_run(worker, ended.task, now_s)
         self._crash_monitor.on_run_ended(worker, ended, now_s)
         self._counts[f"run_{ended.end.value}"] += 1
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
@@ -251,11 +251,25 @@
         number: Number of the request.
         is_accepted: Whether the data centre is in the requested state.
         revision: Committed revision of the evacuated data centres.
+        evacuated: The evacuated data centres in that revision.
     """
 
     number: int
     is_accepted: bool
     revision: int
+    evacuated: tuple[str, ...] = ()
+
+
+class KnownEvacuation(_Message, kw_only=True):
+    """An entry informs a standby of a newer state of the evacuations.
+
+    Attributes:
+        revision: Revision of the state.
+        evacuated: The evacuated data centres.
+    """
+
+    revision: int
+    evacuated: tuple[str, ...]
 
 
 class Directory(_Message, kw_only=True):
@@ -349,4 +363,5 @@
     | RelayedMessage
     | ProposeEvacuation
     | EvacuationOutcome
+    | KnownEvacuation
 )
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_queue_isolation.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_queue_isolation.py
@@ -110,6 +110,9 @@
         attached: dict[str, dict[str, WorkerView]] = {}
         for worker in workers:
             service = worker.record.service
+            if worker.is_evacuated:
+                self._known_at_s.get(service, {}).pop(worker.agent, None)
+                continue
             attached.setdefault(service, {})[worker.agent] = worker
             self._known_at_s.setdefault(service, {})[worker.agent] = now_s
         for service, queues in self._queues.items():
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_ready_capacity.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_ready_capacity.py
@@ -86,8 +86,8 @@
             return
         total = self._sums.setdefault(worker.record.service, _Sum())
         slowness = self._run_times.slowness(worker.record.upstream)
-        rate_cores = worker.record.capacity.cpu / 1000 / slowness
-        free_cpu = max(0, worker.free.cpu)
+        rate_cores = worker.usable_cpu / 1000 / slowness
+        free_cpu = worker.usable_free_cpu
         total.worker_count += 1
         total.rate_cores += rate_cores
         total.free_cpu += free_cpu
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_start_reservations.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_start_reservations.py
@@ -92,7 +92,7 @@
             if worker is None or worker.session != reservation.session:
                 self._remove(agent)
             elif not reservation.has_started:
-                if not is_waiting(reservation.task):
+                if worker.is_evacuated or not is_waiting(reservation.task):
                     self._remove(agent)
             elif self._is_observed(reservation, worker, now_s):
                 self._crash_history.clear(reservation.task)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from hawthornbarrow.cells._evacuation import EvacuatedWorkers, EvacuationState
 from hawthornbarrow.cells._messages import (
     AttachWorker,
     CellMessage,
@@ -61,6 +62,7 @@
         """Initializes a pool without agents."""
         self._term = term
         self._timing = timing
+        self._run_times = run_times
         self._expected = set(expected)
         self._without_worker = set(self._expected)
         self._reported_from_s = now_s - TRACE_RETENTION_S
@@ -69,6 +71,9 @@
             0.0 if has_lease_expired else timing.lost_after_s
         )
         self._workers: dict[str, WorkerView] = {}
+        self._evacuations = EvacuatedWorkers()
+        self._evacuated: set[str] = set()
+        self._returning: set[str] = set()
         self._index = WorkerIndex(run_times=run_times)
         self._ready = ReadyCapacity(
             run_times=run_times, suspect_after_s=timing.suspect_after_s
@@ -83,6 +88,16 @@
         """Attached agents by name."""
         return self._workers
 
+    @property
+    def evacuation(self) -> EvacuationState:
+        """The state of the evacuations in force."""
+        return self._evacuations.state
+
+    @property
+    def evacuated_count(self) -> int:
+        """Number of attached workers in evacuated data centres."""
+        return len(self._evacuated)
+
     @property
     def recovery_until_s(self) -> float:
         """Time after which no unreported run can exist."""
@@ -147,6 +162,7 @@
         self._workers[agent] = worker
         self._lost.pop(agent, None)
         self._index.add(worker)
+        self._apply_evacuation(worker, now_s, is_returning=True)
         self._ready.refresh(worker, now_s)
         _log.info(
             "worker_attached",
@@ -160,6 +176,66 @@
         )
         return worker
 
+    def set_evacuation(
+        self,
+        state: EvacuationState,
+        withdrawn_at_s: collections.abc.Mapping[str, float],
+        now_s: float,
+    ) -> None:
+        """Puts a state of the evacuations in force; runs in progress continue.
+
+        Args:
+            state: The state.
+            withdrawn_at_s: When recent withdrawals were seen, by data centre.
+            now_s: Current time.
+        """
+        self._evacuations.set_state(state, withdrawn_at_s)
+        for worker in self._workers.values():
+            self._apply_evacuation(worker, now_s, is_returning=worker.is_evacuated)
+        self.refresh_all(now_s)
+
+    def _apply_evacuation(
+        self, worker: WorkerView, now_s: float, *, is_returning: bool
+    ) -> None:
+        """Removes a worker from the candidates, or adds it to them again.
+
+        The cost of a placement does not grow with the number of evacuated workers, as
+        they are not candidates.
+
+        Args:
+            worker: The attached worker.
+            now_s: Current time.
+            is_returning: Whether it was evacuated or has just attached, so that it may
+                be cold.
+        """
+        data_centre = worker.record.data_centre
+        was_evacuated = worker.is_evacuated
+        worker.is_evacuated = self._evacuations.is_evacuated(data_centre)
+        if worker.is_evacuated:
+            worker.slow_start = None
+            self._returning.discard(worker.agent)
+            self._evacuated.add(worker.agent)
+            if not was_evacuated:
+                self._index.remove(worker)
+            return
+        self._evacuated.discard(worker.agent)
+        if is_returning:
+            slowness = self._run_times.slowness(worker.record.upstream)
+            worker.slow_start = self._evacuations.slow_start(
+                data_centre, slowness, now_s
+            )
+            if worker.slow_start is not None:
+                self._returning.add(worker.agent)
+        if was_evacuated:
+            self._index.add(worker)
+
+    def _end_slow_starts(self, now_s: float) -> None:
+        for agent in list(self._returning):
+            worker = self._workers[agent]
+            if worker.slow_start is None or worker.slow_start.is_complete(now_s):
+                worker.slow_start = None
+                self._returning.remove(agent)
+
     def await_attach(self, worker: WorkerView, now_s: float) -> None:
         """Starts nothing on a worker until its agent has attached again, or is late."""
         worker.awaits_attach_until_s = now_s + 2 * self._timing.lost_after_s
@@ -170,7 +246,10 @@
         del self._workers[worker.agent]
         if not worker.is_leaving:
             self._lost[worker.agent] = (worker.record, now_s)
-        self._index.remove(worker)
+        if worker.agent not in self._evacuated:
+            self._index.remove(worker)
+        self._evacuated.discard(worker.agent)
+        self._returning.discard(worker.agent)
         self._ready.remove(worker)
         self._starts.pop(worker.agent, None)
         self._stops.pop(worker.agent, None)
@@ -234,7 +313,9 @@
             now_s: Current time.
         """
         attached = (
-            worker.record for worker in self._workers.values() if not worker.is_leaving
+            worker.record
+            for worker in self._workers.values()
+            if not worker.is_leaving and not worker.is_evacuated
         )
         if any(_fits_step(record, service, step) for record in attached):
             return True
@@ -242,6 +323,7 @@
             _fits_step(record, service, step)
             for record, lost_at_s in self._lost.values()
             if now_s - lost_at_s <= UPSTREAM_RETURN_S
+            and not self._evacuations.is_evacuated(record.data_centre)
         )
 
     def candidates(
@@ -253,13 +335,16 @@
     def refresh(self, worker: WorkerView, now_s: float) -> None:
         """Takes a change of an attached worker's speed or readiness into account."""
         if self._workers.get(worker.agent) is worker:
-            self._index.update(worker)
+            if not worker.is_evacuated:
+                self._index.update(worker)
             self._ready.refresh(worker, now_s)
 
     def refresh_all(self, now_s: float) -> None:
         """Takes into account which workers have become silent or slow."""
+        self._end_slow_starts(now_s)
         for worker in self._workers.values():
-            self._index.update(worker)
+            if not worker.is_evacuated:
+                self._index.update(worker)
         self._ready.refresh_all(self._workers.values(), now_s)
 
     def add_run(self, worker: WorkerView, run: Run, now_s: float) -> None:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_view.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_view.py
@@ -11,6 +11,7 @@
     TaskKey,
     WorkerRecord,
 )
+from hawthornbarrow.cells._slow_start import SlowStart
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -62,6 +63,8 @@
         self.heard_at_s = now_s
         self.is_leaving = False
         self.is_silent = False
+        self.is_evacuated = False
+        self.slow_start: SlowStart | None = None
         self.awaits_attach_until_s = -math.inf
         self.acknowledged = 0
         self.health = WorkerHealth()
@@ -70,8 +73,27 @@
 
     @property
     def free(self) -> Resources:
-        """Free resources; runs that are being stopped still use theirs."""
-        return self._free
+        """Free resources; runs that are being stopped still use theirs.
+
+        During a slow start, an idle worker may start one task of any size.
+        """
+        if self.slow_start is None or not self.runs:
+            return self._free
+        withheld = self.record.capacity.cpu - self.usable_cpu
+        return self._free.minus(Resources(cpu=withheld))
+
+    @property
+    def usable_cpu(self) -> int:
+        """CPU that tasks may use now, in thousandths of a core, free or not."""
+        cpu = self.record.capacity.cpu
+        if self.slow_start is None:
+            return cpu
+        return int(cpu * self.slow_start.fraction)
+
+    @property
+    def usable_free_cpu(self) -> int:
+        """Part of the usable CPU that is free, at least zero."""
+        return max(0, min(self.free.cpu, self.usable_cpu))
 
     def set_capacity(self, capacity: Resources) -> None:
         """Sets the worker's capacity; more of it may be used than there is now."""
@@ -91,9 +113,20 @@
             self._free = self._free.plus(run.needs)
         return run
 
+    def record_done(self, run: Run, run_s: float) -> None:
+        """Records a run that completed, which may speed up a slow start.
+
+        Args:
+            run: The run.
+            run_s: Its run time.
+        """
+        if self.slow_start is not None:
+            share = run.needs.cpu / max(1, self.record.capacity.cpu)
+            self.slow_start.record_run(share, run_s, run.expected_s)
+
     def accepts_work(self, now_s: float, suspect_after_s: float) -> bool:
         """Returns whether the worker accepts new tasks now."""
-        if now_s < self.awaits_attach_until_s:
+        if self.is_evacuated or now_s < self.awaits_attach_until_s:
             return False
         if self.is_leaving or self.is_silent or self.health.is_ejected(now_s):
             return False
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell_simulation.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell_simulation.py
@@ -17,6 +17,8 @@
     ClaimAgents,
     Dispatcher,
     DispatcherHeartbeat,
+    EvacuationState,
+    EvacuationView,
     GrantClaim,
     JobAnswer,
     JobDocument,
@@ -196,7 +198,7 @@
 class CellSimulation:
     """Agents with simulated upstreams, and a sequence of dispatchers."""
 
-    def __init__(self, *, seed, agents=4):
+    def __init__(self, *, seed, agents=4, data_centres=None):
         self.generator = random.Random(seed)
         self.now_s = 100.0
         self.counter = itertools.count()
@@ -214,6 +216,9 @@
         self.unresponsive = set()
         self.lossy_responses = set()
         self.upstreams = {}
+        # Data centres of the agents that are not in "d", and the state of evacuations.
+        self.data_centres = data_centres or {}
+        self.evacuations = EvacuationView()
         self.crash_delays_s = {}
         self.back_at_s = {}
         # Whether crashed upstreams refuse no connections, but do not answer.
@@ -256,7 +261,7 @@
         record = WorkerRecord(
             upstream=upstream.id,
             service="s",
-            data_centre="d",
+            data_centre=self.data_centres.get(name, "d"),
             labels=(),
             capacity=upstream.capacity,
         )
@@ -299,6 +304,8 @@
             has_lease_expired=has_lease_expired,
         )
         self.dispatcher.set_table(make_table())
+        if self.evacuations.state.revision:
+            self.put_evacuations_in_force()
         self.last_heard_s = {}
         self.relay_routes = RelayRoutes(timing=TIMING)
         for name, document in self.jobs.items():
@@ -307,6 +314,21 @@
         if self.generator.random() < self.complete_handover_probability:
             self.dispatcher.record_handover_complete()
 
+    def evacuate(self, *data_centres):
+        """Puts an evacuation of exactly these data centres in force."""
+        revision = self.evacuations.state.revision + 1
+        state = EvacuationState(revision=revision, data_centres=data_centres)
+        self.evacuations.observe(state, self.now_s)
+        if self.dispatcher is not None:
+            self.put_evacuations_in_force()
+
+    def put_evacuations_in_force(self):
+        self.dispatcher.set_evacuation(
+            self.evacuations.state,
+            self.evacuations.withdrawn_at_s(self.now_s),
+            self.now_s,
+        )
+
     def submit(self, document):
         self.jobs[document.job] = document
         self.send_job(document)
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_commands.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_commands.py
@@ -146,7 +146,8 @@
         is_evacuated: Whether it is to be evacuated.
         expected_revision: Revision of the evacuated data centres on which the order is
             based. Under another revision the command has no effect, so a delayed order
-            never overrides a newer one.
+            never overrides a newer one. An order for a state that already holds is
+            accepted under any revision.
     """
 
     data_centre: str
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_state.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_state.py
@@ -18,10 +18,12 @@
     RegisterAgent,
     RegisterEntry,
     RetireAgent,
+    SetEvacuation,
     job_id_of,
 )
 
 DEFAULT_RETENTION_S = 6 * 3600.0
+MAX_EVACUATED = 256  # data centres at a time
 _UUID_VERSION_7 = 7
 
 
@@ -108,6 +110,18 @@
     document: bytes = b""
 
 
+class EvacuationRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The evacuated data centres.
+
+    Attributes:
+        revision: Number of orders that were accepted.
+        data_centres: Names of the evacuated data centres.
+    """
+
+    revision: int = 0
+    data_centres: tuple[str, ...] = ()
+
+
 class _RequestRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     version: int
     winner: str
@@ -125,6 +139,7 @@
         version: For a configuration, the version in force after the command.
         winner: For a configuration conflict, the operator who applied that version.
         moved: Jobs whose claims were reassigned to another owner.
+        evacuation: For an evacuation, the evacuated data centres after the command.
     """
 
     accepted: bool
@@ -133,6 +148,7 @@
     version: int = 0
     winner: str = ""
     moved: tuple[str, ...] = ()
+    evacuation: EvacuationRecord = EvacuationRecord()
 
 
 class _StateSnapshot(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -146,6 +162,7 @@
     clock_s: float
     applied: int
     put: PutRecord = PutRecord()
+    evacuation: EvacuationRecord = EvacuationRecord()
 
 
 class LedgerState:
@@ -168,6 +185,7 @@
         self._versions: list[ConfigurationRecord] = []
         self._requests: dict[str, _RequestRecord] = {}
         self._put = PutRecord()
+        self._evacuation = EvacuationRecord()
         self._clock_s = 0.0
         self._applied = 0
 
@@ -206,6 +224,11 @@
         """The configuration with the highest version that was put."""
         return self._put
 
+    @property
+    def evacuation(self) -> EvacuationRecord:
+        """The evacuated data centres."""
+        return self._evacuation
+
     def claim(self, job: str) -> ClaimRecord | None:
         """Returns the claim of a job, if there is one."""
         return self._claims.get(job)
@@ -242,6 +265,8 @@
                 return self._put_configuration(command)
             case Forget():
                 return self._forget(command)
+            case SetEvacuation():
+                return self._set_evacuation(command)
             case NoOperation():
                 return Outcome(accepted=True)
 
@@ -256,6 +281,7 @@
             clock_s=self._clock_s,
             applied=self._applied,
             put=self._put,
+            evacuation=self._evacuation,
         )
         return msgspec.msgpack.encode(snapshot)
 
@@ -274,6 +300,7 @@
         self._clock_s = snapshot.clock_s
         self._applied = snapshot.applied
         self._put = snapshot.put
+        self._evacuation = snapshot.evacuation
 
     def _claim(self, index: int, command: Claim) -> Outcome:
         self._clock_s = max(self._clock_s, command.time_s)
@@ -332,6 +359,29 @@
             self._put = PutRecord(version=command.version, document=command.document)
         return Outcome(accepted=True, version=self._put.version)
 
+    def _set_evacuation(self, command: SetEvacuation) -> Outcome:
+        """Evacuates a data centre or withdraws its evacuation.
+
+        An order for a state that already holds raises the revision too. Otherwise an
+        older order for the opposite state, delayed since before it was accepted, could
+        still take effect and override it.
+        """
+        current = self._evacuation
+        names = set(current.data_centres)
+        is_held = (command.data_centre in names) == command.is_evacuated
+        if not is_held and command.expected_revision != current.revision:
+            return Outcome(accepted=False, evacuation=current)
+        if command.is_evacuated:
+            names.add(command.data_centre)
+        else:
+            names.discard(command.data_centre)
+        if len(names) > MAX_EVACUATED:
+            return Outcome(accepted=False, evacuation=current)
+        self._evacuation = EvacuationRecord(
+            revision=current.revision + 1, data_centres=tuple(sorted(names))
+        )
+        return Outcome(accepted=True, evacuation=self._evacuation)
+
     def _register_entry(self, command: RegisterEntry) -> Outcome:
         self._entries[command.name] = EntryRecord(
             name=command.name,
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -6,7 +6,8 @@
 Checked invariants: no task has two runs at the same time, no executor runs tasks beyond
 its capacity, a task that crashes executors is started fewer than three times after
 three crashes, a refused job has not run, a configuration read never returns a version
-older than the last acknowledged one, jobs complete again after the last fault. Logs of
+older than the last acknowledged one, no task starts in a data centre later than 5 s
+after its evacuation was acknowledged, jobs complete again after the last fault. Logs of
 a failed seed are kept, and the exit code is 1 if any seed failed.
 """
 
@@ -20,6 +21,7 @@
 
 from tools.soak._callers import Clients, Operator
 from tools.soak._deployment import APP_PORT, CONTROL_PORT, Node
+from tools.soak._evacuations import EVACUATE_WITHIN_S, EvacuationOperator
 from tools.soak._executor import Executor, Oracle
 from tools.soak._faults import FaultInjector, create_proxy, create_run_folder
 
@@ -65,6 +67,7 @@
     executors = {
         node.name: Executor(
             name=node.name,
+            data_centre=node.data_centre,
             app=(node.bind_address, APP_PORT),
             registry=(node.bind_address, CONTROL_PORT),
             oracle=oracle,
@@ -79,6 +82,12 @@
     clients = Clients(
         entries=entries, oracle=oracle, generator=random.Random(generator.random())
     )
+    evacuations = EvacuationOperator(
+        entries=entries,
+        data_centres=sorted({node.data_centre for node in agents}),
+        oracle=oracle,
+        generator=random.Random(generator.random()),
+    )
     with open(folder / "faults.txt", "w") as fault_log:
         fault_injector = FaultInjector(
             entries=entries,
@@ -100,6 +109,7 @@
                     oracle,
                     operator,
                     clients,
+                    evacuations,
                     fault_injector,
                     jobs_per_s=jobs_per_s,
                     recovery_timeout_s=recovery_timeout_s,
@@ -112,6 +122,8 @@
         f"seed {seed}: {oracle.start_count} starts, {oracle.crash_count} crashes, "
         f"answers {clients.answer_counts}, "
         f"{operator.read_count} reads up to version {operator.acknowledged_version}, "
+        f"{evacuations.acknowledged_count} evacuation orders acknowledged, "
+        f"{evacuations.given_up_count} given up, "
         f"{len(oracle.violations)} violations"
     )
     return oracle.violations
@@ -122,6 +134,7 @@
     oracle: Oracle,
     operator: Operator,
     clients: Clients,
+    evacuations: EvacuationOperator,
     fault_injector: FaultInjector,
     *,
     jobs_per_s: float,
@@ -136,11 +149,16 @@
         await group.spawn(operator.run)
         await group.spawn(clients.run, jobs_per_s)
         fault_task = await group.spawn(fault_injector.run, stop_event)
+        evacuation_task = await group.spawn(evacuations.run, stop_event)
         await curio.sleep(duration_s)
         await stop_event.set()
         await fault_task.join()
         if not await clients.wait_until_recovered(recovery_timeout_s):
             oracle.record_violation("no jobs complete after the last fault")
+        await evacuation_task.join()
+        await _check_evacuations(
+            oracle, clients, evacuations, fault_injector, recovery_timeout_s
+        )
         for _ in range(50):
             if await operator.read_configuration():
                 return
@@ -148,6 +166,22 @@
         oracle.record_violation("the configuration could not be read back")
 
 
+async def _check_evacuations(
+    oracle: Oracle,
+    clients: Clients,
+    evacuations: EvacuationOperator,
+    fault_injector: FaultInjector,
+    recovery_timeout_s: float,
+) -> None:
+    """Checks that an acknowledged evacuation survives a kill of all processes."""
+    data_centre = await evacuations.evacuate_at_end(recovery_timeout_s)
+    fault_injector.restart_all()
+    await curio.sleep(EVACUATE_WITHIN_S)
+    if not await clients.wait_until_recovered(recovery_timeout_s):
+        oracle.record_violation("no jobs complete during an evacuation")
+    await evacuations.check_withdrawal(data_centre, recovery_timeout_s)
+
+
 def _parse_seeds(text: str) -> list[int]:
     first, _, last = text.partition("-")
     return list(range(int(first), int(last or first) + 1))
--- a/tools/soak/_deployment.py
+++ b/tools/soak/_deployment.py
@@ -12,7 +12,7 @@
 _SETTINGS_TEMPLATE = """
 nodeName = "{name}"
 ip = "{proxy_address}"
-zone = "z{zone}"
+zone = "{zone}"
 internalPortRange = [{link}, {link}]
 seeds = [{seeds}]
 bootstrap = {bootstrap}
@@ -59,6 +59,7 @@
         self.bind_address = f"127.{address_byte}.1.{number}"
         self.proxy_address = f"127.{address_byte}.2.{number}"
         self.has_disk = has_disk
+        self.data_centre = f"z{number % 3}"
         self._number = number
         self._folder = folder
         self._process: subprocess.Popen | None = None
@@ -81,7 +82,7 @@
                 name=self.name,
                 proxy_address=self.proxy_address,
                 bind_address=self.bind_address,
-                zone=self._number % 3,
+                zone=self.data_centre,
                 link=LINK_PORT,
                 frontend=FRONTEND_PORT,
                 ready=READY_PORT,
--- a/tools/soak/_executor.py
+++ b/tools/soak/_executor.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import itertools
+import math
 import random
 
 import curio
@@ -49,9 +50,32 @@
         self.crash_count = 0
         self._crashes = collections.Counter[str]()
         self._later_starts = collections.Counter[str]()
+        self._evacuated_from_s: dict[str, float] = {}
+        self._last_start_s: dict[str, float] = {}
 
-    def record_start(self, task: str, executor: str) -> None:
-        """Records the start of a run; two runs of one task at once are a violation."""
+    def begin_evacuation(self, data_centre: str, from_s: float) -> None:
+        """Makes each start in a data centre a violation from a time on."""
+        self._evacuated_from_s[data_centre] = from_s
+
+    def end_evacuation(self, data_centre: str) -> None:
+        """Allows starts in a data centre."""
+        self._evacuated_from_s.pop(data_centre, None)
+
+    def last_start_s(self, data_centre: str) -> float:
+        """Returns the time of the last start in a data centre, zero for none."""
+        return self._last_start_s.get(data_centre, 0.0)
+
+    def record_start(self, task: str, executor: str, data_centre: str) -> None:
+        """Records the start of a run.
+
+        Two runs of one task at once, and a start in an evacuated data centre, are
+        violations.
+        """
+        self._last_start_s[data_centre] = steady_s()
+        if steady_s() > self._evacuated_from_s.get(data_centre, math.inf):
+            self.record_violation(
+                f"task {task} starts at {executor}, but {data_centre} is evacuated"
+            )
         self.start_count += 1
         self.started_jobs.add(task.partition(".")[0])
         other_executor = self.executor_by_task.get(task)
@@ -97,6 +121,7 @@
 
     Args:
         name: Name of the machine.
+        data_centre: Its data centre.
         app: Host and port at which it accepts orders.
         registry: Host and port at which its agent accepts heartbeats.
         oracle: Checks its runs.
@@ -113,6 +138,7 @@
         self,
         *,
         name: str,
+        data_centre: str,
         app: tuple[str, int],
         registry: tuple[str, int],
         oracle: Oracle,
@@ -120,6 +146,7 @@
     ) -> None:
         """Initializes the executor in its first incarnation."""
         self._name = name
+        self._data_centre = data_centre
         self._app = app
         self._registry = registry
         self._oracle = oracle
@@ -192,7 +219,7 @@
             heartbeat = {
                 "service": "s",
                 "address": f"{self._app[0]}:{self._app[1]}",
-                "zone": "z",
+                "zone": self._data_centre,
                 "state": "ready",
                 "capacity": {"cpu": self._capacities[-1][1], "memMb": 4000},
                 "labels": ["a", "r1"],
@@ -253,7 +280,7 @@
             duration_s=duration_s,
             is_crashing=body["spec"].endswith(CRASHING_SUFFIX),
         )
-        self._oracle.record_start(task, self.id)
+        self._oracle.record_start(task, self.id, self._data_centre)
         used_millicores = sum(run.millicores for run in self._runs.values())
         if used_millicores > self._allowed_millicores():
             self._oracle.record_violation(
--- a/tools/soak/_faults.py
+++ b/tools/soak/_faults.py
@@ -73,6 +73,14 @@
             if not node.is_running:
                 node.start(self.seeds, is_bootstrap=False)
 
+    def restart_all(self) -> None:
+        """Kills all processes at once and starts them again."""
+        self._log_fault("kill all processes")
+        for node in self._entries + self._agents:
+            node.kill()
+        for node in self._entries + self._agents:
+            node.start(self.seeds, is_bootstrap=False)
+
     async def _run_fault_series(self, stop_event: curio.Event) -> None:
         faults = (
             self._kill,
