Report the slowest order in the soak; test how an order is distributed

Cause: the soak did not say how long operators wait, and no test showed that all entries hear of an order and that the dispatcher passes over its workers only once for it.

Change: the soak prints the longest time from an order to its acknowledgement. Two tests; one is named after what it checks.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_evacuation.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_evacuation.py
@@ -3,6 +3,7 @@
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 import curio
 from hawthornbarrow.cells import (
@@ -227,6 +228,25 @@
 
         self.run_scenario(scenario)
 
+    def test_all_entries_know_an_order_and_pass_over_the_workers_once(self):
+        async def scenario(fleet):
+            dispatcher = fleet.entries[fleet.dispatching_index()]
+            dispatcher = dispatcher._dispatcher_role.dispatcher
+            with mock.patch.object(
+                dispatcher, "set_evacuation", wraps=dispatcher.set_evacuation
+            ) as set_evacuation:
+                await self.order(fleet, 0, "d0")
+                await fleet.wait_until(
+                    lambda: all(
+                        entry._evacuation.state.data_centres == ("d0",)
+                        for entry in fleet.entries.values()
+                    )
+                )
+                await curio.sleep(0.5)
+            self.assertEqual(1, set_evacuation.call_count)
+
+        self.run_scenario(scenario)
+
     def test_orders_at_all_entries_at_once_are_all_acknowledged_and_kept(self):
         async def scenario(fleet):
             async with curio.TaskGroup() as group:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_evacuation.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_evacuation.py
@@ -275,11 +275,13 @@
         candidates = cell.dispatcher._pool.candidates("s", 1000)
         self.assertEqual({"a2", "a3"}, {worker.agent for _, worker in candidates})
 
-    def test_an_unchanged_state_costs_nothing_in_a_tick(self):
+    def test_no_worker_starts_slowly_without_a_withdrawal(self):
         cell = self.make_cell(1)
         cell.evacuate("z")
         cell.run(1.0)
         self.assertEqual(set(), cell.dispatcher._pool._returning)
+        workers = cell.dispatcher.workers.values()
+        self.assertEqual({None}, {worker.slow_start for worker in workers})
 
     def test_a_queue_is_not_confined_to_evacuated_workers(self):
         isolation = QueueIsolation()
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -123,7 +123,7 @@
         f"answers {clients.answer_counts}, "
         f"{operator.read_count} reads up to version {operator.acknowledged_version}, "
         f"{evacuations.acknowledged_count} evacuation orders acknowledged, "
-        f"{evacuations.given_up_count} given up, "
+        f"within {evacuations.slowest_s:.1f} s, {evacuations.given_up_count} given up, "
         f"{len(oracle.violations)} violations"
     )
     return oracle.violations
--- a/tools/soak/_evacuations.py
+++ b/tools/soak/_evacuations.py
@@ -28,6 +28,7 @@
     Attributes:
         acknowledged_count: Number of orders that were acknowledged.
         given_up_count: Number of orders that were not acknowledged in time.
+        slowest_s: Longest time from an order to its acknowledgement.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         self._generator = generator
         self.acknowledged_count = 0
         self.given_up_count = 0
+        self.slowest_s = 0.0
 
     async def run(self, stop_event: curio.Event) -> None:
         """Orders and withdraws evacuations until the event."""
@@ -90,7 +92,8 @@
             Whether it was acknowledged in time.
         """
         self._oracle.end_evacuation(data_centre)
-        deadline_s = steady_s() + timeout_s
+        ordered_at_s = steady_s()
+        deadline_s = ordered_at_s + timeout_s
         while steady_s() < deadline_s:
             entry = self._generator.choice(self._entries)
             status, _ = await send_request(
@@ -103,6 +106,7 @@
             )
             if 200 <= status < 300:
                 self.acknowledged_count += 1
+                self.slowest_s = max(self.slowest_s, steady_s() - ordered_at_s)
                 if method == "POST":
                     self._oracle.begin_evacuation(
                         data_centre, steady_s() + EVACUATE_WITHIN_S
