Bound the wait for the last withdrawal in the soak

Cause: the soak would have waited for ever for a withdrawal that no entry acknowledges. Change: it waits as long as for jobs after the last fault, then records a violation.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -155,7 +155,10 @@
         await fault_task.join()
         if not await clients.wait_until_recovered(recovery_timeout_s):
             oracle.record_violation("no jobs complete after the last fault")
-        await evacuation_task.join()
+        await curio.ignore_after(recovery_timeout_s, evacuation_task.join)
+        if not evacuation_task.terminated:
+            oracle.record_violation("the last withdrawal is not acknowledged")
+            return
         await _check_evacuations(
             oracle, clients, evacuations, fault_injector, recovery_timeout_s
         )
