--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -43,6 +43,7 @@
 _IDLE_TICK_INTERVAL_S = 0.15  # without runs; heartbeats of the dispatcher wake it too
 _LINK_CHECK_INTERVAL_S = 0.5
 _POLL_INTERVAL_S = 0.1
+_ATTACH_POLL_INTERVAL_S = 0.03  # while the attach request waits for a listing
 _LISTING_WAIT_S = 0.25  # for which the upstream may delay a listing until a run ends
 _AGENT_ROLE = "agent"
 
@@ -85,17 +86,20 @@
         acknowledged: int,
         lease_until_s: float | None,
         wait_s: float,
+        born_ms: int = 0,
     ) -> Listing:
         """Renews the leases of all runs and returns a listing of them.
 
         Args:
-            upstream: Incarnation of the upstream.
+            upstream: Id of the upstream.
             term: Fencing token.
             acknowledged: Number of the last ended run that is acknowledged and need
                 not be listed.
             lease_until_s: Time until which the runs are renewed, or None to list them
                 without renewing.
             wait_s: How long the upstream may wait for a run to end before it answers.
+            born_ms: When its incarnation started, zero where upstreams do not say.
+                The listing says which incarnation answered.
 
         Raises:
             UpstreamBrokeOffError: The upstream closed the connection instead of
@@ -179,6 +183,7 @@
             timing=settings.timing,
             generator=random.Random(incarnation),
             now_s=steady_s(),
+            features=settings.features,
         )
         self._dialer = Dialer(port=self._port)
         self._link_plan = LinkPlan()
@@ -205,19 +210,33 @@
             "term": self._supervisor.term,
         }
 
-    def announce(self, worker: WorkerRecord, address: str, is_leaving: bool) -> bool:
+    def announce(
+        self,
+        worker: WorkerRecord,
+        address: str,
+        is_leaving: bool,
+        remaining_s: float | None = None,
+    ) -> bool:
         """Processes an announcement of the upstream.
 
+        Args:
+            worker: The upstream.
+            address: Its IP address and port.
+            is_leaving: Whether it accepts no new tasks.
+            remaining_s: Minimum time until a leaving upstream ends, None if unknown.
+
         Returns:
             Whether it is not an announcement of a former incarnation.
         """
-        if not self._supervisor.announce(worker, is_leaving, steady_s()):
+        if not self._supervisor.announce(
+            worker, is_leaving, steady_s(), remaining_s=remaining_s
+        ):
             return False
         self._client.set_address(address)
         return True
 
     def withdraw(self, upstream: str) -> None:
-        """Processes the departure of the upstream."""
+        """Processes the departure of the upstream, given by its incarnation."""
         self._supervisor.withdraw(upstream, steady_s())
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -358,7 +377,7 @@
                 now_s = steady_s()
                 may_renew = self._supervisor.may_renew(now_s)
                 if not may_renew and not self._supervisor.may_poll(now_s):
-                    await curio.sleep(_POLL_INTERVAL_S)
+                    await curio.sleep(self._poll_interval_s)
                     continue
                 contact = self._supervisor.contact
                 is_patient = may_renew and not contact.overdue_count
@@ -371,7 +390,19 @@
                 if not is_listed:
                     contact.on_listing_overdue()
                 if call.terminated and (is_idle or not may_renew or not is_listed):
-                    await curio.sleep(_POLL_INTERVAL_S)
+                    await curio.sleep(self._poll_interval_s)
+
+    @property
+    def _poll_interval_s(self) -> float:
+        """Time between two listings that the upstream does not delay."""
+        has_directory = LoadFeature.UPSTREAM_DIRECTORY in self._settings.features
+        if not has_directory or self._supervisor.is_attached:
+            return _POLL_INTERVAL_S
+        if self._supervisor.contact.overdue_count:
+            return _POLL_INTERVAL_S
+        if self._supervisor.awaits_clean_listing or not self._supervisor.term:
+            return _ATTACH_POLL_INTERVAL_S
+        return _POLL_INTERVAL_S
 
     async def _renew_once(self, may_renew: bool, wait_s: float) -> bool:
         """Makes one call that renews or lists the runs, and posts its response.
@@ -379,25 +410,28 @@
         Returns:
             Whether the upstream listed its runs.
         """
-        upstream = self._supervisor.upstream
+        worker = self._supervisor.listed_worker
+        if worker is None:
+            return False
         lease_until_s = self._supervisor.lease_until_s
         if may_renew:
             self._supervisor.record_renewal(lease_until_s)
         try:
             listing = await self._client.renew_runs(
-                upstream,
+                worker.upstream,
                 self._supervisor.term,
                 self._supervisor.acknowledged,
                 lease_until_s if may_renew else None,
                 wait_s,
+                worker.born_ms,
             )
         except UpstreamGoneError:
-            await self._mailbox.post(_UpstreamGone(upstream=upstream))
+            await self._mailbox.post(_UpstreamGone(upstream=worker.incarnation))
             return False
         except UpstreamSilentError as error:
             if isinstance(error, UpstreamBrokeOffError):
-                self._supervisor.on_call_broken(upstream, steady_s())
-            _log.warning("hold_failed", upstream=upstream, reason=str(error))
+                self._supervisor.on_call_broken(worker.incarnation, steady_s())
+            _log.warning("hold_failed", upstream=worker.incarnation, reason=str(error))
             return False
         await self._mailbox.post(_RunsListed(listing=listing))
         return True
@@ -417,7 +451,7 @@
             return
         now_s = steady_s()
         response = StartResponse.TOO_LATE
-        if self._supervisor.may_renew(now_s) and self._supervisor.term == call.term:
+        if self._supervisor.may_start(now_s) and self._supervisor.term == call.term:
             lease_until_s = self._supervisor.lease_until_s
             self._supervisor.record_renewal(lease_until_s)
             response = await self._client.start(call, lease_until_s)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_agent_registry.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_agent_registry.py
@@ -9,9 +9,18 @@
 import collections.abc
 
 import structlog
-from hawthornbarrow.cells import TRACE_RETENTION_S, AttachWorker, RunLeaseTiming
+from hawthornbarrow.cells import (
+    NO_FEATURES,
+    TRACE_RETENTION_S,
+    AttachWorker,
+    LoadFeature,
+    RunLeaseTiming,
+    WorkerRecord,
+)
 from hawthornbarrow.ledger import AgentRecord, RegisterAgent, RetireAgent
 
+from hawthornbarrow_entry.fleet._worker_directory import WorkerDirectory
+
 ATTACH_REQUEST_RETENTION_S = 0.4  # agents repeat them at this interval
 RETIREMENT_MARGIN_S = 0.5  # beyond the time for which runs or their traces matter
 
@@ -23,9 +32,15 @@
 
     Args:
         timing: Durations of the leases of runs.
+        features: Optional features that the deployment has enabled.
     """
 
-    def __init__(self, *, timing: RunLeaseTiming) -> None:
+    def __init__(
+        self,
+        *,
+        timing: RunLeaseTiming,
+        features: frozenset[LoadFeature] = NO_FEATURES,
+    ) -> None:
         """Initializes a registry without attach requests.
 
         All agents that the ledger lists may have runs.
@@ -37,28 +52,52 @@
         self._registering: set[str] = set()
         self._retiring: set[str] = set()
         self._absent_since_s: dict[str, float] = {}
+        self._directory = WorkerDirectory(
+            is_enabled=LoadFeature.UPSTREAM_DIRECTORY in features
+        )
+
+    @property
+    def directory(self) -> WorkerDirectory:
+        """Records of the agents' upstreams, as the ledger is to list them."""
+        return self._directory
 
     def on_attach_request(
         self, agent: str, message: AttachWorker, now_s: float
     ) -> None:
         """Records an agent's attach request, which replaces an earlier one."""
         self._attach_requests[agent] = (message, now_s)
+        self._directory.on_worker(agent, message.worker, is_leaving=message.is_leaving)
         self._absent_since_s.pop(agent, None)
 
+    def on_report(self, agent: str, worker: WorkerRecord, *, is_leaving: bool) -> None:
+        """Records the worker of an attached agent, unless it waits to attach anew."""
+        if agent not in self._attach_requests:
+            self._directory.on_worker(agent, worker, is_leaving=is_leaving)
+
     def take_attachable(
-        self, agents: collections.abc.Container[str], now_s: float
+        self,
+        agents: collections.abc.Container[str],
+        now_s: float,
+        *,
+        records: collections.abc.Mapping[str, AgentRecord] | None = None,
     ) -> list[tuple[str, AttachWorker]]:
         """Returns the attach requests of agents that the ledger lists, and clears them.
 
         Args:
             agents: Agents that the ledger lists.
             now_s: Current time.
+            records: Records of the agents, of which the directory must list the worker,
+                or None for a standby, which cannot change the directory.
         """
         attachable = []
         for agent, (message, requested_at_s) in list(self._attach_requests.items()):
             if now_s - requested_at_s > ATTACH_REQUEST_RETENTION_S:
                 del self._attach_requests[agent]
-            elif agent in agents and agent not in self._retiring:
+            elif (
+                agent in agents
+                and agent not in self._retiring
+                and self._directory.lists(agent, message, records)
+            ):
                 del self._attach_requests[agent]
                 attachable.append((agent, message))
         return attachable
@@ -81,7 +120,12 @@
             if agent not in agents and agent not in self._registering
         ]
         self._registering.update(missing)
-        return [RegisterAgent(name=agent, incarnation=0) for agent in missing]
+        return [
+            RegisterAgent(
+                name=agent, incarnation=0, worker=self._directory.record_of(agent)
+            )
+            for agent in missing
+        ]
 
     def take_retirements(
         self,
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -14,6 +14,7 @@
     ConfigurationOutcome,
     ConfigurationSender,
     Dispatcher,
+    DispatcherHeartbeat,
     GetConfiguration,
     GetJobState,
     GrantClaim,
@@ -116,7 +117,9 @@
         self._pending_proposals: dict[int, tuple[str, int]] = {}
         self._heartbeat_sent_at_s = -1e9
         self._sent_version = -1
-        self._registry = AgentRegistry(timing=settings.timing)
+        self._registry = AgentRegistry(
+            timing=settings.timing, features=settings.features
+        )
         self._relay_routes = RelayRoutes(timing=settings.timing)
 
     @property
@@ -254,6 +257,11 @@
                 self._registry.on_attach_request(agent, message, now_s)
             case WorkerReport():
                 self._dispatcher.report(agent, message, now_s)
+                worker = self._dispatcher.workers.get(agent)
+                if worker is not None:
+                    self._registry.on_report(
+                        agent, worker.record, is_leaving=worker.is_leaving
+                    )
 
     def _check_handover(
         self, dispatcher: Dispatcher, membership: Membership, now_s: float
@@ -304,14 +312,35 @@
         A standby cannot register agents, so other agents get no work from it.
         """
         assert self._dispatcher is not None
-        for agent, message in self._registry.take_attachable(authority.agents, now_s):
-            self._dispatcher.attach(agent, message, now_s)
-            self._heartbeat_sent_at_s = -1e9
         ledger = self._replica.ledger
+        records = None
         if ledger is not None and not authority.is_standby:
-            for command in self._registry.take_registrations(authority.agents):
+            records = ledger.state.agents
+        for agent, message in self._registry.take_attachable(
+            authority.agents, now_s, records=records
+        ):
+            self._dispatcher.attach(agent, message, now_s)
+            self._heartbeat_sent_at_s = -1e9
+        if ledger is not None and records is not None:
+            commands = self._registry.take_registrations(authority.agents)
+            for command in commands + self._registry.directory.take_changes(records):
                 await ledger.propose(command)
 
+    def _heartbeat_for_agent(
+        self, dispatcher: Dispatcher, agent: str, heard_at_s: float
+    ) -> DispatcherHeartbeat:
+        """Returns a heartbeat with the worker that the ledger lists, where needed."""
+        known_worker = None
+        ledger = self._replica.ledger
+        if (
+            ledger is not None
+            and not is_standby_term(dispatcher.term)
+            and dispatcher.awaits_first_attach(agent)
+        ):
+            record = ledger.state.agents.get(agent)
+            known_worker = self._registry.directory.known_worker(record)
+        return dispatcher.heartbeat_for_agent(agent, heard_at_s, known_worker)
+
     async def retire_agents(self, now_s: float) -> None:
         """Retires agents from the ledger that can have no runs any more."""
         ledger = self._replica.ledger
@@ -393,7 +422,9 @@
         self._sent_agents.clear()
         self._handed_over_by.clear()
         self._relay_routes = RelayRoutes(timing=self._settings.timing)
-        self._registry = AgentRegistry(timing=self._settings.timing)
+        self._registry = AgentRegistry(
+            timing=self._settings.timing, features=self._settings.features
+        )
         self._heartbeat_sent_at_s = -1e9
         _log.info(
             "dispatcher_began",
@@ -447,7 +478,7 @@
         for peer in self._port.peers_up("agent"):
             heard_at_s = self._port.peer_sent_at_s(peer)
             await self._send(
-                peer, self._dispatcher.heartbeat_for_agent(peer, heard_at_s)
+                peer, self._heartbeat_for_agent(self._dispatcher, peer, heard_at_s)
             )
         for agent in self._relay_routes.agents(now_s):
             await self._send_relayed_heartbeat(self._dispatcher, agent, now_s)
@@ -472,7 +503,7 @@
         self, dispatcher: Dispatcher, agent: str, now_s: float
     ) -> None:
         heard_at_s = self._relay_routes.sent_at_s(agent)
-        heartbeat = dispatcher.heartbeat_for_agent(agent, heard_at_s)
+        heartbeat = self._heartbeat_for_agent(dispatcher, agent, heard_at_s)
         await self._send_relayed(agent, heartbeat)
 
     async def _send_relayed(self, agent: str, message: CellMessage) -> None:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
@@ -81,7 +81,9 @@
         self.runs.pop(str(call.task), None)
         return True
 
-    async def renew_runs(self, upstream, term, acknowledged, lease_until_s, wait_s):
+    async def renew_runs(
+        self, upstream, term, acknowledged, lease_until_s, wait_s, born_ms=0
+    ):
         await curio.sleep(0.01)
         now_s = steady_s()
         for task, (attempt, started_at_s) in list(self.runs.items()):
@@ -99,7 +101,11 @@
         ]
         ended = [end for end in self.ended if end.number > acknowledged]
         return Listing(
-            upstream=upstream, asked_at_s=now_s, running=running, ended=ended
+            upstream=upstream,
+            asked_at_s=now_s,
+            running=running,
+            ended=ended,
+            born_ms=born_ms,
         )
 
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -6,6 +6,7 @@
 
 if typing.TYPE_CHECKING:
     from hawthornbarrow.cells._admission import Admission, AdmissionDecision
+    from hawthornbarrow.cells._announcement_order import AnnouncementOrder
     from hawthornbarrow.cells._configuration_transfer import (
         ConfigurationSender,
         with_document,
@@ -87,6 +88,7 @@
         StartResponse,
         StopCall,
     )
+    from hawthornbarrow.cells._upstream_directory import decode_worker, encode_worker
 
 __all__ = [
     "FEATURES_VARIABLE",
@@ -94,6 +96,7 @@
     "NO_FEATURES",
     "TRACE_RETENTION_S",
     "Admission",
+    "AnnouncementOrder",
     "ArrivalOrder",
     "GetConfiguration",
     "GetJobState",
@@ -155,6 +158,8 @@
     "WorkerRecord",
     "WorkerReport",
     "check_document",
+    "decode_worker",
+    "encode_worker",
     "first_term",
     "is_standby_term",
     "ledger_term_of",
@@ -169,6 +174,7 @@
     {
         "Admission": "_admission",
         "AdmissionDecision": "_admission",
+        "AnnouncementOrder": "_announcement_order",
         "ConfigurationSender": "_configuration_transfer",
         "with_document": "_configuration_transfer",
         "Dispatcher": "_dispatcher",
@@ -239,5 +245,7 @@
         "StartCall": "_upstream_calls",
         "StartResponse": "_upstream_calls",
         "StopCall": "_upstream_calls",
+        "decode_worker": "_upstream_directory",
+        "encode_worker": "_upstream_directory",
     },
 )
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_monitor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_monitor.py
@@ -73,7 +73,7 @@
             return
         for run in worker.runs.values():
             self._history.record_unexplained_loss(
-                run.task, run.attempt, worker.record.upstream, now_s
+                run.task, run.attempt, worker.record.incarnation, now_s
             )
 
     def on_attached_anew(
@@ -104,15 +104,17 @@
             if is_known and (run.task, run.attempt) not in silent:
                 self._history.explain_loss(run.task, run.attempt)
         former = worker.record
-        upstream = message.worker.upstream if message.worker else ""
-        if former.upstream != upstream and not worker.is_leaving:
-            self._history.record_idle_crash(former.upstream, former.data_centre, now_s)
+        upstream = message.worker.incarnation if message.worker else ""
+        if former.incarnation != upstream and not worker.is_leaving:
+            self._history.record_idle_crash(
+                former.incarnation, former.data_centre, now_s
+            )
 
     def on_run_ended(self, worker: WorkerView, ended: EndedRun, now_s: float) -> None:
         """Processes the end of a run of an attached worker."""
         if ended.is_upstream_silent:
             self._history.record_unexplained_loss(
-                ended.task, ended.attempt, worker.record.upstream, now_s
+                ended.task, ended.attempt, worker.record.incarnation, now_s
             )
 
     def update(
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -34,6 +34,7 @@
     Resources,
     RunOutcome,
     TaskKey,
+    WorkerRecord,
 )
 from hawthornbarrow.cells._previous_runs import PreviousRuns
 from hawthornbarrow.cells._queue_capacity import QueueCapacity
@@ -43,7 +44,11 @@
 from hawthornbarrow.cells._timing import RunLeaseTiming
 from hawthornbarrow.cells._waiting_jobs import plain_work_ahead_core_s
 from hawthornbarrow.cells._worker_monitor import WorkerMonitor
-from hawthornbarrow.cells._worker_pool import WorkerPool
+from hawthornbarrow.cells._worker_pool import (
+    ATTACH_WINDOW_S,
+    DIRECTORY_ATTACH_WINDOW_S,
+    WorkerPool,
+)
 from hawthornbarrow.cells._worker_view import Run, WorkerView
 from hawthornbarrow.queues import QueueTable
 
@@ -96,6 +101,11 @@
             expected=expected,
             now_s=now_s,
             has_lease_expired=has_lease_expired,
+            attach_window_s=(
+                DIRECTORY_ATTACH_WINDOW_S
+                if LoadFeature.UPSTREAM_DIRECTORY in features
+                else ATTACH_WINDOW_S
+            ),
         )
         self._job_registry = JobRegistry(
             term=term, order=order or TimelyPriorityOrder()
@@ -177,8 +187,26 @@
         """Returns the state of a job that callers see."""
         return self._job_registry.state_of(job)
 
-    def heartbeat_for_agent(self, agent: str, heard_at_s: float) -> DispatcherHeartbeat:
-        """Returns the heartbeat for an agent."""
+    def awaits_first_attach(self, agent: str) -> bool:
+        """Returns whether no run that this dispatcher ordered can be at an agent.
+
+        That is before its first session, and once its leases have expired.
+        """
+        return self._pool.awaits_first_attach(agent)
+
+    def heartbeat_for_agent(
+        self,
+        agent: str,
+        heard_at_s: float,
+        known_worker: WorkerRecord | None = None,
+    ) -> DispatcherHeartbeat:
+        """Returns the heartbeat for an agent.
+
+        Args:
+            agent: Name of the agent.
+            heard_at_s: When, on its own clock, it sent its newest heard frame.
+            known_worker: Worker that the ledger lists for it.
+        """
         worker = self._pool.workers.get(agent)
         return DispatcherHeartbeat(
             term=self._term,
@@ -186,6 +214,7 @@
             version=self._table.version if self._table else 0,
             session=worker.session if worker else 0,
             noted=worker.acknowledged if worker else 0,
+            known_worker=known_worker if self.awaits_first_attach(agent) else None,
         )
 
     def count_waiting_by_queue(self) -> dict[str, int]:
@@ -262,7 +291,7 @@
         worker.heard_at_s = now_s
         if message.is_leaving and not worker.is_leaving:
             worker.is_leaving = True
-            _log.info("worker_leaving", agent=agent, upstream=worker.record.upstream)
+            _log.info("worker_leaving", agent=agent, upstream=worker.record.incarnation)
         worker.is_silent = message.is_silent
         if message.capacity not in (None, worker.record.capacity):
             self._set_capacity(worker, message.capacity)
@@ -280,7 +309,7 @@
         _log.info(
             "worker_capacity_changed",
             agent=worker.agent,
-            upstream=worker.record.upstream,
+            upstream=worker.record.incarnation,
             cpu=capacity.cpu,
             memory_mb=capacity.memory_mb,
             former_cpu=worker.record.capacity.cpu,
@@ -671,6 +700,7 @@
     def _sweep(self, now_s: float) -> None:
         for worker in self._pool.silent_workers(now_s):
             self._detach(worker, "silent", now_s)
+            self._pool.forget_sessions(worker.agent)
         for worker in self._pool.workers.values():
             self._monitor.detect_slow_runs(worker, now_s)
         self._pool.refresh_all(now_s)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_ended_run_log.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_ended_run_log.py
@@ -64,7 +64,7 @@
             is_upstream_silent: Whether it may have crashed, as it does not answer.
         """
         self._last_number += 1
-        upstream = worker.upstream if worker else ""
+        upstream = worker.incarnation if worker else ""
         ended = EndedRun(
             number=self._last_number,
             task=order.task,
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_parts.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_parts.py
@@ -172,6 +172,11 @@
     capacity: Resources
     born_ms: int = 0
 
+    @property
+    def incarnation(self) -> str:
+        """Key of the incarnation, which differs between starts under the same id."""
+        return f"{self.upstream}@{self.born_ms}" if self.born_ms else self.upstream
+
 
 class QueueLevel(_Part, kw_only=True):
     """What a new job of a queue can expect at the dispatcher.
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_ready_capacity.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_ready_capacity.py
@@ -85,7 +85,7 @@
         if not worker.accepts_work(now_s, self._suspect_after_s):
             return
         total = self._sums.setdefault(worker.record.service, _Sum())
-        slowness = self._run_times.slowness(worker.record.upstream)
+        slowness = self._run_times.slowness(worker.record.incarnation)
         rate_cores = worker.record.capacity.cpu / 1000 / slowness
         free_cpu = max(0, worker.free.cpu)
         total.worker_count += 1
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
@@ -8,12 +8,15 @@
 import collections
 import random
 
+import msgspec
 import structlog
 
+from hawthornbarrow.cells._announcement_order import OwnService
 from hawthornbarrow.cells._dispatcher_path import DispatcherPath
 from hawthornbarrow.cells._dispatcher_tracker import DispatcherTracker
 from hawthornbarrow.cells._ended_run_log import EndedRunLog
 from hawthornbarrow.cells._former_upstreams import FormerUpstreams
+from hawthornbarrow.cells._load_features import NO_FEATURES, LoadFeature
 from hawthornbarrow.cells._lost_runs import LostRuns
 from hawthornbarrow.cells._messages import (
     AttachWorker,
@@ -33,6 +36,7 @@
     WorkerRecord,
 )
 from hawthornbarrow.cells._run_record import RunPhase, RunRecord
+from hawthornbarrow.cells._start_fences import StartFences
 from hawthornbarrow.cells._timing import RunLeaseTiming
 from hawthornbarrow.cells._upstream_calls import (
     ListedEndedRun,
@@ -43,10 +47,13 @@
     StopCall,
 )
 from hawthornbarrow.cells._upstream_contact import UpstreamContact
+from hawthornbarrow.cells._upstream_directory import KnownUpstream
 
 REPORT_RETRY_INTERVAL_S = 0.4
 STOP_RETRY_INTERVAL_S = 0.25
 MAX_START_CALLS = 3
+# Change of the time that a leaving upstream has left, from which it is reported again.
+REMAINING_CHANGE_S = 0.1
 _SESSION_BITS = 48
 # Responses that the upstream did not give, or that were decided before the call.
 _UNANSWERED = frozenset(
@@ -63,10 +70,16 @@
         timing: Durations of the leases.
         generator: Source of session numbers.
         now_s: Current time.
+        features: Optional features that the deployment has enabled.
     """
 
     def __init__(
-        self, *, timing: RunLeaseTiming, generator: random.Random, now_s: float
+        self,
+        *,
+        timing: RunLeaseTiming,
+        generator: random.Random,
+        now_s: float,
+        features: frozenset[LoadFeature] = NO_FEATURES,
     ) -> None:
         """Initializes a supervisor without an upstream.
 
@@ -78,7 +91,12 @@
         self._inherited_runs_until_s = now_s + timing.lost_after_s
         self._has_had_upstream = False
         self._worker: WorkerRecord | None = None
+        # Whether the attributes of the current incarnation are known.
+        self._is_described = False
+        self._has_announced_itself = False
+        self._own_service = OwnService()
         self._is_leaving = False
+        self._leaving_until_s: float | None = None
         self._tracker = DispatcherTracker(timing=timing, now_s=now_s)
         self._path = DispatcherPath(timing=timing, now_s=now_s)
         self._session = 0
@@ -99,9 +117,15 @@
         self._unknown_stopped_at_s: dict[tuple[str, int], float] = {}
         self._lost_runs = LostRuns()
         self._former_upstreams = FormerUpstreams()
+        self._fences = StartFences(
+            timing=timing, retry_interval_s=STOP_RETRY_INTERVAL_S
+        )
         self._needs_report = False
         self._attach_sent_at_s = -1e9
         self._counts: collections.Counter[str] = collections.Counter()
+        self._uses_directory = LoadFeature.UPSTREAM_DIRECTORY in features
+        self._known_upstream = KnownUpstream(counts=self._counts)
+        self._term_since_s = now_s
 
     @property
     def counts(self) -> collections.Counter[str]:
@@ -130,7 +154,15 @@
     @property
     def upstream(self) -> str:
         """Incarnation of the upstream, empty when there is none."""
-        return self._worker.upstream if self._worker else ""
+        return self._worker.incarnation if self._worker else ""
+
+    @property
+    def listed_worker(self) -> WorkerRecord | None:
+        """The worker whose upstream is to list its runs, None when there is none.
+
+        Without an upstream, that is the one that the directory lists.
+        """
+        return self._worker or self._known_upstream.worker
 
     @property
     def is_attached(self) -> bool:
@@ -163,16 +195,33 @@
 
     def may_poll(self, now_s: float) -> bool:
         """Returns whether to request a listing without renewing the runs."""
-        if self._worker is None or not self.term:
+        if not self.term:
             return False
+        if self._worker is None:
+            return self._known_upstream.worker is not None
         return not self._has_no_unknown_runs or self._contact.is_silent(now_s)
 
+    @property
+    def awaits_clean_listing(self) -> bool:
+        """Whether the attach request waits only for a listing without unknown runs."""
+        if self._worker is None:
+            return self._known_upstream.worker is not None
+        return not self._has_no_unknown_runs and self._tracker.dispatcher != ""
+
     def may_renew(self, now_s: float) -> bool:
         """Returns whether the upstream's runs may be renewed now."""
         if self._worker is None or now_s >= self._lease_until_s:
             return False
         return not self._contact.is_silent(now_s)
 
+    def may_start(self, now_s: float) -> bool:
+        """Returns whether a start call may be made now.
+
+        An upstream that broke off a call may have restarted under the same id, so it
+        must be listed first.
+        """
+        return self.may_renew(now_s) and self._contact.broken_at_s is None
+
     def record_renewal(self, until_s: float) -> None:
         """Records the time until which a call about to be made renews runs."""
         self._renewed_until_s = max(self._renewed_until_s, until_s)
@@ -189,29 +238,91 @@
 
     # Upstream
 
-    def announce(self, worker: WorkerRecord, is_leaving: bool, now_s: float) -> bool:
+    def announce(
+        self,
+        worker: WorkerRecord,
+        is_leaving: bool,
+        now_s: float,
+        *,
+        remaining_s: float | None = None,
+    ) -> bool:
         """Processes an announcement of an upstream.
 
+        Args:
+            worker: The upstream. A record that does not say when its incarnation
+                started describes the current one of its id.
+            is_leaving: Whether it accepts no new tasks.
+            now_s: Current time.
+            remaining_s: Minimum time until a leaving upstream ends, None if unknown.
+
         Returns:
             Whether it is the current incarnation, or a new one. An announcement of a
             former one was delayed.
         """
-        if worker.upstream in self._former_upstreams:
+        current = self._worker
+        if current is not None and worker.upstream == current.upstream:
+            born_ms = worker.born_ms or current.born_ms
+            worker = msgspec.structs.replace(worker, born_ms=born_ms)
+        if self._is_foreign(worker):
+            return False
+        if worker in self._former_upstreams:
             _log.info(
                 "late_announcement_ignored",
-                upstream=worker.upstream,
+                upstream=worker.incarnation,
                 current=self.upstream,
             )
             return False
-        if self._worker is None or worker.upstream != self._worker.upstream:
+        is_other = current is None or worker.incarnation != current.incarnation
+        if is_other or worker.service != current.service:
             self._replace_upstream(worker, now_s)
-        elif worker.capacity != self._worker.capacity:
+        elif not self._is_described:
+            self._describe(worker, now_s)
+        elif worker.capacity != current.capacity:
             self._set_capacity(worker)
-        if is_leaving and not self._is_leaving:
+        self._has_announced_itself = True
+        if is_leaving:
+            self._on_leaving(remaining_s, now_s)
+        return True
+
+    def _is_foreign(self, worker: WorkerRecord) -> bool:
+        """Returns whether an announcement is of another service than this agent's."""
+        if self._own_service.is_own(worker.service):
+            return False
+        self._counts["foreign_announcement"] += 1
+        _log.warning(
+            "foreign_announcement_ignored",
+            upstream=worker.incarnation,
+            service=worker.service,
+        )
+        return True
+
+    def _on_leaving(self, remaining_s: float | None, now_s: float) -> None:
+        if not self._is_leaving:
             self._is_leaving = True
             self._needs_report = True
-            _log.info("upstream_leaving", upstream=worker.upstream)
-        return True
+            _log.info(
+                "upstream_leaving", upstream=self.upstream, remaining_s=remaining_s
+            )
+        if remaining_s is None:
+            return
+        until_s = now_s + remaining_s
+        former_until_s = self._leaving_until_s
+        if former_until_s is None or abs(until_s - former_until_s) > REMAINING_CHANGE_S:
+            self._leaving_until_s = until_s
+            self._needs_report = True
+
+    def _remaining_s(self, now_s: float) -> float | None:
+        """Returns the minimum time until a leaving upstream ends, None if unknown."""
+        if self._leaving_until_s is None:
+            return None
+        return max(0.0, self._leaving_until_s - now_s)
+
+    def _describe(self, worker: WorkerRecord, now_s: float) -> None:
+        """Takes the attributes of an incarnation of which only listings were known."""
+        self._worker = worker
+        self._is_described = True
+        self._end_session()
+        self._send_attach_request(now_s)
 
     def _set_capacity(self, worker: WorkerRecord) -> None:
         """Takes a change of the upstream's capacity into account.
@@ -221,7 +332,7 @@
         assert self._worker is not None
         _log.info(
             "capacity_changed",
-            upstream=worker.upstream,
+            upstream=worker.incarnation,
             cpu=worker.capacity.cpu,
             memory_mb=worker.capacity.memory_mb,
             former_cpu=self._worker.capacity.cpu,
@@ -232,8 +343,8 @@
         self._needs_report = True
 
     def withdraw(self, upstream: str, now_s: float) -> None:
-        """Processes the departure of an upstream."""
-        if self._worker is not None and self._worker.upstream == upstream:
+        """Processes the departure of an upstream, given by its incarnation."""
+        if self._worker is not None and self.upstream == upstream:
             _log.info("upstream_left", upstream=upstream, held=len(self._runs))
             self._end_all_as_lost("the upstream left", now_s)
             self._lost_runs.take()
@@ -244,8 +355,14 @@
         """Records that nothing listens at the upstream's address any more.
 
         Attach requests include the worker again once an upstream announces itself.
+
+        Args:
+            upstream: Its incarnation.
+            now_s: Current time.
         """
-        if self._worker is not None and self._worker.upstream == upstream:
+        self._known_upstream.on_gone(upstream)
+        if self._worker is not None and self.upstream == upstream:
+            self._fence_starts(now_s, only_open=True)
             youngest = max(
                 self._runs.values(), key=lambda run: run.ordered_at_s, default=None
             )
@@ -261,25 +378,46 @@
             self._worker = None
             self._end_session()
 
+    def _fence_starts(self, now_s: float, *, only_open: bool) -> None:
+        """Fences the starts that the next incarnation under the same id may receive.
+
+        Args:
+            now_s: Current time.
+            only_open: Whether only calls without a response can have reached it.
+        """
+        worker = self._worker
+        if worker is None or not worker.born_ms:
+            return
+        for run in self._runs.values():
+            if run.open_call_count or not only_open:
+                self._fences.add(worker.upstream, run, now_s)
+
     def on_call_broken(self, upstream: str, now_s: float) -> None:
         """Records that the upstream broke off a call without a response."""
         if upstream == self.upstream:
             self._contact.on_call_broken(now_s)
 
-    def _replace_upstream(self, worker: WorkerRecord, now_s: float) -> None:
+    def _replace_upstream(
+        self, worker: WorkerRecord, now_s: float, *, is_described: bool = True
+    ) -> None:
         _log.info(
-            "upstream_announced",
-            upstream=worker.upstream,
+            "upstream_announced" if is_described else "upstream_restarted",
+            upstream=worker.incarnation,
             former=self.upstream,
             held=len(self._runs),
         )
         if self._worker is not None:
+            self._fence_starts(now_s, only_open=False)
             self._end_after_crash("the upstream is another incarnation", now_s)
+        self._fences.on_incarnation(worker.upstream)
         self._has_had_upstream = True
-        self._former_upstreams.on_announced(worker.upstream, self.upstream)
+        self._former_upstreams.on_announced(worker, self.upstream)
         self._lost_runs.take()
         self._worker = worker
+        self._is_described = is_described
+        self._has_announced_itself = False
         self._is_leaving = False
+        self._leaving_until_s = None
         self._has_no_unknown_runs = False
         self._contact = UpstreamContact()
         self._last_listed_number = 0
@@ -318,6 +456,9 @@
             self._is_attached = False
             self._new_session()
             self._path.reset(relay, now_s)
+            self._on_new_term(now_s)
+        if self._uses_directory and not self._has_had_upstream:
+            self._known_upstream.on_known_worker(heartbeat.known_worker)
         lease_until_s = heartbeat.heard_at_s + self._timing.run_lease_s
         if now_s > self._lease_until_s and self._runs:
             self._expire_lease(now_s)
@@ -339,6 +480,16 @@
             self._end_session()
         self._send_attach_request(now_s)
 
+    def _on_new_term(self, now_s: float) -> None:
+        """Requires that an upstream known from the directory is listed in this term.
+
+        Only that fences the starts of a predecessor of this process.
+        """
+        self._term_since_s = now_s
+        self._known_upstream.on_term(now_s)
+        if self._worker is not None and not self._has_announced_itself:
+            self._has_no_unknown_runs = False
+
     def on_claim(self, peer: str, claim: ClaimAgents, now_s: float) -> None:
         """Sends a standby the promise to follow it if its claim is granted.
 
@@ -381,12 +532,14 @@
         record.called_at_s = now_s
         record.call_count += 1
         record.open_call_count += 1
+        assert self._worker is not None
         self._calls.append(
             StartCall(
-                upstream=self.upstream,
+                upstream=self._worker.upstream,
                 order=record.order,
                 term=self.term,
                 called_at_s=now_s,
+                born_ms=self._worker.born_ms,
             )
         )
 
@@ -439,6 +592,9 @@
         one decides nothing. A refusal of a repeated call does not prove that an earlier
         one is not carried out later, so the run is stopped and its end awaited.
         """
+        self._fences.on_start_response(call, response, now_s)
+        if not self._is_for_current(call):
+            return
         if response not in _UNANSWERED:
             self._contact.on_response(now_s - call.called_at_s, now_s)
         record = self._runs.get(call.order.task)
@@ -467,7 +623,7 @@
             if record.call_count == 1:
                 # The call never arrived, so the run has no part in a crash.
                 self._end_run(task, RunOutcome.LOST, response.value, now_s)
-            self.on_upstream_gone(call.upstream, now_s)
+            self.on_upstream_gone(self.upstream, now_s)
             return
         if response is StartResponse.NO_ANSWER:
             self._stop(task, RunOutcome.LOST, "no answer to the start", now_s)
@@ -490,13 +646,24 @@
         A confirmed stop fences start calls that arrive later. A run that began
         unnoticed takes up to ``stop_s`` to end; a listing after that confirms its end.
         """
+        if not is_confirmed or not self._is_for_current(call):
+            return
+        self._fences.on_stop_confirmed(call, now_s)
         record = self._runs.get(call.task)
-        if record is not None and record.order.attempt == call.attempt and is_confirmed:
+        if record is not None and record.order.attempt == call.attempt:
             record.stop_confirmed_at_s = min(record.stop_confirmed_at_s, now_s)
 
+    def _is_for_current(self, call: StartCall | StopCall) -> bool:
+        """Returns whether a call was made to the current incarnation."""
+        worker = self._worker
+        return worker is not None and (call.upstream, call.born_ms) == (
+            worker.upstream,
+            worker.born_ms,
+        )
+
     def on_listing(self, listing: Listing, now_s: float) -> None:
         """Reconciles the runs with a listing of the upstream."""
-        if listing.upstream != self.upstream:
+        if not self._is_of_current(listing, now_s):
             return
         is_newest = self._contact.on_listing(listing.asked_at_s, now_s)
         self._lost_runs.on_listing({run.task for run in listing.running})
@@ -505,10 +672,41 @@
         running = {run.task: run for run in listing.running}
         for task, record in list(self._runs.items()):
             self._reconcile(task, record, running.pop(str(task), None), listing, now_s)
+        is_fenced = self._fences.on_listing(listing.asked_at_s)
         if is_newest:
-            self._stop_unknown_runs(list(running.values()), now_s)
+            may_attach = is_fenced and (
+                self._has_announced_itself or listing.asked_at_s >= self._term_since_s
+            )
+            self._stop_unknown_runs(list(running.values()), may_attach, now_s)
         self._report_stalls(now_s)
 
+    def _is_of_current(self, listing: Listing, now_s: float) -> bool:
+        """Returns whether a listing is of the current incarnation.
+
+        It may be the first sign of it: of the upstream that the directory lists, or of
+        an upstream that has restarted under the same id.
+        """
+        if self._worker is None:
+            known = self._known_upstream.confirm(listing)
+            if known is None or known in self._former_upstreams:
+                return False
+            self._own_service.set(known.service)
+            self._replace_upstream(known, now_s)
+            return True
+        if listing.upstream != self._worker.upstream:
+            return False
+        born_ms = self._worker.born_ms
+        if not born_ms or listing.born_ms in (0, born_ms):
+            return True
+        if listing.born_ms < born_ms:
+            self._counts["late_listing"] += 1
+            return False
+        restarted = msgspec.structs.replace(
+            self._worker, born_ms=listing.born_ms, capacity=Resources()
+        )
+        self._replace_upstream(restarted, now_s, is_described=False)
+        return True
+
     def _reconcile(
         self,
         task: TaskKey,
@@ -540,13 +738,21 @@
         run_s = now_s - (record.started_at_s or record.ordered_at_s)
         self._end_run(key, ended.end, record.reason, now_s, run_s=run_s)
 
-    def _stop_unknown_runs(self, runs: list[ListedRun], now_s: float) -> None:
+    def _stop_unknown_runs(
+        self, runs: list[ListedRun], may_attach: bool, now_s: float
+    ) -> None:
         """Stops unknown runs, and sends an attach request once there are none.
 
         Runs are unknown after a restart of this process, for example.
+
+        Args:
+            runs: The unknown runs.
+            may_attach: Whether a listing without them proves that none can begin.
+            now_s: Current time.
         """
+        assert self._worker is not None
         if not runs:
-            if not self._has_no_unknown_runs:
+            if not self._has_no_unknown_runs and may_attach:
                 self._has_no_unknown_runs = True
                 self._send_attach_request(now_s)
             return
@@ -560,10 +766,11 @@
                 _log.warning("stranger_stopped", task=run.task, attempt=run.attempt)
                 self._calls.append(
                     StopCall(
-                        upstream=self.upstream,
+                        upstream=self._worker.upstream,
                         task=key,
                         attempt=run.attempt,
                         term=self.term,
+                        born_ms=self._worker.born_ms,
                     )
                 )
 
@@ -583,6 +790,7 @@
                     stalled=stalled,
                     is_silent=self._was_suspect,
                     capacity=self._worker.capacity if self._worker else None,
+                    remaining_s=self._remaining_s(now_s),
                 )
             )
 
@@ -594,6 +802,8 @@
             self._expire_lease(now_s)
         self._check_upstream_silence(now_s)
         self._repeat_overdue_starts(now_s)
+        if self._worker is not None:
+            self._calls += self._fences.take_calls(self._worker, self.term, now_s)
         for task, record in self._runs.items():
             is_due = now_s - record.stop_sent_at_s >= STOP_RETRY_INTERVAL_S
             if record.phase is RunPhase.STOPPING and is_due:
@@ -665,6 +875,7 @@
                 ended=self._ended_runs.unacknowledged(),
                 is_silent=self._was_suspect,
                 capacity=self._worker.capacity if self._worker else None,
+                remaining_s=self._remaining_s(now_s),
             )
         )
 
@@ -691,6 +902,8 @@
             return
         if self._worker is not None and not self._has_no_unknown_runs:
             return
+        if self._worker is None and self._fences.may_run(now_s):
+            return
         if not self._has_had_upstream and now_s < self._inherited_runs_until_s:
             return
         if now_s - self._attach_sent_at_s < REPORT_RETRY_INTERVAL_S:
@@ -710,7 +923,7 @@
             AttachWorker(
                 term=self.term,
                 session=self._session,
-                worker=self._worker,
+                worker=self._worker if self._is_described else None,
                 is_leaving=self._is_leaving,
                 running=running,
                 ended=self._ended_runs.retained(),
@@ -732,13 +945,15 @@
         self._call_stop(task, record, now_s)
 
     def _call_stop(self, task: TaskKey, record: RunRecord, now_s: float) -> None:
+        assert self._worker is not None
         record.stop_sent_at_s = now_s
         self._calls.append(
             StopCall(
-                upstream=self.upstream,
+                upstream=self._worker.upstream,
                 task=task,
                 attempt=record.order.attempt,
                 term=self.term,
+                born_ms=self._worker.born_ms,
             )
         )
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_upstream_calls.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_upstream_calls.py
@@ -28,26 +28,29 @@
     """Call to start a run at the upstream.
 
     Attributes:
-        upstream: Incarnation of the upstream.
+        upstream: Id of the upstream.
         order: The order to start it.
         term: Fencing token.
         called_at_s: When the call was made.
+        born_ms: When its incarnation started, zero where upstreams do not say.
     """
 
     upstream: str
     order: StartOrder
     term: int
     called_at_s: float = 0.0
+    born_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StopCall:
-    """Call to stop a run at the upstream."""
+    """Call to stop a run at the upstream; the fields are those of a start call."""
 
     upstream: str
     task: TaskKey
     attempt: int
     term: int
+    born_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -74,13 +77,15 @@
     """The upstream's list of its runs.
 
     Attributes:
-        upstream: Incarnation that answered.
+        upstream: Id of the upstream that answered.
         asked_at_s: When the listing was requested.
         running: Runs that have not ended.
         ended: Ended runs that were not acknowledged.
+        born_ms: When the incarnation that answered started, zero if it did not say.
     """
 
     upstream: str
     asked_at_s: float
     running: list[ListedRun]
     ended: list[ListedEndedRun]
+    born_ms: int = 0
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_index.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_index.py
@@ -76,4 +76,4 @@
         self._entries[worker.agent] = (speed_class, entry)
 
     def _speed_class(self, worker: WorkerView) -> int:
-        return self._run_times.speed_class(worker.record.upstream)
+        return self._run_times.speed_class(worker.record.incarnation)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_monitor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_monitor.py
@@ -47,7 +47,7 @@
                 step = record.document.steps[ended.task.step]
                 self._run_times.learn(
                     record.queue.name,
-                    worker.record.upstream,
+                    worker.record.incarnation,
                     step.estimated_s,
                     ended.run_s,
                 )
@@ -79,7 +79,7 @@
 
     def detect_slow_runs(self, worker: WorkerView, now_s: float) -> None:
         """Updates a worker's slowness from runs that far exceed their expected time."""
-        slowness = self._run_times.slowness(worker.record.upstream)
+        slowness = self._run_times.slowness(worker.record.incarnation)
         for run in worker.runs.values():
             if not run.expected_s or run.is_stopping:
                 continue
@@ -87,5 +87,5 @@
             ran_s = now_s - run.started_at_s
             if ran_s > limit_s:
                 self._run_times.record_overrun(
-                    worker.record.upstream, ran_s / run.expected_s
+                    worker.record.incarnation, ran_s / run.expected_s
                 )
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -25,6 +25,9 @@
 
 UPSTREAM_RETURN_S = 4.0  # time within which a lost upstream is expected back
 ATTACH_WINDOW_S = 0.25  # time in which reachable workers attach to a new dispatcher
+# That time where restarted agents ask the upstreams that the directory lists, and stop
+# their runs first.
+DIRECTORY_ATTACH_WINDOW_S = 0.5
 
 _log = structlog.get_logger()
 
@@ -46,6 +49,7 @@
         expected: Agents that may still run tasks of a previous dispatcher.
         now_s: Current time.
         has_lease_expired: Whether the leases of the previous dispatcher have expired.
+        attach_window_s: Time in which reachable workers attach.
     """
 
     def __init__(
@@ -57,6 +61,7 @@
         expected: collections.abc.Iterable[str],
         now_s: float,
         has_lease_expired: bool = False,
+        attach_window_s: float = ATTACH_WINDOW_S,
     ) -> None:
         """Initializes a pool without agents."""
         self._term = term
@@ -64,7 +69,7 @@
         self._expected = set(expected)
         self._without_worker = set(self._expected)
         self._reported_from_s = now_s - TRACE_RETENTION_S
-        self._attach_window_until_s = now_s + ATTACH_WINDOW_S
+        self._attach_window_until_s = now_s + attach_window_s
         self._recovery_until_s = now_s + (
             0.0 if has_lease_expired else timing.lost_after_s
         )
@@ -74,6 +79,8 @@
             run_times=run_times, suspect_after_s=timing.suspect_after_s
         )
         self._lost: dict[str, tuple[WorkerRecord, float]] = {}
+        # Agents at which runs may exist that this dispatcher has ordered.
+        self._had_session: set[str] = set()
         self._runs_by_job: dict[str, dict[tuple[str, TaskKey], Run]] = {}
         self._starts: dict[str, list[StartOrder]] = {}
         self._stops: dict[str, list[TaskKey]] = {}
@@ -136,6 +143,7 @@
             )
             return None
         self._without_worker.discard(agent)
+        self._had_session.add(agent)
         worker = WorkerView(
             agent=agent,
             session=message.session,
@@ -151,7 +159,7 @@
         _log.info(
             "worker_attached",
             agent=agent,
-            upstream=message.worker.upstream,
+            upstream=message.worker.incarnation,
             session=message.session,
             term=self._term,
             running=len(message.running),
@@ -160,6 +168,14 @@
         )
         return worker
 
+    def awaits_first_attach(self, agent: str) -> bool:
+        """Returns whether no run that this dispatcher ordered can be at an agent."""
+        return agent not in self._had_session
+
+    def forget_sessions(self, agent: str) -> None:
+        """Records that the leases of all runs at an agent have expired."""
+        self._had_session.discard(agent)
+
     def await_attach(self, worker: WorkerView, now_s: float) -> None:
         """Starts nothing on a worker until its agent has attached again, or is late."""
         worker.awaits_attach_until_s = now_s + 2 * self._timing.lost_after_s
@@ -177,7 +193,7 @@
         _log.warning(
             "worker_lost",
             agent=worker.agent,
-            upstream=worker.record.upstream,
+            upstream=worker.record.incarnation,
             session=worker.session,
             reason=reason,
             silent_s=round(now_s - worker.heard_at_s, 3),
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell_simulation.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell_simulation.py
@@ -13,6 +13,7 @@
 import random
 
 from hawthornbarrow.cells import (
+    NO_FEATURES,
     AttachWorker,
     ClaimAgents,
     Dispatcher,
@@ -23,6 +24,7 @@
     ListedEndedRun,
     ListedRun,
     Listing,
+    LoadFeature,
     RelayRoutes,
     Resources,
     RunLeaseTiming,
@@ -45,6 +47,10 @@
 RENEW_INTERVAL_S = 0.1
 SHRINK_GRACE_S = 0.05  # in which starts that are under way may exceed a new capacity
 DOWN_S = 3.0  # time until a crashed upstream is back
+ANNOUNCEMENT_INTERVAL_S = 1.5
+REQUEST_RETENTION_S = 0.4
+COMMIT_S = 0.03  # time that a command of the ledger takes
+BORN_MS = 1_800_000_000_000  # start of the first incarnation of upstreams that say it
 COMPLETE_HANDOVER_PROBABILITY = 0.7  # that no entry is missing at a takeover
 TIMING = RunLeaseTiming(run_lease_s=1.0, stop_s=0.05)
 CAPACITY = Resources(cpu=4000, memory_mb=4000)
@@ -78,8 +84,10 @@
 class FakeUpstream:
     """Simulated upstream on a steady clock that may be slow by 2 %."""
 
-    def __init__(self, name, rate, generator):
+    def __init__(self, name, rate, generator, *, keeps_id=False):
         self.name = name
+        # Whether it restarts under the same id and says when it started.
+        self.keeps_id = keeps_id
         self.rate = rate
         self.generator = generator
         self.incarnation = 0
@@ -104,7 +112,21 @@
 
     @property
     def id(self):
-        return f"{self.name}-{self.incarnation}"
+        return self.name if self.keeps_id else f"{self.name}-{self.incarnation}"
+
+    @property
+    def born_ms(self):
+        return BORN_MS + self.incarnation if self.keeps_id else 0
+
+    def record(self):
+        return WorkerRecord(
+            upstream=self.id,
+            service="s",
+            data_centre="d",
+            labels=(),
+            capacity=self.capacity,
+            born_ms=self.born_ms,
+        )
 
     def clock(self, now_s):
         return now_s * self.rate
@@ -189,14 +211,28 @@
             for task, run in self.runs.items()
         ]
         return Listing(
-            upstream=self.id, asked_at_s=now_s, running=running, ended=list(self.ended)
+            upstream=self.id,
+            asked_at_s=now_s,
+            running=running,
+            ended=list(self.ended),
+            born_ms=self.born_ms,
         )
 
 
 class CellSimulation:
     """Agents with simulated upstreams, and a sequence of dispatchers."""
 
-    def __init__(self, *, seed, agents=4):
+    def __init__(self, *, seed, agents=4, keeps_id=False, features=NO_FEATURES):
+        self.features = features
+        # Workers that the ledger lists, and writes that are not committed yet.
+        self.directory = {}
+        self.directory_writes = []
+        # Whether orders and heartbeats for agents keep their order too.
+        self.are_links_ordered = False
+        self.waiting_requests = {}
+        self.requested_at_s = {}
+        self.announced_at_s = {}
+        self.first_start_s = math.inf
         self.generator = random.Random(seed)
         self.now_s = 100.0
         self.counter = itertools.count()
@@ -227,7 +263,9 @@
         for index in range(agents):
             name = f"a{index}"
             rate = self.generator.choice([1.0, 0.98])
-            self.upstreams[name] = FakeUpstream(name, rate, self.generator)
+            self.upstreams[name] = FakeUpstream(
+                name, rate, self.generator, keeps_id=keeps_id
+            )
             self.upstreams[name].crash_delays_s = self.crash_delays_s
             self.start_agent(name)
         self.complete_handover_probability = COMPLETE_HANDOVER_PROBABILITY
@@ -245,23 +283,105 @@
 
     def start_agent(self, name, *, is_announced=True):
         self.agents[name] = RunSupervisor(
-            timing=TIMING, generator=self.generator, now_s=self.now_s
+            timing=TIMING,
+            generator=self.generator,
+            now_s=self.now_s,
+            features=self.features,
         )
         self.renewed_at_s[name] = 0.0
         if is_announced:
             self.announce(name)
 
     def announce(self, name, *, is_leaving=False):
-        upstream = self.upstreams[name]
-        record = WorkerRecord(
-            upstream=upstream.id,
-            service="s",
-            data_centre="d",
-            labels=(),
-            capacity=upstream.capacity,
-        )
+        record = self.upstreams[name].record()
         self.agents[name].announce(record, is_leaving, self.now_s)
 
+    def restart_all_processes(self, *, election_s=0.3):
+        """Kills and restarts all entries and agents beside running upstreams.
+
+        The upstreams announce themselves at their interval, at random phases. Calls
+        that are held up in an upstream stay there.
+        """
+        self.lose_leader()
+        self.in_flight = []
+        self.waiting_requests = {}
+        self.directory_writes = []
+        for name in self.agents:
+            self.start_agent(name, is_announced=False)
+            delay_s = self.generator.uniform(0, ANNOUNCEMENT_INTERVAL_S)
+            self.announced_at_s[name] = self.now_s + delay_s
+            upstream, listed = self.upstreams[name], self.directory.get(name)
+            if listed and listed.capacity != upstream.capacity:
+                # Until the announcement, the capacity of the directory is used.
+                upstream.shrunk_at_s = math.inf
+                self.over_capacity.add(name)
+        self.first_start_s = math.inf
+        self.run(election_s)
+        self.take_over()
+
+    def step_announcements(self):
+        for name, at_s in list(self.announced_at_s.items()):
+            if self.now_s >= at_s:
+                del self.announced_at_s[name]
+                upstream = self.upstreams[name]
+                if upstream.shrunk_at_s == math.inf:
+                    upstream.shrunk_at_s = self.now_s
+                if upstream.is_up:
+                    self.announce(name)
+
+    def step_directory(self):
+        for item in list(self.directory_writes):
+            at_s, agent, worker = item
+            if self.now_s >= at_s:
+                self.directory_writes.remove(item)
+                self.directory[agent] = worker
+        for agent, message in list(self.waiting_requests.items()):
+            listed = self.directory.get(agent)
+            if self.is_outdated(agent):
+                del self.waiting_requests[agent]
+            elif listed and listed.incarnation == message.worker.incarnation:
+                del self.waiting_requests[agent]
+                self.attach(agent, message)
+
+    def attach(self, agent, message):
+        self.known_agents.add(agent)
+        self.dispatcher.attach(agent, message, self.now_s)
+        if self.features:
+            self.heartbeat_at_s = -1.0
+
+    def is_outdated(self, agent):
+        """Returns whether a request is too old; agents repeat theirs."""
+        return self.now_s - self.requested_at_s[agent] > REQUEST_RETENTION_S
+
+    def write_directory(self, agent, worker, is_leaving):
+        is_enabled = LoadFeature.UPSTREAM_DIRECTORY in self.features
+        worker = None if is_leaving else worker
+        if not is_enabled or is_standby_term(self.term):
+            return
+        if worker != self.directory.get(agent):
+            write = (self.now_s + COMMIT_S, agent, worker)
+            self.directory_writes.append(write)
+
+    def must_wait_for_directory(self, agent, message):
+        """Writes the worker of an attach request; returns whether that is needed."""
+        self.write_directory(agent, message.worker, message.is_leaving)
+        is_enabled = LoadFeature.UPSTREAM_DIRECTORY in self.features
+        if not is_enabled or is_standby_term(self.term):
+            return False
+        worker = None if message.is_leaving else message.worker
+        listed = self.directory.get(agent)
+        if worker is None or (listed and listed.incarnation == worker.incarnation):
+            return False
+        self.waiting_requests[agent] = message
+        self.requested_at_s[agent] = self.now_s
+        return True
+
+    def heartbeat_for_agent(self, name, heard_s):
+        known_worker = None
+        if not is_standby_term(self.term):
+            known_worker = self.directory.get(name)
+        return self.dispatcher.heartbeat_for_agent(name, heard_s, known_worker)
+
     def take_over(self):
         """Starts a new dispatcher just after the previous one has lost its lease."""
         self.ledger_term += 1
@@ -297,6 +417,7 @@
             expected=self.known_agents,
             now_s=self.now_s,
             has_lease_expired=has_lease_expired,
+            features=self.features,
         )
         self.dispatcher.set_table(make_table())
         self.last_heard_s = {}
@@ -323,7 +444,7 @@
         at_s = self.now_s + self.generator.choice(self.delays_s)
         if relay in self.slow_relays:
             at_s += self.generator.uniform(0.5, 3.0)
-        if source in self.agents:
+        if source in self.agents or self.are_links_ordered:
             # Links preserve the order of messages; attach requests rely on it.
             at_s = max(at_s, self.last_at_s.get((source, target, relay), 0.0))
             self.last_at_s[(source, target, relay)] = at_s
@@ -341,6 +462,9 @@
             if upstream.is_up:
                 upstream.tick(self.now_s)
         self.step_crashes()
+        self.step_announcements()
+        if self.dispatcher is not None:
+            self.step_directory()
         self.run_delayed_starts()
         self.deliver()
         self.step_dispatcher()
@@ -388,7 +512,7 @@
 
     def send_relayed_heartbeat(self, agent):
         heard_s = self.relay_routes.sent_at_s(agent)
-        message = self.dispatcher.heartbeat_for_agent(agent, heard_s)
+        message = self.heartbeat_for_agent(agent, heard_s)
         relay = self.relay_routes.relay_of(agent)
         self.send(self.dispatcher_entry, agent, message, self.now_s, relay)
 
@@ -405,10 +529,14 @@
         if isinstance(message, AttachWorker):
             if is_standby_term(self.term) and agent not in self.known_agents:
                 return
-            self.known_agents.add(agent)
-            self.dispatcher.attach(agent, message, self.now_s)
+            if self.must_wait_for_directory(agent, message):
+                return
+            self.attach(agent, message)
         elif isinstance(message, WorkerReport):
             self.dispatcher.report(agent, message, self.now_s)
+            worker = self.dispatcher.workers.get(agent)
+            if worker is not None and agent not in self.waiting_requests:
+                self.write_directory(agent, worker.record, worker.is_leaving)
 
     def step_dispatcher(self):
         if self.dispatcher is None:
@@ -417,7 +545,7 @@
             self.heartbeat_at_s = self.now_s
             for name in self.agents:
                 heard_s = self.last_heard_s.get(name, -1e9)
-                message = self.dispatcher.heartbeat_for_agent(name, heard_s)
+                message = self.heartbeat_for_agent(name, heard_s)
                 self.send(self.dispatcher_entry, name, message, self.now_s)
             for name in self.relay_routes.agents(self.now_s):
                 self.send_relayed_heartbeat(name)
@@ -440,7 +568,7 @@
         is_due = self.now_s - self.renewed_at_s[name] >= RENEW_INTERVAL_S
         if is_due and name in self.back_at_s and not self.is_dark:
             self.renewed_at_s[name] = self.now_s
-            agent.on_upstream_gone(upstream.id, self.now_s)
+            agent.on_upstream_gone(upstream.record().incarnation, self.now_s)
         elif is_due and upstream.is_up and name not in self.unresponsive:
             self.renewed_at_s[name] = self.now_s
             self.renew(agent, upstream)
@@ -468,19 +596,29 @@
         )
         is_delayed = is_delayed or upstream.name in self.unresponsive
         if isinstance(call, StartCall):
-            if not agent.may_renew(self.now_s) or agent.term != call.term:
+            if not agent.may_start(self.now_s) or agent.term != call.term:
                 agent.on_start_response(call, StartResponse.TOO_LATE, self.now_s)
                 return
             lease_until = self.to_upstream_time(upstream, agent.lease_until_s)
+            if call.born_ms != upstream.born_ms:
+                lease_until = math.inf  # the clocks of incarnations differ
             agent.record_renewal(agent.lease_until_s)
             if is_delayed:
                 self.delayed_starts.append(
-                    (self.delayed_until_s(), upstream, call, lease_until)
+                    (
+                        self.delayed_until_s(),
+                        upstream,
+                        upstream.incarnation,
+                        call,
+                        lease_until,
+                    )
                 )
                 agent.on_start_response(call, StartResponse.NO_ANSWER, self.now_s)
                 return
             response = upstream.start(call.order, lease_until, call.term, self.now_s)
             self.starts[str(call.order.task)] += response is StartResponse.STARTED
+            if response is StartResponse.STARTED:
+                self.first_start_s = min(self.first_start_s, self.now_s)
             if self.drops_response(upstream):
                 response = StartResponse.NO_ANSWER
             agent.on_start_response(call, response, self.now_s)
@@ -500,14 +638,19 @@
 
     def run_delayed_starts(self):
         for item in list(self.delayed_starts):
-            at_s, upstream, call, lease_until = item
+            at_s, upstream, incarnation, call, lease_until = item
             if at_s <= self.now_s:
                 self.delayed_starts.remove(item)
-                if upstream.id == call.upstream:
+                if upstream.incarnation == incarnation:
                     upstream.start(call.order, lease_until, call.term, self.now_s)
 
     def renew(self, agent, upstream):
-        if agent.upstream != upstream.id:
+        worker = agent.listed_worker
+        if worker is None:
+            return
+        if worker.upstream != upstream.id:
+            if not agent.upstream:
+                agent.on_upstream_gone(worker.incarnation, self.now_s)
             return
         may_renew = agent.may_renew(self.now_s)
         if not may_renew and not agent.may_poll(self.now_s):
@@ -517,6 +660,8 @@
         lease_until = (
             self.to_upstream_time(upstream, agent.lease_until_s) if may_renew else None
         )
+        if may_renew and worker.born_ms != upstream.born_ms:
+            lease_until = math.inf  # the clocks of incarnations differ
         listing = upstream.listing(
             agent.term, agent.acknowledged, lease_until, self.now_s
         )
@@ -527,10 +672,11 @@
         upstream = self.upstreams[name]
         upstream.is_up = False
         for task in upstream.runs:
-            self.crashed_under[task].append(upstream.id)
+            self.crashed_under[task].append(upstream.record().incarnation)
         upstream.runs = {}
         if not self.is_dark and name not in self.frozen:
-            self.agents[name].on_call_broken(upstream.id, self.now_s)
+            incarnation = upstream.record().incarnation
+            self.agents[name].on_call_broken(incarnation, self.now_s)
         self.back_at_s[name] = self.now_s + down_s
 
     def step_crashes(self):
@@ -550,10 +696,14 @@
         self.over_capacity.add(name)
         self.announce(name)
 
-    def crash_upstream(self, name):
+    def crash_upstream(self, name, *, is_announced=True):
         upstream = self.upstreams[name]
         upstream.restart()
-        self.announce(name)
+        if is_announced:
+            self.announce(name)
+        else:
+            delay_s = self.generator.uniform(0, ANNOUNCEMENT_INTERVAL_S)
+            self.announced_at_s[name] = self.now_s + delay_s
 
     def check_invariants(self):
         seen = {}
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_state.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_state.py
@@ -83,12 +83,21 @@
 
 
 class AgentRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """An agent, with the log indexes of its first and current incarnations."""
+    """An agent, with the log indexes of its first and current incarnations.
+
+    Attributes:
+        name: Name of the agent.
+        incarnation: Its incarnation.
+        first_index: Log index at which it was registered first.
+        index: Log index at which its incarnation was registered.
+        worker: Encoded record of its worker's upstream, empty for none.
+    """
 
     name: str
     incarnation: int
     first_index: int
     index: int
+    worker: bytes = b""
 
 
 class ConfigurationRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -351,12 +360,17 @@
     def _register_agent(self, index: int, command: RegisterAgent) -> Outcome:
         known = self._agents.get(command.name)
         if known is not None and known.incarnation == command.incarnation:
+            if known.worker != command.worker:
+                self._agents[command.name] = msgspec.structs.replace(
+                    known, worker=command.worker
+                )
             return Outcome(accepted=True)
         self._agents[command.name] = AgentRecord(
             name=command.name,
             incarnation=command.incarnation,
             first_index=known.first_index if known else index,
             index=index,
+            worker=command.worker,
         )
         return Outcome(accepted=True)
 
