--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_agent_registry.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_agent_registry.py
@@ -2,12 +2,15 @@
 
 import unittest
 
+import msgspec
 from hawthornbarrow.cells import (
     TRACE_RETENTION_S,
     AttachWorker,
+    LoadFeature,
     Resources,
     RunLeaseTiming,
     WorkerRecord,
+    encode_worker,
 )
 from hawthornbarrow.ledger import AgentRecord, RegisterAgent, RetireAgent
 
@@ -101,5 +104,130 @@
             self.assertEqual(retirements, [])
 
 
+WORKER = attach_request().worker
+
+
+def worker_of(**changes):
+    return msgspec.structs.replace(WORKER, born_ms=1000, **changes)
+
+
+class WorkerDirectoryTest(unittest.TestCase):
+    """Tests when the worker of an agent is written to the ledger."""
+
+    def setUp(self):
+        self.registry = AgentRegistry(
+            timing=TIMING, features=frozenset({LoadFeature.UPSTREAM_DIRECTORY})
+        )
+        self.directory = self.registry.directory
+        self.records = {"a": record("a")}
+
+    def request(self, worker, now_s=0.0, *, is_leaving=False):
+        message = msgspec.structs.replace(
+            attach_request(), worker=worker, is_leaving=is_leaving
+        )
+        self.registry.on_attach_request("a", message, now_s)
+
+    def attachable_count(self, now_s=0.0):
+        return len(
+            self.registry.take_attachable(self.records, now_s, records=self.records)
+        )
+
+    def commit(self, commands):
+        for command in commands:
+            self.records["a"] = msgspec.structs.replace(
+                self.records["a"], worker=command.worker
+            )
+
+    def test_no_agent_is_attached_before_the_ledger_lists_its_incarnation(self):
+        """Guards against runs that a restarted agent would not look for."""
+        self.request(worker_of())
+        self.assertEqual(0, self.attachable_count())
+        commands = self.directory.take_changes(self.records)
+        expected = RegisterAgent(
+            name="a", incarnation=0, worker=encode_worker(worker_of())
+        )
+        self.assertEqual([expected], commands)
+        self.assertEqual(0, self.attachable_count(0.01))
+        self.commit(commands)
+        self.assertEqual(1, self.attachable_count(0.02))
+
+    def test_registration_contains_the_worker(self):
+        self.request(worker_of())
+        (command,) = self.registry.take_registrations({})
+        self.assertEqual(encode_worker(worker_of()), command.worker)
+
+    def test_known_incarnation_is_attached_without_a_write(self):
+        self.commit(
+            [RegisterAgent(name="a", incarnation=0, worker=encode_worker(worker_of()))]
+        )
+        self.request(worker_of())
+        self.assertEqual(1, self.attachable_count())
+        self.assertEqual([], self.directory.take_changes(self.records))
+
+    def test_one_command_per_agent_is_pending(self):
+        self.request(worker_of())
+        first = self.directory.take_changes(self.records)
+        self.assertEqual([], self.directory.take_changes(self.records))
+        self.request(worker_of(upstream="v"), 0.1)
+        self.assertEqual([], self.directory.take_changes(self.records))
+        self.commit(first)
+        (second,) = self.directory.take_changes(self.records)
+        self.assertEqual(encode_worker(worker_of(upstream="v")), second.worker)
+        self.commit([second])
+        self.assertEqual([], self.directory.take_changes(self.records))
+        self.assertEqual(1, self.attachable_count(0.1))
+
+    def test_changed_capacity_is_written_and_does_not_delay_the_attachment(self):
+        self.commit(
+            [RegisterAgent(name="a", incarnation=0, worker=encode_worker(worker_of()))]
+        )
+        smaller = worker_of(capacity=Resources(cpu=500))
+        self.request(smaller)
+        self.assertEqual(1, self.attachable_count())
+        (command,) = self.directory.take_changes(self.records)
+        self.assertEqual(encode_worker(smaller), command.worker)
+
+    def test_report_of_a_smaller_capacity_is_written(self):
+        self.commit(
+            [RegisterAgent(name="a", incarnation=0, worker=encode_worker(worker_of()))]
+        )
+        smaller = worker_of(capacity=Resources(cpu=500))
+        self.registry.on_report("a", smaller, is_leaving=False)
+        self.registry.on_report("a", smaller, is_leaving=False)
+        self.assertEqual(1, len(self.directory.take_changes(self.records)))
+
+    def test_upstream_that_left_or_is_leaving_is_removed(self):
+        for worker, is_leaving in ((None, False), (worker_of(), True)):
+            self.setUp()
+            self.commit([RegisterAgent(name="a", incarnation=0, worker=b"x")])
+            self.request(worker, is_leaving=is_leaving)
+            self.assertEqual(1, self.attachable_count())
+            (command,) = self.directory.take_changes(self.records)
+            self.assertEqual(b"", command.worker)
+
+    def test_agent_that_was_retired_meanwhile_is_written_again(self):
+        self.request(worker_of())
+        self.directory.take_changes(self.records)
+        self.assertEqual([], self.directory.take_changes({}))
+        self.assertEqual(1, len(self.directory.take_changes(self.records)))
+
+    def test_standby_attaches_without_the_ledger(self):
+        self.request(worker_of())
+        self.assertEqual(1, len(self.registry.take_attachable(self.records, 0.0)))
+
+    def test_unreadable_record_counts_as_none(self):
+        unreadable = msgspec.structs.replace(record("a"), worker=b"\xff")
+        self.assertIsNone(self.directory.known_worker(unreadable))
+
+    def test_nothing_is_written_or_known_without_the_feature(self):
+        registry = AgentRegistry(timing=TIMING)
+        listed = msgspec.structs.replace(record("a"), worker=encode_worker(worker_of()))
+        self.assertIsNone(registry.directory.known_worker(listed))
+        registry.on_attach_request("a", attach_request(), 0.0)
+        self.assertEqual([], registry.directory.take_changes(self.records))
+        attachable = registry.take_attachable(self.records, 0.0, records=self.records)
+        self.assertEqual(1, len(attachable))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell_simulation.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell_simulation.py
@@ -44,6 +44,7 @@
 from hawthornbarrow.queues import Queue, QueueTable, Service
 
 STEP_S = 0.01
+MAX_RUN_S = 0.6
 RENEW_INTERVAL_S = 0.1
 SHRINK_GRACE_S = 0.05  # in which starts that are under way may exceed a new capacity
 DOWN_S = 3.0  # time until a crashed upstream is back
@@ -95,6 +96,7 @@
         self.shrunk_at_s = -math.inf
         # Time from its start until a task of one of these jobs crashes the upstream.
         self.crash_delays_s = {}
+        self.max_run_s = MAX_RUN_S
         self.restart()
 
     def restart(self):
@@ -147,7 +149,7 @@
         self.extend(lease_until, now_s)
         if order.attempt <= self.closed_attempts.get(key, 0) or key in self.runs:
             return StartResponse.SUPERSEDED
-        run_s = self.generator.uniform(0.05, 0.6)
+        run_s = self.generator.uniform(0.05, self.max_run_s)
         self.runs[key] = {
             "attempt": order.attempt,
             "needs": order.needs,
@@ -247,6 +249,7 @@
         self.relay_routes = RelayRoutes(timing=TIMING)
         self.frozen = set()
         self.delayed_calls = set()
+        self.call_delays_s = (1.5, 4.0)
         self.unresponsive = set()
         self.lossy_responses = set()
         self.upstreams = {}
@@ -311,7 +314,9 @@
             delay_s = self.generator.uniform(0, ANNOUNCEMENT_INTERVAL_S)
             self.announced_at_s[name] = self.now_s + delay_s
             upstream, listed = self.upstreams[name], self.directory.get(name)
-            if listed and listed.capacity != upstream.capacity:
+            record = upstream.record()
+            is_current = listed and listed.incarnation == record.incarnation
+            if is_current and listed.capacity != record.capacity:
                 # Until the announcement, the capacity of the directory is used.
                 upstream.shrunk_at_s = math.inf
                 self.over_capacity.add(name)
@@ -634,7 +639,7 @@
         return upstream.name in self.lossy_responses and self.generator.random() < 0.5
 
     def delayed_until_s(self):
-        return self.now_s + self.generator.uniform(1.5, 4.0)
+        return self.now_s + self.generator.uniform(*self.call_delays_s)
 
     def run_delayed_starts(self):
         for item in list(self.delayed_starts):
@@ -696,8 +701,13 @@
         self.over_capacity.add(name)
         self.announce(name)
 
-    def crash_upstream(self, name, *, is_announced=True):
+    def crash_upstream(self, name, *, is_announced=True, capacity=None):
         upstream = self.upstreams[name]
+        if capacity is not None:
+            # Starts may exceed the capacity until the next listing shows the restart.
+            upstream.capacity = capacity
+            upstream.shrunk_at_s = self.now_s + RENEW_INTERVAL_S
+            self.over_capacity.add(name)
         upstream.restart()
         if is_announced:
             self.announce(name)
@@ -720,7 +730,8 @@
                     )
                 seen[task] = upstream.name
             if used.fits_into(upstream.capacity):
-                self.over_capacity.discard(upstream.name)
+                if upstream.shrunk_at_s <= self.now_s:
+                    self.over_capacity.discard(upstream.name)
             elif used.fits_into(CAPACITY) and upstream.name in self.over_capacity:
                 continue
             else:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_upstream_directory.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_upstream_directory.py
@@ -29,7 +29,11 @@
     encode_worker,
     first_term,
 )
-from hawthornbarrow.cells.tests._cell_simulation import CellSimulation, make_job
+from hawthornbarrow.cells.tests._cell_simulation import (
+    CAPACITY,
+    CellSimulation,
+    make_job,
+)
 
 TIMING = RunLeaseTiming(run_lease_s=1.0, stop_s=0.05)
 TERM = first_term(1)
@@ -422,10 +426,14 @@
         generator = random.Random(seed)
         cell = CellSimulation(seed=seed, keeps_id=True, features=DIRECTORY)
         cell.recognized_count = cell.crash_count = 0
+        cell.delays_s = [0.002, 0.002, 0.002, 0.05]
+        cell.call_delays_s = (0.05, 1.2)
+        for upstream in cell.upstreams.values():
+            upstream.max_run_s = 1.5
         cell.run(0.5)
         for number in range(FAULT_COUNT):
-            for index in range(2):
-                cell.submit(make_job(f"{number}-{index}", run_s=0.5))
+            for index in range(3):
+                cell.submit(make_job(f"{number}-{index}", run_s=1.0))
             self.inject_fault(cell, generator)
             cell.run(generator.uniform(0.05, 0.9))
         cell.delayed_calls.clear()
@@ -434,7 +442,9 @@
         cell.frozen.clear()
         if cell.dispatcher is None:
             cell.take_over()
-        cell.run(12.0)
+        for name in cell.upstreams:
+            cell.set_capacity(name, CAPACITY)
+        cell.run(16.0)
         self.assertEqual(set(cell.jobs), set(cell.answers))
         return cell
 
@@ -445,7 +455,9 @@
             self.count_recognized(cell)
             cell.restart_all_processes(election_s=generator.uniform(0.1, 1.0))
         elif kind == 2:
-            cell.crash_upstream(name, is_announced=False)
+            cpu = generator.choice([2000, 4000])
+            capacity = Resources(cpu=cpu, memory_mb=4000)
+            cell.crash_upstream(name, is_announced=False, capacity=capacity)
             cell.crash_count += 1
         elif kind == 3:
             cell.stop_upstream(name, down_s=generator.uniform(0.02, 0.6))
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_state.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_state.py
@@ -1,5 +1,7 @@
 import unittest
 
+import msgspec
+
 from hawthornbarrow.ledger import (
     ApplyConfiguration,
     Claim,
@@ -10,6 +12,7 @@
     LedgerState,
     RegisterAgent,
     RegisterEntry,
+    decode_command,
     job_id_of,
 )
 
@@ -128,9 +131,31 @@
         self.apply(RegisterAgent(name="x", incarnation=2))
         self.assertGreater(self.state.agents["x"].index, first.first_index)
 
+    def test_directory_keeps_the_last_worker_of_an_agent(self):
+        self.apply(RegisterAgent(name="x", incarnation=0, worker=b"u1"))
+        self.assertEqual(b"u1", self.state.agents["x"].worker)
+        first = self.state.agents["x"]
+        self.apply(RegisterAgent(name="x", incarnation=0, worker=b"u2"))
+        self.assertEqual(b"u2", self.state.agents["x"].worker)
+        self.assertEqual(first.index, self.state.agents["x"].index)
+        self.apply(RegisterAgent(name="x", incarnation=0))
+        self.assertEqual(b"", self.state.agents["x"].worker)
+
+    def test_records_of_the_version_without_workers_are_read(self):
+        command = ["RegisterAgent", 0, "x", 3]
+        self.apply(decode_command(msgspec.msgpack.encode(command)))
+        self.assertEqual(b"", self.state.agents["x"].worker)
+        snapshot = msgspec.msgpack.decode(self.state.encode())
+        rows = [row for part in snapshot if isinstance(part, list) for row in part]
+        (agent,) = [row for row in rows if row[0] == "x"]
+        self.assertEqual(b"", agent.pop())
+        copy = LedgerState(retention_s=3600.0)
+        copy.restore(msgspec.msgpack.encode(snapshot))
+        self.assertEqual(self.state.agents, copy.agents)
+
     def test_snapshot_restores_the_whole_state(self):
         self.claim()
-        self.apply(RegisterAgent(name="x", incarnation=1))
+        self.apply(RegisterAgent(name="x", incarnation=1, worker=b"u"))
         copy = LedgerState(retention_s=3600.0)
         copy.restore(self.state.encode())
         self.assertEqual(copy.encode(), self.state.encode())
--- a/tools/soak/_executor.py
+++ b/tools/soak/_executor.py
@@ -4,6 +4,7 @@
 import dataclasses
 import itertools
 import random
+import time
 
 import curio
 import msgspec
@@ -25,6 +26,7 @@
 CAPACITY_GRACE_S = 3.5
 MAX_CRASHES = 3  # executors that may crash under a task before its starts are limited
 MAX_LATER_STARTS = 2
+NEW_ID_SHARE = 0.5  # share of the restarts under another id
 _POLL_INTERVAL_S = 0.005
 _HEARTBEAT_INTERVAL_S = 0.5
 
@@ -147,7 +149,12 @@
         """Ends all runs and begins the next incarnation."""
         for task in getattr(self, "_runs", {}):
             self._oracle.record_end(task, self.id)
-        self.id = f"i-{self._name}-{next(self._incarnation_numbers)}"
+        number = next(self._incarnation_numbers)
+        if number == 1 or self._generator.random() < NEW_ID_SHARE:
+            self.id = f"i-{self._name}-{number}"
+        # Restarts may follow each other within a millisecond.
+        self._born_ms = int(time.time() * 1000) + number
+        self._born_at_s = steady_s()
         self._runs: dict[str, _Run] = {}
         self._closed_attempts: dict[str, int] = {}
         self._finished_runs: list[list] = []
@@ -165,7 +172,7 @@
             await group.spawn(self._send_heartbeats)
 
     def _clock_s(self) -> float:
-        return steady_s() * self._clock_rate
+        return (steady_s() - self._born_at_s) * self._clock_rate
 
     async def _advance_runs(self) -> None:
         while True:
@@ -198,6 +205,7 @@
                 "labels": ["a", "r1"],
                 "clockMs": int(self._clock_s() * 1000),
                 "sequence": self._sequence,
+                "born": self._born_ms,
             }
             try:
                 async with curio.timeout_after(1.0):
@@ -218,9 +226,9 @@
         if request.path == "/api/hold":
             return await self._renew_runs(body)
         if self._generator.random() < self.delayed_order_share:
-            incarnation = self.id
+            born_ms = self._born_ms
             await curio.sleep(self._generator.uniform(0.5, 3.0))
-            if incarnation == self.id:
+            if born_ms == self._born_ms:
                 self._execute_order(request.path, body)
             await curio.sleep(10)
         return self._execute_order(request.path, body)
@@ -312,5 +320,9 @@
         self._oracle.record_end(task, self.id)
 
     def _build_response(self, status: int, **fields: object) -> Response:
-        body = {"clockMs": int(self._clock_s() * 1000), **fields}
+        body = {
+            "clockMs": int(self._clock_s() * 1000),
+            "born": self._born_ms,
+            **fields,
+        }
         return Response(status=status, body=msgspec.json.encode(body))
