--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -184,6 +184,7 @@
             generator=random.Random(incarnation),
             now_s=steady_s(),
             features=settings.features,
+            process=incarnation,
         )
         self._dialer = Dialer(port=self._port)
         self._link_plan = LinkPlan()
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -154,11 +154,11 @@
         self._standby.on_heartbeat(term, now_s)
         self._last_heartbeat_from = peer
 
-    def on_peer_up(self, peer: str, *, is_restarted: bool) -> None:
+    def on_peer_up(self, peer: str, *, is_restarted: bool, process: int = 0) -> None:
         """Processes a new link, to a process that may not know the agents yet."""
         self._sent_agents.pop(peer, None)
         if is_restarted and self._dispatcher is not None:
-            self._dispatcher.on_agent_restarted(peer, steady_s())
+            self._dispatcher.on_agent_restarted(peer, steady_s(), process=process)
 
     async def tick(
         self, now_s: float, table: QueueTable | None, membership: Membership
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -494,7 +494,9 @@
     async def _on_peer_up(self, event: PeerUp, now_s: float) -> None:
         self._roles[event.peer] = event.role
         _log.info("peer_up", peer=event.peer, role=event.role)
-        self._dispatcher_role.on_peer_up(event.peer, is_restarted=event.restarted)
+        self._dispatcher_role.on_peer_up(
+            event.peer, is_restarted=event.restarted, process=event.incarnation
+        )
         if event.role == ENTRY_ROLE:
             self._membership.on_link_change(event.peer, True, now_s)
             self._uninformed_roles.update((ENTRY_ROLE, AGENT_ROLE))
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -272,14 +272,20 @@
             self._adopt_ended_run(agent, ended, now_s)
         self._has_changes = True
 
-    def on_agent_restarted(self, agent: str, now_s: float) -> None:
+    def on_agent_restarted(self, agent: str, now_s: float, *, process: int = 0) -> None:
         """Records that an agent has restarted, perhaps with an earlier clock.
 
         It drops orders of its former attachment, so it gets none until it attaches. It
-        does so once the leases of all former runs have expired, or earlier.
+        does so once the leases of all former runs have expired, or earlier. Its direct
+        link may come up after its new process has attached through a relay.
+
+        Args:
+            agent: Name of the agent.
+            now_s: Current time.
+            process: Random number of its new process, zero if unknown.
         """
         worker = self._pool.workers.get(agent)
-        if worker is not None:
+        if worker is not None and not (process and process == worker.process):
             worker.attach_sent_at_s = -math.inf
             self._pool.await_attach(worker, now_s)
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
@@ -72,6 +72,8 @@
             other on different paths, so the dispatcher ignores an earlier one.
         recorded_s: Time for which the agent has recorded ended runs, that is since its
             start. Agents of the version before do not send it.
+        process: Random number that the agent drew when it started, which its links
+            carry too; zero from agents of a version that does not send it.
     """
 
     term: int
@@ -82,6 +84,7 @@
     ended: list[EndedRun]
     sent_at_s: float = 0.0
     recorded_s: float = math.inf
+    process: int = 0
 
 
 class WorkerReport(_Message, kw_only=True):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
@@ -71,6 +71,7 @@
         generator: Source of session numbers.
         now_s: Current time.
         features: Optional features that the deployment has enabled.
+        process: Random number that the process drew when it started.
     """
 
     def __init__(
@@ -80,6 +81,7 @@
         generator: random.Random,
         now_s: float,
         features: frozenset[LoadFeature] = NO_FEATURES,
+        process: int = 0,
     ) -> None:
         """Initializes a supervisor without an upstream.
 
@@ -87,6 +89,7 @@
         """
         self._timing = timing
         self._generator = generator
+        self._process = process
         self._started_at_s = now_s
         self._inherited_runs_until_s = now_s + timing.lost_after_s
         self._has_had_upstream = False
@@ -929,6 +932,7 @@
                 ended=self._ended_runs.retained(),
                 sent_at_s=now_s,
                 recorded_s=now_s - self._started_at_s,
+                process=self._process,
             )
         )
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -150,6 +150,7 @@
             record=message.worker,
             now_s=now_s,
             attach_sent_at_s=message.sent_at_s,
+            process=message.process,
         )
         worker.is_leaving = message.is_leaving
         self._workers[agent] = worker
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_view.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_view.py
@@ -43,6 +43,7 @@
         record: Record of its worker's upstream.
         now_s: Current time.
         attach_sent_at_s: When, on its own clock, the agent sent its attach request.
+        process: Random number of the agent's process, zero if unknown.
     """
 
     def __init__(
@@ -53,12 +54,14 @@
         record: WorkerRecord,
         now_s: float,
         attach_sent_at_s: float = 0.0,
+        process: int = 0,
     ) -> None:
         """Initializes a view without runs."""
         self.agent = agent
         self.session = session
         self.record = record
         self.attach_sent_at_s = attach_sent_at_s
+        self.process = process
         self.heard_at_s = now_s
         self.is_leaving = False
         self.is_silent = False
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_relays.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_relays.py
@@ -10,6 +10,7 @@
     JobState,
     RelayRoutes,
     Resources,
+    StartTasks,
     SubmitJob,
     TaskKey,
     WorkerRecord,
@@ -93,7 +94,7 @@
         self.dispatcher = Dispatcher(term=2, timing=TIMING, expected=(), now_s=10.0)
         self.dispatcher.set_table(make_table())
 
-    def attach(self, session, *, sent_at_s, running=()):
+    def attach(self, session, *, sent_at_s, running=(), process=0):
         record = WorkerRecord(
             upstream="u", service="s", data_centre="d", labels=(), capacity=CAPACITY
         )
@@ -105,6 +106,7 @@
             running=list(running),
             ended=[],
             sent_at_s=sent_at_s,
+            process=process,
         )
         self.dispatcher.attach("a", message, 10.0)
         return self.dispatcher.workers["a"]
@@ -127,6 +129,27 @@
         self.dispatcher.on_agent_restarted("a", 100.0)
         self.assertEqual(33, self.attach(33, sent_at_s=0.5).session)
 
+    def start_count_after_link(self, process):
+        """Returns the number of starts after the direct link of a process is up."""
+        self.attach(22, sent_at_s=5.0, process=7)
+        self.dispatcher.on_agent_restarted("a", 10.0, process=process)
+        submission = SubmitJob(
+            document=make_job("j", count=1), age_s=0.0, was_offered=False
+        )
+        self.dispatcher.submit("e", submission, 10.0)
+        self.dispatcher.tick(10.1)
+        messages = self.dispatcher.take_messages()
+        return sum(isinstance(message, StartTasks) for _, message in messages)
+
+    def test_agent_that_attached_through_a_relay_before_its_link_gets_tasks(self):
+        """Guards against 2.2 s without tasks after a restart of agent or dispatcher."""
+        self.assertEqual(1, self.start_count_after_link(7))
+
+    def test_agent_that_restarted_after_its_attach_request_gets_no_tasks(self):
+        for process in (0, 8):
+            self.setUp()
+            self.assertEqual(0, self.start_count_after_link(process))
+
 
 class RelayRoutesTest(unittest.TestCase):
     def setUp(self):
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_state.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_state.py
@@ -146,8 +146,8 @@
         self.apply(decode_command(msgspec.msgpack.encode(command)))
         self.assertEqual(b"", self.state.agents["x"].worker)
         snapshot = msgspec.msgpack.decode(self.state.encode())
-        rows = [row for part in snapshot if isinstance(part, list) for row in part]
-        (agent,) = [row for row in rows if row[0] == "x"]
+        (agent,) = snapshot[2]
+        self.assertEqual(["x", 3], agent[:2])
         self.assertEqual(b"", agent.pop())
         copy = LedgerState(retention_s=3600.0)
         copy.restore(msgspec.msgpack.encode(snapshot))
