--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
@@ -63,6 +63,11 @@
 _log = structlog.get_logger()
 
 
+def _has_same_attributes(worker: WorkerRecord, other: WorkerRecord) -> bool:
+    """Returns whether two records differ in the capacity only."""
+    return msgspec.structs.replace(worker, capacity=other.capacity) == other
+
+
 class RunSupervisor:
     """Starts, renews and stops the runs of one upstream.
 
@@ -278,7 +283,7 @@
         is_other = current is None or worker.incarnation != current.incarnation
         if is_other or worker.service != current.service:
             self._replace_upstream(worker, now_s)
-        elif not self._is_described:
+        elif not self._is_described or not _has_same_attributes(worker, current):
             self._describe(worker, now_s)
         elif worker.capacity != current.capacity:
             self._set_capacity(worker)
@@ -321,7 +326,7 @@
         return max(0.0, self._leaving_until_s - now_s)
 
     def _describe(self, worker: WorkerRecord, now_s: float) -> None:
-        """Takes the attributes of an incarnation of which only listings were known."""
+        """Takes attributes that were not known, and sends them in an attach request."""
         self._worker = worker
         self._is_described = True
         self._end_session()
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_upstream_directory.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_upstream_directory.py
@@ -313,6 +313,16 @@
         self.assertFalse(self.agent.announce(other, False, self.now_s))
         self.assertEqual("u@1000", self.agent.upstream)
 
+    def test_labels_that_were_missing_at_first_become_known(self):
+        unlabelled = msgspec.structs.replace(record_of(2000), labels=())
+        self.agent.announce(unlabelled, False, self.now_s)
+        self.list_runs(2000)
+        self.heartbeat()
+        self.agent.announce(record_of(2000), False, self.now_s)
+        self.take_messages()
+        labels = [request.worker.labels for request in self.attach_requests]
+        self.assertEqual([(), ("r1",)], labels)
+
     def test_remaining_time_of_a_leaving_upstream_is_reported_as_it_passes(self):
         self.agent.announce(record_of(), True, self.now_s, remaining_s=2.0)
         self.tick()
--- a/tools/soak/_faults.py
+++ b/tools/soak/_faults.py
@@ -12,6 +12,8 @@
 from tools.soak._executor import CAPACITY_MILLICORES, Executor
 from tools.soak._proxy import Mode, Proxy
 
+_TOTAL_OUTAGE_SHARE = 0.4  # of the outages
+
 
 class FaultInjector:
     """Injects faults through processes, links, executors and disks.
@@ -91,14 +93,21 @@
             await curio.sleep(self._generator.uniform(0.1, 1.5))
 
     async def _run_outage_series(self, stop_event: curio.Event) -> None:
-        """Repeatedly kills all entries with disks at once and restarts them."""
+        """Repeatedly kills all entries with disks, or all processes, and restarts them.
+
+        Executors go on running.
+        """
         while not stop_event.is_set():
             await curio.sleep(self._outage_generator.uniform(1.0, 5.0))
-            self._log_fault("kill all entries with disks")
             nodes = [entry for entry in self._entries if entry.has_disk]
+            down_s = self._outage_generator.uniform(1.0, 4.0)
+            if self._outage_generator.random() < _TOTAL_OUTAGE_SHARE:
+                nodes = self._entries + self._agents
+                down_s = self._outage_generator.uniform(0.1, 1.0)
+            self._log_fault("kill " + " ".join(node.name for node in nodes))
             for node in nodes:
                 node.kill()
-            await curio.sleep(self._outage_generator.uniform(1.0, 4.0))
+            await curio.sleep(down_s)
             for node in nodes:
                 if not node.is_running:
                     node.start(self.seeds, is_bootstrap=False)
