Merge incarnations by start time and the ledger's directory of upstreams

Upstreams that restart under their id are told apart, and after a restart of all processes agents attach without waiting for an announcement.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -14,6 +14,7 @@
     ConfigurationOutcome,
     ConfigurationSender,
     Dispatcher,
+    DispatcherHeartbeat,
     EvacuationOutcome,
     EvacuationState,
     EvacuationView,
@@ -129,7 +130,9 @@
         self._heartbeat_sent_at_s = -1e9
         self._sent_version = -1
         self._sent_evacuation_revision = -1
-        self._registry = AgentRegistry(timing=settings.timing)
+        self._registry = AgentRegistry(
+            timing=settings.timing, features=settings.features
+        )
         self._relay_routes = RelayRoutes(timing=settings.timing)
 
     @property
@@ -164,11 +167,11 @@
         self._standby.on_heartbeat(term, now_s)
         self._last_heartbeat_from = peer
 
-    def on_peer_up(self, peer: str, *, is_restarted: bool) -> None:
+    def on_peer_up(self, peer: str, *, is_restarted: bool, process: int = 0) -> None:
         """Processes a new link, to a process that may not know the agents yet."""
         self._sent_agents.pop(peer, None)
         if is_restarted and self._dispatcher is not None:
-            self._dispatcher.on_agent_restarted(peer, steady_s())
+            self._dispatcher.on_agent_restarted(peer, steady_s(), process=process)
 
     async def tick(
         self, now_s: float, table: QueueTable | None, membership: Membership
@@ -292,6 +295,11 @@
                 self._registry.on_attach_request(agent, message, now_s)
             case WorkerReport():
                 self._dispatcher.report(agent, message, now_s)
+                worker = self._dispatcher.workers.get(agent)
+                if worker is not None:
+                    self._registry.on_report(
+                        agent, worker.record, is_leaving=worker.is_leaving
+                    )
 
     def _check_handover(
         self, dispatcher: Dispatcher, membership: Membership, now_s: float
@@ -342,14 +350,35 @@
         A standby cannot register agents, so other agents get no work from it.
         """
         assert self._dispatcher is not None
-        for agent, message in self._registry.take_attachable(authority.agents, now_s):
-            self._dispatcher.attach(agent, message, now_s)
-            self._heartbeat_sent_at_s = -1e9
         ledger = self._replica.ledger
+        records = None
         if ledger is not None and not authority.is_standby:
-            for command in self._registry.take_registrations(authority.agents):
+            records = ledger.state.agents
+        for agent, message in self._registry.take_attachable(
+            authority.agents, now_s, records=records
+        ):
+            self._dispatcher.attach(agent, message, now_s)
+            self._heartbeat_sent_at_s = -1e9
+        if ledger is not None and records is not None:
+            commands = self._registry.take_registrations(authority.agents)
+            for command in commands + self._registry.directory.take_changes(records):
                 await ledger.propose(command)
 
+    def _heartbeat_for_agent(
+        self, dispatcher: Dispatcher, agent: str, heard_at_s: float
+    ) -> DispatcherHeartbeat:
+        """Returns a heartbeat with the worker that the ledger lists, where needed."""
+        known_worker = None
+        ledger = self._replica.ledger
+        if (
+            ledger is not None
+            and not is_standby_term(dispatcher.term)
+            and dispatcher.awaits_first_attach(agent)
+        ):
+            record = ledger.state.agents.get(agent)
+            known_worker = self._registry.directory.known_worker(record)
+        return dispatcher.heartbeat_for_agent(agent, heard_at_s, known_worker)
+
     async def retire_agents(self, now_s: float) -> None:
         """Retires agents from the ledger that can have no runs any more."""
         ledger = self._replica.ledger
@@ -472,7 +501,9 @@
         self._sent_agents.clear()
         self._handed_over_by.clear()
         self._relay_routes = RelayRoutes(timing=self._settings.timing)
-        self._registry = AgentRegistry(timing=self._settings.timing)
+        self._registry = AgentRegistry(
+            timing=self._settings.timing, features=self._settings.features
+        )
         self._heartbeat_sent_at_s = -1e9
         _log.info(
             "dispatcher_began",
@@ -530,7 +561,7 @@
         for peer in self._port.peers_up("agent"):
             heard_at_s = self._port.peer_sent_at_s(peer)
             await self._send(
-                peer, self._dispatcher.heartbeat_for_agent(peer, heard_at_s)
+                peer, self._heartbeat_for_agent(self._dispatcher, peer, heard_at_s)
             )
         for agent in self._relay_routes.agents(now_s):
             await self._send_relayed_heartbeat(self._dispatcher, agent, now_s)
@@ -555,7 +586,7 @@
         self, dispatcher: Dispatcher, agent: str, now_s: float
     ) -> None:
         heard_at_s = self._relay_routes.sent_at_s(agent)
-        heartbeat = dispatcher.heartbeat_for_agent(agent, heard_at_s)
+        heartbeat = self._heartbeat_for_agent(dispatcher, agent, heard_at_s)
         await self._send_relayed(agent, heartbeat)
 
     async def _send_relayed(self, agent: str, message: CellMessage) -> None:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -6,6 +6,7 @@
 
 if typing.TYPE_CHECKING:
     from hawthornbarrow.cells._admission import Admission, AdmissionDecision
+    from hawthornbarrow.cells._announcement_order import AnnouncementOrder
     from hawthornbarrow.cells._configuration_transfer import (
         ConfigurationSender,
         with_document,
@@ -94,6 +95,7 @@
         StartResponse,
         StopCall,
     )
+    from hawthornbarrow.cells._upstream_directory import decode_worker, encode_worker
 
 __all__ = [
     "FEATURES_VARIABLE",
@@ -101,6 +103,7 @@
     "NO_FEATURES",
     "TRACE_RETENTION_S",
     "Admission",
+    "AnnouncementOrder",
     "ArrivalOrder",
     "GetConfiguration",
     "GetJobState",
@@ -167,6 +170,8 @@
     "WorkerReport",
     "check_data_centre_name",
     "check_document",
+    "decode_worker",
+    "encode_worker",
     "first_term",
     "is_standby_term",
     "ledger_term_of",
@@ -181,6 +186,7 @@
     {
         "Admission": "_admission",
         "AdmissionDecision": "_admission",
+        "AnnouncementOrder": "_announcement_order",
         "ConfigurationSender": "_configuration_transfer",
         "with_document": "_configuration_transfer",
         "Dispatcher": "_dispatcher",
@@ -256,5 +262,7 @@
         "StartCall": "_upstream_calls",
         "StartResponse": "_upstream_calls",
         "StopCall": "_upstream_calls",
+        "decode_worker": "_upstream_directory",
+        "encode_worker": "_upstream_directory",
     },
 )
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -35,6 +35,7 @@
     Resources,
     RunOutcome,
     TaskKey,
+    WorkerRecord,
 )
 from hawthornbarrow.cells._previous_runs import PreviousRuns
 from hawthornbarrow.cells._queue_capacity import QueueCapacity
@@ -44,7 +45,11 @@
 from hawthornbarrow.cells._timing import RunLeaseTiming
 from hawthornbarrow.cells._waiting_jobs import plain_work_ahead_core_s
 from hawthornbarrow.cells._worker_monitor import WorkerMonitor
-from hawthornbarrow.cells._worker_pool import WorkerPool
+from hawthornbarrow.cells._worker_pool import (
+    ATTACH_WINDOW_S,
+    DIRECTORY_ATTACH_WINDOW_S,
+    WorkerPool,
+)
 from hawthornbarrow.cells._worker_view import Run, WorkerView
 from hawthornbarrow.queues import QueueTable
 
@@ -97,6 +102,11 @@
             expected=expected,
             now_s=now_s,
             has_lease_expired=has_lease_expired,
+            attach_window_s=(
+                DIRECTORY_ATTACH_WINDOW_S
+                if LoadFeature.UPSTREAM_DIRECTORY in features
+                else ATTACH_WINDOW_S
+            ),
         )
         self._job_registry = JobRegistry(
             term=term, order=order or TimelyPriorityOrder()
@@ -217,8 +227,26 @@
         """Returns the state of a job that callers see."""
         return self._job_registry.state_of(job)
 
-    def heartbeat_for_agent(self, agent: str, heard_at_s: float) -> DispatcherHeartbeat:
-        """Returns the heartbeat for an agent."""
+    def awaits_first_attach(self, agent: str) -> bool:
+        """Returns whether no run that this dispatcher ordered can be at an agent.
+
+        That is before its first session, and once its leases have expired.
+        """
+        return self._pool.awaits_first_attach(agent)
+
+    def heartbeat_for_agent(
+        self,
+        agent: str,
+        heard_at_s: float,
+        known_worker: WorkerRecord | None = None,
+    ) -> DispatcherHeartbeat:
+        """Returns the heartbeat for an agent.
+
+        Args:
+            agent: Name of the agent.
+            heard_at_s: When, on its own clock, it sent its newest heard frame.
+            known_worker: Worker that the ledger lists for it.
+        """
         worker = self._pool.workers.get(agent)
         return DispatcherHeartbeat(
             term=self._term,
@@ -226,6 +254,7 @@
             version=self._table.version if self._table else 0,
             session=worker.session if worker else 0,
             noted=worker.acknowledged if worker else 0,
+            known_worker=known_worker if self.awaits_first_attach(agent) else None,
         )
 
     def count_waiting_by_queue(self) -> dict[str, int]:
@@ -285,14 +314,20 @@
             self._adopt_ended_run(agent, ended, now_s)
         self._has_changes = True
 
-    def on_agent_restarted(self, agent: str, now_s: float) -> None:
+    def on_agent_restarted(self, agent: str, now_s: float, *, process: int = 0) -> None:
         """Records that an agent has restarted, perhaps with an earlier clock.
 
         It drops orders of its former attachment, so it gets none until it attaches. It
-        does so once the leases of all former runs have expired, or earlier.
+        does so once the leases of all former runs have expired, or earlier. Its direct
+        link may come up after its new process has attached through a relay.
+
+        Args:
+            agent: Name of the agent.
+            now_s: Current time.
+            process: Random number of its new process, zero if unknown.
         """
         worker = self._pool.workers.get(agent)
-        if worker is not None:
+        if worker is not None and not (process and process == worker.process):
             worker.attach_sent_at_s = -math.inf
             self._pool.await_attach(worker, now_s)
 
@@ -304,7 +339,7 @@
         worker.heard_at_s = now_s
         if message.is_leaving and not worker.is_leaving:
             worker.is_leaving = True
-            _log.info("worker_leaving", agent=agent, upstream=worker.record.upstream)
+            _log.info("worker_leaving", agent=agent, upstream=worker.record.incarnation)
         worker.is_silent = message.is_silent
         if message.capacity not in (None, worker.record.capacity):
             self._set_capacity(worker, message.capacity)
@@ -322,7 +357,7 @@
         _log.info(
             "worker_capacity_changed",
             agent=worker.agent,
-            upstream=worker.record.upstream,
+            upstream=worker.record.incarnation,
             cpu=capacity.cpu,
             memory_mb=capacity.memory_mb,
             former_cpu=worker.record.capacity.cpu,
@@ -715,6 +750,7 @@
     def _sweep(self, now_s: float) -> None:
         for worker in self._pool.silent_workers(now_s):
             self._detach(worker, "silent", now_s)
+            self._pool.forget_sessions(worker.agent)
         for worker in self._pool.workers.values():
             self._monitor.detect_slow_runs(worker, now_s)
         self._pool.refresh_all(now_s)
