Let callers wait at their entry while there is no dispatcher

Entries refused new jobs while no dispatcher was heard, left the rotation all at once, and sent each job over a hop that the dispatcher then refused.

With gap-waiting, requests and jobs wait as long as a late result is of use and their caller does not give up, at most 2,000 per entry. GapWaits decides for requests, CallerJob for jobs. An entry stays ready through a takeover if most of the entries that it is linked to answer. With early-refusal, an entry refuses jobs whose slack is shorter than the wait that the dispatcher reported for the queue within the last 0.45 s.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/__init__.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/__init__.py
@@ -1,10 +1,8 @@
 """Entries that discover one another and serve jobs measured in cores and memory."""
 
-from hawthornbarrow_entry.fleet._caller_jobs import (
-    CallerJobs,
-    CallerOutcome,
-    OutcomeKind,
-)
+from hawthornbarrow_entry.fleet._caller_jobs import CallerJobs
+from hawthornbarrow_entry.fleet._caller_outcome import CallerOutcome, OutcomeKind
+from hawthornbarrow_entry.fleet._gap_waits import CallerRequest
 from hawthornbarrow_entry.fleet._leader_requests import LeaderUnavailableError
 from hawthornbarrow_entry.fleet._membership import Membership, choose_initial_voters
 from hawthornbarrow_entry.fleet._process import FleetEntry
@@ -12,6 +10,7 @@
 
 __all__ = [
     "CallerOutcome",
+    "CallerRequest",
     "FleetEntry",
     "FleetEntrySettings",
     "CallerJobs",
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
@@ -1,8 +1,6 @@
 """CallerJobs: the sans-I/O state machine for the jobs of waiting callers."""
 
-import collections.abc
-import dataclasses
-import enum
+import collections
 import math
 
 import structlog
@@ -19,51 +17,26 @@
     WithdrawJob,
 )
 
+from hawthornbarrow_entry.fleet._caller_job import CallerJob
+from hawthornbarrow_entry.fleet._caller_outcome import (
+    CallerOutcome,
+    OutcomeKind,
+    Waiter,
+)
+from hawthornbarrow_entry.fleet._gap_waits import MAX_WAITING_COUNT
+from hawthornbarrow_entry.fleet._queue_levels import QueueLevels
+from hawthornbarrow_entry.fleet._readiness import READY_TIMEOUT_S, TAKEOVER_TIMEOUT_S
+
 INFORMATION_LEASE_S = 1.2  # dispatcher information older than this is not used
-TAKEOVER_TIMEOUT_S = 1.7  # without a dispatcher; a standby would have begun by then
 HEARTBEAT_TIMEOUT_S = 0.25  # after a longer silence jobs wait and are not submitted
-# After a longer silence new callers should go to other entries: four heartbeats are
-# missing, so this entry may be cut off. A takeover is over soon after that.
-READY_TIMEOUT_S = 0.6
 UNSUBMITTED_WAIT_FACTOR = 0.25  # of the objective; maximum wait before a submission
 MAX_VERSION_LAG_S = 0.6  # within which a newer configuration must be in force here
-RETRY_AFTER_S = 1.0
 
 JobMessage = SubmitJob | WithdrawJob | HandoverComplete
 
 _log = structlog.get_logger()
 
 
-class OutcomeKind(enum.StrEnum):
-    """Outcome of a job as reported to its caller."""
-
-    COMPLETE = "complete"
-    FAILED = "failed"
-    CANCELLED = "cancelled"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class CallerOutcome:
-    """Outcome of a job with the details that its caller gets.
-
-    Attributes:
-        kind: Outcome of the job.
-        reason: Why the job was refused or its outcome is unknown, or empty.
-        retry_after_s: Time after which the caller may try again, or zero for no advice.
-    """
-
-    kind: OutcomeKind
-    reason: str = ""
-    retry_after_s: float = 0.0
-
-    @classmethod
-    def refused(cls, reason: str) -> "CallerOutcome":
-        """Returns the outcome of a refused job that may be submitted again soon."""
-        return cls(kind=OutcomeKind.REFUSED, reason=reason, retry_after_s=RETRY_AFTER_S)
-
-
 _OUTCOMES = {
     JobState.COMPLETE: OutcomeKind.COMPLETE,
     JobState.FAILED: OutcomeKind.FAILED,
@@ -71,34 +44,7 @@
 }
 
 
-class Waiter:
-    """One caller that waits for a job.
-
-    Args:
-        give_up_at_s: When the caller stops waiting.
-        is_abandoned: Returns whether the caller has closed its connection.
-    """
-
-    def __init__(
-        self, *, give_up_at_s: float, is_abandoned: collections.abc.Callable[[], bool]
-    ) -> None:
-        """Initializes a waiter without an outcome."""
-        self.give_up_at_s = give_up_at_s
-        self.is_abandoned = is_abandoned
-        self.outcome: CallerOutcome | None = None
-
-
-@dataclasses.dataclass(kw_only=True)
-class _CallerJob:
-    document: JobDocument
-    objective_s: float
-    received_at_s: float
-    waiters: list[Waiter]
-    submitted_term: int = 0
-    submission_count: int = 0
-
-
-def _unanswered_outcome(job: _CallerJob, reason: str) -> CallerOutcome:
+def _unanswered_outcome(job: CallerJob, reason: str) -> CallerOutcome:
     """Returns the outcome of a job that no dispatcher has answered."""
     if job.submission_count:
         return CallerOutcome(kind=OutcomeKind.UNKNOWN, reason=reason)
@@ -129,7 +75,11 @@
         self._informed_at_s = -math.inf
         self._heartbeat_at_s = -math.inf
         self._waiting: dict[str, int] = {}
-        self._jobs: dict[str, _CallerJob] = {}
+        self._levels = QueueLevels()
+        # Ids of the jobs that were submitted to no dispatcher yet.
+        self._held: set[str] = set()
+        self._counts: collections.Counter[str] = collections.Counter()
+        self._jobs: dict[str, CallerJob] = {}
         self._messages: list[tuple[str, JobMessage]] = []
         self._finished: list[Waiter] = []
 
@@ -153,6 +103,16 @@
         """Number of jobs that callers wait for."""
         return len(self._jobs)
 
+    @property
+    def held_count(self) -> int:
+        """Number of jobs that wait for a dispatcher and were submitted to none."""
+        return len(self._held)
+
+    @property
+    def counts(self) -> collections.Counter[str]:
+        """Number of jobs that waited for a dispatcher or were refused here, by kind."""
+        return self._counts
+
     def is_informed(self, now_s: float) -> bool:
         """Returns whether the dispatcher's information is recent enough to use."""
         return self.information_age_s(now_s) < INFORMATION_LEASE_S
@@ -207,6 +167,7 @@
             self._version = heartbeat.version
         self._informed_at_s = max(self._informed_at_s, heartbeat.heard_at_s)
         self._waiting = heartbeat.waiting
+        self._levels.on_heartbeat(heartbeat.levels, now_s)
         if is_new:
             _log.info(
                 "dispatcher_found",
@@ -216,12 +177,34 @@
                 held=len(self._jobs),
             )
             self._dispatcher = peer
-        for job in self._jobs.values():
-            if job.submitted_term < self._term:
-                self._submit_to_dispatcher(job, now_s)
+        self._submit_all(now_s)
         if is_new:
             self._messages.append((peer, HandoverComplete(term=heartbeat.term)))
 
+    def _submit_all(self, now_s: float) -> None:
+        """Submits the jobs that this dispatcher does not have yet."""
+        held_s = []
+        # The dispatcher that sent outdated information may be gone. A job that was
+        # submitted to none can still be refused.
+        may_submit_held = not self._waits_in_gaps or self.is_informed(now_s)
+        for job in self._jobs.values():
+            if job.submitted_term >= self._term:
+                continue
+            if not job.submission_count:
+                if not may_submit_held:
+                    continue
+                held_s.append(now_s - job.received_at_s)
+            self._submit_to_dispatcher(job, now_s)
+        if held_s:
+            self._counts["held_job_submitted"] += len(held_s)
+            _log.info(
+                "held_jobs_submitted",
+                jobs=len(held_s),
+                longest_s=round(max(held_s), 3),
+                mean_s=round(sum(held_s) / len(held_s), 3),
+                term=self._term,
+            )
+
     def on_link_down(self, peer: str) -> None:
         """Processes the loss of a link; jobs wait if it led to the dispatcher.
 
@@ -229,6 +212,7 @@
         """
         if peer == self._dispatcher:
             self._heartbeat_at_s = -math.inf
+            self._levels.clear()
 
     def submit(
         self,
@@ -252,27 +236,71 @@
         if job is not None:
             job.waiters.append(waiter)
             return None
-        if not self._dispatcher or not self.is_informed(now_s):
-            _log.info(
-                "job_refused",
-                job=document.job,
-                queue=document.queue,
-                reason="no dispatcher",
-                information_age_s=round(self.information_age_s(now_s), 3),
-                term=self._term,
-            )
-            return CallerOutcome.refused("no dispatcher")
-        job = _CallerJob(
+        job = CallerJob(
             document=document,
             objective_s=objective_s,
             received_at_s=received_at_s,
             waiters=[waiter],
         )
+        refusal = self._refusal_at_once(job, now_s)
+        if refusal is not None:
+            return refusal
         self._jobs[document.job] = job
-        if self.hears_dispatcher(now_s):
+        if self._can_submit(now_s):
             self._submit_to_dispatcher(job, now_s)
+        else:
+            self._held.add(document.job)
+        return None
+
+    @property
+    def _waits_in_gaps(self) -> bool:
+        return LoadFeature.GAP_WAITING in self._features
+
+    def _can_submit(self, now_s: float) -> bool:
+        """Returns whether a job can be submitted to a dispatcher now."""
+        has_dispatcher = bool(self._dispatcher) and self.is_informed(now_s)
+        return has_dispatcher and self.hears_dispatcher(now_s)
+
+    def _refusal_at_once(self, job: CallerJob, now_s: float) -> CallerOutcome | None:
+        """Returns the outcome of a new job that is not accepted, or None."""
+        if LoadFeature.EARLY_REFUSAL in self._features:
+            refusal = self._levels.refusal(job, self._term, now_s)
+            if refusal is not None:
+                self._counts["early_refusal"] += 1
+                return refusal
+        if not self._waits_in_gaps:
+            if self._dispatcher and self.is_informed(now_s):
+                return None
+            return self._refuse(job, "no dispatcher", now_s)
+        if self._can_submit(now_s):
+            return None
+        if now_s >= self._hold_until_s(job):
+            return self._refuse(job, "no dispatcher in time", now_s)
+        if self.held_count >= MAX_WAITING_COUNT:
+            return self._refuse(job, "too many callers wait", now_s)
         return None
 
+    def _refuse(self, job: CallerJob, reason: str, now_s: float) -> CallerOutcome:
+        """Refuses a new job for lack of a dispatcher."""
+        self._counts["refused_without_dispatcher"] += 1
+        _log.info(
+            "job_refused",
+            job=job.document.job,
+            queue=job.document.queue,
+            reason=reason,
+            information_age_s=round(self.information_age_s(now_s), 3),
+            waited_s=round(now_s - job.received_at_s, 3),
+            held=self.held_count,
+            term=self._term,
+        )
+        return CallerOutcome.refused(reason)
+
+    def _hold_until_s(self, job: CallerJob) -> float:
+        """Returns until when a job that no dispatcher has may wait for one."""
+        if self._waits_in_gaps:
+            return job.hold_until_s
+        return job.received_at_s + UNSUBMITTED_WAIT_FACTOR * job.objective_s
+
     def withdraw(self, job: str) -> None:
         """Cancels a job at the dispatcher, whichever entry's callers wait for it."""
         if self._dispatcher:
@@ -300,7 +328,7 @@
                 reason=answer.reason,
             )
             return
-        del self._jobs[answer.job]
+        self._remove(job)
         if is_previous and answer.state is not JobState.COMPLETE:
             self.withdraw(answer.job)
         is_refusal_certain = answer.has_not_run and answer.term > 0
@@ -329,49 +357,55 @@
                 waiter for waiter in job.waiters if not waiter.is_abandoned()
             ]
             if not job.waiters:
-                del self._jobs[job.document.job]
+                self._remove(job)
                 _log.info(
                     "job_abandoned",
                     job=job.document.job,
                     waited_s=round(now_s - job.received_at_s, 3),
                 )
-                self.withdraw(job.document.job)
+                # Another entry may have submitted the job since.
+                if job.submission_count or not self._waits_in_gaps:
+                    self.withdraw(job.document.job)
             elif now_s >= max(waiter.give_up_at_s for waiter in job.waiters):
-                del self._jobs[job.document.job]
+                self._remove(job)
                 self.withdraw(job.document.job)
                 outcome = CallerOutcome(
                     kind=OutcomeKind.UNKNOWN, reason="the time limit passed"
                 )
                 self._finish(job, outcome, now_s)
 
-    def _should_give_up(self, job: _CallerJob, now_s: float) -> bool:
+    def _should_give_up(self, job: CallerJob, now_s: float) -> bool:
         """Returns whether to stop waiting for a dispatcher to run or answer a job."""
-        waited_s = now_s - job.received_at_s
         if not job.submission_count:
-            return waited_s > UNSUBMITTED_WAIT_FACTOR * job.objective_s
+            return now_s > self._hold_until_s(job)
+        waited_s = now_s - job.received_at_s
         if self.information_age_s(now_s) > TAKEOVER_TIMEOUT_S:
             return True
         is_silent = not self.hears_dispatcher(now_s)
         return is_silent and waited_s > GIVE_UP_FACTOR * job.objective_s
 
-    def _give_up(self, job: _CallerJob, now_s: float) -> None:
+    def _give_up(self, job: CallerJob, now_s: float) -> None:
         """Answers a job for which no dispatcher was available.
 
         A job that was never submitted to a dispatcher has certainly not run. For any
         other job this is unknown.
         """
-        del self._jobs[job.document.job]
+        self._remove(job)
         if job.submission_count:
             self.withdraw(job.document.job)
+        else:
+            self._counts["held_job_refused"] += 1
         self._finish(job, _unanswered_outcome(job, "no dispatcher"), now_s)
 
     def finish_all(self, reason: str, now_s: float) -> None:
         """Answers the callers of all jobs: with a refusal or an unknown outcome."""
         jobs, self._jobs = self._jobs, {}
+        self._held.clear()
         for job in jobs.values():
             self._finish(job, _unanswered_outcome(job, reason), now_s)
 
-    def _submit_to_dispatcher(self, job: _CallerJob, now_s: float) -> None:
+    def _submit_to_dispatcher(self, job: CallerJob, now_s: float) -> None:
+        self._held.discard(job.document.job)
         job.submission_count += 1
         job.submitted_term = self._term
         message = SubmitJob(
@@ -382,7 +416,11 @@
         )
         self._messages.append((self._dispatcher, message))
 
-    def _finish(self, job: _CallerJob, outcome: CallerOutcome, now_s: float) -> None:
+    def _remove(self, job: CallerJob) -> None:
+        del self._jobs[job.document.job]
+        self._held.discard(job.document.job)
+
+    def _finish(self, job: CallerJob, outcome: CallerOutcome, now_s: float) -> None:
         _log.info(
             "job_answered",
             job=job.document.job,
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -26,6 +26,7 @@
     JobStateReply,
     KnownAgents,
     LinkPlan,
+    LoadFeature,
     ProposeConfiguration,
     RelayedMessage,
     SubmitJob,
@@ -54,22 +55,26 @@
     QueueTable,
 )
 
-from hawthornbarrow_entry.fleet._caller_jobs import (
-    CallerJobs,
-    CallerOutcome,
-    Waiter,
-)
+from hawthornbarrow_entry.fleet._caller_jobs import CallerJobs
+from hawthornbarrow_entry.fleet._caller_outcome import CallerOutcome, Waiter
 from hawthornbarrow_entry.fleet._dispatcher_role import DispatcherRole
 from hawthornbarrow_entry.fleet._entry_configuration import (
     READ_TIMEOUT_S,
     EntryConfiguration,
 )
+from hawthornbarrow_entry.fleet._gap_waits import CallerRequest, GapWaits
 from hawthornbarrow_entry.fleet._leader_requests import (
     LeaderRequests,
     LeaderUnavailableError,
 )
 from hawthornbarrow_entry.fleet._membership import Membership
+from hawthornbarrow_entry.fleet._readiness import (
+    ReachableEntries,
+    Readiness,
+    ServingState,
+)
 from hawthornbarrow_entry.fleet._replica_manager import ReplicaManager
+from hawthornbarrow_entry.fleet._request_gate import RequestGate
 from hawthornbarrow_entry.fleet._settings import FleetEntrySettings
 
 ENTRY_ROLE = "entry"
@@ -144,7 +149,16 @@
             configuration_format=configuration_format
         )
         self._created_at_s = steady_s()
-        self._first_configuration = curio.Event()
+        self._waits_in_gaps = LoadFeature.GAP_WAITING in settings.features
+        waits = GapWaits(
+            is_enabled=self._waits_in_gaps,
+            startup_until_s=self._created_at_s + STARTUP_WAIT_S,
+        )
+        self._gate = RequestGate(waits=waits)
+        self._reachable = ReachableEntries(started_at_s=self._created_at_s)
+        self._readiness = Readiness(
+            waits_in_gaps=self._waits_in_gaps, reachable=self._reachable
+        )
         self._roles: dict[str, str] = {}
         self._dialer = Dialer(port=self._port, own_address=settings.address)
         self._link_plan = LinkPlan(own=own)
@@ -162,9 +176,9 @@
     @property
     def is_ready(self) -> bool:
         """Whether new callers should be routed to this entry."""
-        now_s = steady_s()
-        may_take_callers = self._caller_jobs.may_take_callers(now_s)
-        return not self._is_stopping and may_take_callers and self._is_serving(now_s)
+        return not self._is_stopping and self._readiness.is_ready(
+            self._serving_state(steady_s())
+        )
 
     @property
     def job_count(self) -> int:
@@ -192,7 +206,12 @@
         """Number of events by kind: those of its term if this entry dispatches."""
         dispatcher = self._dispatcher_role.dispatcher
         counts = dict(dispatcher.counts) if dispatcher else {}
-        return {**counts, "event_failed": self._events.failed_count}
+        return {
+            **counts,
+            **self._caller_jobs.counts,
+            **self._gate.counts,
+            "event_failed": self._events.failed_count,
+        }
 
     @property
     def states(self) -> dict[str, int]:
@@ -200,6 +219,8 @@
         dispatcher = self._dispatcher_role.dispatcher
         return {
             "held_jobs": self._caller_jobs.job_count,
+            "jobs_without_dispatcher": self._caller_jobs.held_count,
+            "waiting_requests": self._gate.count,
             "term": self._caller_jobs.term,
             "configuration_version": self._configuration.version,
             "dispatching": int(dispatcher is not None),
@@ -213,19 +234,38 @@
 
     # Requests of callers and operators
 
-    async def find_queue(self, host: str, path: str) -> Queue | None:
+    async def find_queue(
+        self, host: str, path: str, request: CallerRequest | None = None
+    ) -> Queue | None:
         """Returns the queue of a request, or None when no queue matches.
 
-        An entry that has just started waits for its first configuration. After a
-        restart of the whole deployment it comes with the first dispatcher, a fraction
-        of a second later, so most of the callers can still be served in time.
+        A request waits while this entry can not serve it, as GapWaits decides. After a
+        restart of the whole deployment the configuration comes with the first
+        dispatcher, a fraction of a second later, so most of the callers can still be
+        served in time.
+
+        Args:
+            host: Host name in the request.
+            path: Path of the request.
+            request: How long the caller waits, or None when unknown.
 
         Raises:
             LeaderUnavailableError: This entry's configuration may be out of date.
         """
-        wait_s = self._created_at_s + STARTUP_WAIT_S - steady_s()
-        if self._table is None and wait_s > 0:
-            await curio.ignore_after(wait_s, self._first_configuration.wait)
+        now_s = steady_s()
+        if not self._is_serving(now_s):
+            if request is None:
+                request = CallerRequest(
+                    received_at_s=now_s, timeout_s=None, is_abandoned=lambda: False
+                )
+            queue = self._table.find(host, path) if self._table else None
+            await self._gate.wait(
+                request,
+                now_s,
+                has_configuration=self._table is not None,
+                queue_timeout_s=queue.timeout_s if queue else None,
+                held_count=self._caller_jobs.held_count,
+            )
         now_s = steady_s()
         if self._table is None or not self._is_serving(now_s):
             _log.info(
@@ -235,6 +275,7 @@
                 version=self._configuration.version,
                 known_version=self._caller_jobs.version,
                 information_age_s=round(self._caller_jobs.information_age_s(now_s), 3),
+                waiting=self._gate.count,
             )
             raise LeaderUnavailableError("the configuration here may be out of date")
         return self._table.find(host, path)
@@ -401,6 +442,7 @@
             await curio.sleep(_TICK_INTERVAL_S)
         self._is_closing = True
         self._caller_jobs.finish_all("the entry stops", steady_s())
+        await self._gate.close()
         await self._flush()
         await curio.sleep(_FINAL_FLUSH_S)
 
@@ -424,16 +466,21 @@
             if now_s - self._swept_at_s >= _SWEEP_INTERVAL_S:
                 self._swept_at_s = now_s
                 self._caller_jobs.tick(now_s)
+                await self._gate.drop_abandoned()
                 await self._send_directory(ENTRY_ROLE)
             if now_s - self._maintained_at_s >= _MAINTENANCE_INTERVAL_S:
                 self._maintained_at_s = now_s
                 await self._run_maintenance(now_s)
+            await self._ask_entries_if_silent(now_s)
+            if self._gate.count and self._is_serving(now_s):
+                await self._gate.release(now_s)
             await self._flush()
 
     @property
     def _is_idle(self) -> bool:
         """Whether nothing here is due within a tick; a replica may begin to lead."""
-        return not (self.has_replica or self.is_dispatching or self.job_count)
+        has_callers = self.job_count or self._gate.count
+        return not (self.has_replica or self.is_dispatching or has_callers)
 
     @property
     def _may_claim(self) -> bool:
@@ -464,6 +511,20 @@
         linked = set(self._port.peers_up(ENTRY_ROLE))
         await self._dialer.set_addresses(self._link_plan.choose(linked, in_use, now_s))
 
+    async def _ask_entries_if_silent(self, now_s: float) -> None:
+        """Sends a message over the links to other entries when a gap begins."""
+        if not self._waits_in_gaps:
+            return
+        dispatcher = self._caller_jobs.dispatcher
+        asked = self._reachable.begin_gap_if_due(
+            is_dispatcher_heard=self._caller_jobs.hears_dispatcher(now_s),
+            linked=set(self._port.peers_up(ENTRY_ROLE)) - {dispatcher},
+            now_s=now_s,
+        )
+        for entry in asked:
+            own = self._membership.alive[:1]
+            await self._send(entry, Directory(members=own))
+
     async def _send_directory(self, role: str) -> None:
         """Sends the directory to the processes of a role if it has changed."""
         if role not in self._uninformed_roles:
@@ -483,8 +544,10 @@
                 self._on_peer_down(item, now_s)
             case PeerHeartbeat():
                 self._dispatcher_role.on_frame(item.peer, now_s)
+                self._reachable.on_frame(item.peer, item.confirmed_at_s)
             case MessageReceived():
                 self._dispatcher_role.on_frame(item.peer, now_s)
+                self._reachable.on_frame(item.peer, item.confirmed_at_s)
                 await self._on_message(item.peer, item.message, now_s)
             case Applied():
                 await self._dispatcher_role.on_applied(item, now_s)
@@ -497,6 +560,7 @@
         self._dispatcher_role.on_peer_up(event.peer, is_restarted=event.restarted)
         if event.role == ENTRY_ROLE:
             self._membership.on_link_change(event.peer, True, now_s)
+            self._reachable.on_link_up(event.peer, now_s)
             self._uninformed_roles.update((ENTRY_ROLE, AGENT_ROLE))
         await self._send(event.peer, self._membership.directory())
 
@@ -564,6 +628,8 @@
             await self._send(peer, Superseded(term=self._caller_jobs.term))
             return
         self._caller_jobs.on_heartbeat(peer, heartbeat, now_s)
+        if self._caller_jobs.hears_dispatcher(now_s):
+            self._reachable.on_dispatcher_heard()
         await self._request_configuration_if_newer(now_s)
 
     async def _on_directory(
@@ -584,6 +650,28 @@
             and self._caller_jobs.accepts_version(self._table.version, now_s)
         )
 
+    def _serving_state(self, now_s: float) -> ServingState:
+        """Returns what decides on the readiness of this entry."""
+        table = self._table
+        is_current = table is not None and self._caller_jobs.accepts_version(
+            table.version, now_s
+        )
+        without_dispatcher_s = min(
+            self._caller_jobs.information_age_s(now_s), now_s - self._created_at_s
+        )
+        return ServingState(
+            hears_dispatcher=self._caller_jobs.may_take_callers(now_s),
+            has_configuration=table is not None,
+            is_configuration_current=is_current,
+            without_dispatcher_s=without_dispatcher_s,
+            has_other_entries=self._has_other_entries,
+        )
+
+    @property
+    def _has_other_entries(self) -> bool:
+        seeds = set(self._settings.seeds) - {self._settings.address}
+        return bool(seeds or self._membership.members)
+
     async def _request_configuration_if_newer(self, now_s: float) -> None:
         request = self._configuration.request_if_due(
             self._caller_jobs.version, self._caller_jobs.term, now_s
@@ -597,8 +685,6 @@
         reply = self._configuration.on_reply(peer, message)
         if reply is None:
             return
-        if self._table is not None:
-            await self._first_configuration.set()
         await self._leader_requests.on_reply(reply)
         await self._request_configuration_if_newer(steady_s())
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_caller_jobs.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_caller_jobs.py
@@ -8,6 +8,7 @@
     JobAnswer,
     JobDocument,
     JobState,
+    LoadFeature,
     Resources,
     Step,
     SubmitJob,
@@ -16,6 +17,7 @@
 
 from hawthornbarrow_entry.fleet import CallerJobs, OutcomeKind
 from hawthornbarrow_entry.fleet._caller_jobs import TAKEOVER_TIMEOUT_S, Waiter
+from hawthornbarrow_entry.fleet._gap_waits import MAX_WAITING_COUNT
 
 STEP = Step(count=1, each=Resources(cpu=1), estimated_s=0.1)
 JOB = JobDocument(job="j", queue="q", spec="", steps=(STEP,))
@@ -255,3 +257,102 @@
         self.caller_jobs.on_answer(answer, 11.1)
         self.assertEqual(OutcomeKind.CANCELLED, caller.outcome.kind)
         self.assertEqual([("d2", WithdrawJob(job="j"))], self.take_job_messages())
+
+
+class GapWaitingTest(unittest.TestCase):
+    """Tests of jobs that arrive while there is no dispatcher."""
+
+    def setUp(self):
+        self.jobs = CallerJobs(features=frozenset({LoadFeature.GAP_WAITING}))
+
+    def heartbeat(self, term, now_s, *, heard_at_s=None):
+        heard_at_s = now_s if heard_at_s is None else heard_at_s
+        heartbeat = DispatcherHeartbeat(term=term, heard_at_s=heard_at_s, version=1)
+        self.jobs.on_heartbeat(f"d{term}", heartbeat, now_s)
+
+    def submit(self, now_s, *, job="j", caller=None, objective_s=1.0):
+        document = JobDocument(job=job, queue="q", spec="", steps=(STEP,))
+        caller = caller or waiter(give_up_at_s=now_s + 10.0)
+        return self.jobs.submit(
+            document, caller, now_s, received_at_s=now_s, objective_s=objective_s
+        )
+
+    def submissions(self):
+        return [
+            message
+            for _, message in self.jobs.take_messages()
+            if isinstance(message, SubmitJob)
+        ]
+
+    def test_job_waits_for_the_first_dispatcher_and_is_then_submitted_as_new(self):
+        self.assertIsNone(self.submit(10.0))
+        self.assertEqual(1, self.jobs.held_count)
+        self.heartbeat(1, 10.4)
+        (message,) = self.submissions()
+        self.assertFalse(message.was_offered)
+        self.assertAlmostEqual(0.4, message.age_s)
+        self.assertEqual(0, self.jobs.held_count)
+        self.assertEqual(1, self.jobs.counts["held_job_submitted"])
+
+    def test_job_waits_when_information_is_old(self):
+        self.heartbeat(1, 10.0)
+        self.assertIsNone(self.submit(12.0))
+
+    def test_job_waits_until_a_late_result_is_of_no_use(self):
+        caller = waiter()
+        self.submit(10.0, caller=caller, objective_s=0.25)
+        self.jobs.tick(10.61)
+        self.assertIsNone(caller.outcome)
+        self.jobs.tick(10.63)
+        self.assertIs(OutcomeKind.REFUSED, caller.outcome.kind)
+        self.assertGreater(caller.outcome.retry_after_s, 0)
+        self.assertEqual([], self.jobs.take_messages())
+        self.assertEqual(1, self.jobs.counts["held_job_refused"])
+
+    def test_refusal_comes_before_the_caller_gives_up(self):
+        caller = waiter(give_up_at_s=11.0)
+        self.submit(10.0, caller=caller, objective_s=3.0)
+        self.jobs.tick(10.7)
+        self.assertIsNone(caller.outcome)
+        self.jobs.tick(10.85)
+        self.assertIs(OutcomeKind.REFUSED, caller.outcome.kind)
+
+    def test_job_that_is_already_too_late_is_refused_at_once(self):
+        outcome = self.submit(10.0, caller=waiter(give_up_at_s=10.1))
+        self.assertIs(OutcomeKind.REFUSED, outcome.kind)
+        self.assertEqual(0, self.jobs.held_count)
+
+    def test_number_of_jobs_without_dispatcher_is_limited(self):
+        for index in range(MAX_WAITING_COUNT):
+            self.assertIsNone(self.submit(10.0, job=f"j{index}"))
+        outcome = self.submit(10.0, job="more")
+        self.assertIs(OutcomeKind.REFUSED, outcome.kind)
+        self.heartbeat(1, 10.2)
+        self.assertIsNone(self.submit(10.2, job="more"))
+
+    def test_job_of_a_caller_that_left_is_not_withdrawn_where_it_was_not_submitted(
+        self,
+    ):
+        self.heartbeat(1, 10.0)
+        self.jobs.take_messages()
+        self.jobs.on_link_down("d1")
+        self.submit(10.1, caller=waiter(is_abandoned=lambda: True))
+        self.jobs.tick(10.2)
+        self.assertEqual((0, 0), (self.jobs.job_count, self.jobs.held_count))
+        self.assertEqual([], self.jobs.take_messages())
+
+    def test_outdated_heartbeat_does_not_submit_a_job_that_can_still_be_refused(self):
+        caller = waiter()
+        self.submit(10.0, caller=caller)
+        self.heartbeat(1, 10.1, heard_at_s=5.0)
+        self.assertEqual([], self.submissions())
+        self.jobs.finish_all("the entry stops", 10.2)
+        self.assertIs(OutcomeKind.REFUSED, caller.outcome.kind)
+
+    def test_job_that_a_lost_dispatcher_had_is_still_handed_over_as_offered(self):
+        self.heartbeat(1, 10.0)
+        self.submit(10.0)
+        self.submissions()
+        self.heartbeat(2, 11.0)
+        (message,) = self.submissions()
+        self.assertTrue(message.was_offered)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
@@ -7,10 +7,12 @@
 
 import curio
 from hawthornbarrow.cells import (
+    NO_FEATURES,
     JobDocument,
     ListedEndedRun,
     ListedRun,
     Listing,
+    LoadFeature,
     Resources,
     RunLeaseTiming,
     RunOutcome,
@@ -27,6 +29,7 @@
 from hawthornbarrow_agent.fleet import FleetAgent, FleetAgentSettings, UpstreamClient
 
 from hawthornbarrow_entry.fleet import (
+    CallerRequest,
     FleetEntry,
     FleetEntrySettings,
     LeaderUnavailableError,
@@ -34,12 +37,14 @@
     _process,
 )
 from hawthornbarrow_entry.fleet._process import STARTUP_WAIT_S
+from hawthornbarrow_entry.fleet._readiness import READY_TIMEOUT_S
 from hawthornbarrow_entry.tests._deployment import free_ports, unused_host
 
 KEY = b"key"
 TIMING = RunLeaseTiming(run_lease_s=1.0, stop_s=0.05)
 RUN_S = 0.05
 WAIT_TIMEOUT_S = 20.0
+GAP_FEATURES = frozenset({LoadFeature.GAP_WAITING})
 
 
 class NumberFormat(ConfigurationFormat):
@@ -119,7 +124,7 @@
         self.tasks = {}
         self.upstreams = []
 
-    async def start_entry(self, index, *, is_first):
+    async def start_entry(self, index, *, is_first, features=NO_FEATURES):
         name = f"e{index}"
         settings = FleetEntrySettings(
             name=name,
@@ -131,6 +136,7 @@
             tolerated_losses=1,
             timing=TIMING,
             cluster_key=KEY,
+            features=features,
         )
         entry = FleetEntry(settings=settings, configuration_format=NumberFormat())
         self.entries[index] = entry
@@ -313,6 +319,63 @@
 
         self.run_scenario(scenario)
 
+    def test_requests_wait_for_a_restarted_fleet_as_long_as_their_callers_do(self):
+        async def scenario(fleet):
+            await self.stop_entries(fleet)
+            await fleet.start_entry(0, is_first=False, features=GAP_FEATURES)
+            entry = fleet.entries[0]
+            self.assertTrue(entry.is_ready)
+            patient = await curio.spawn(self.find_queue, entry, WAIT_TIMEOUT_S)
+            leaving = await curio.spawn(self.find_queue, entry, 5.0, lambda: True)
+            began_at_s = steady_s()
+            with self.assertRaises(LeaderUnavailableError):
+                await self.find_queue(entry, 0.5)
+            self.assertLess(steady_s() - began_at_s, 0.5)
+            with self.assertRaises(curio.TaskError):
+                await leaving.join()
+            self.assertEqual(1, entry.counts["gap_request_abandoned"])
+            self.assertEqual(1, entry.states["waiting_requests"])
+            for index in (1, 2):
+                await fleet.start_entry(index, is_first=False, features=GAP_FEATURES)
+            self.assertEqual("q", (await patient.join()).name)
+            self.assertEqual(0, entry.states["waiting_requests"])
+
+        self.run_scenario(scenario)
+
+    def test_entry_that_stops_answers_requests_that_wait(self):
+        async def scenario(fleet):
+            await self.stop_entries(fleet)
+            await fleet.start_entry(0, is_first=False, features=GAP_FEATURES)
+            entry = fleet.entries[0]
+            waiting = await curio.spawn(self.find_queue, entry, WAIT_TIMEOUT_S)
+            await curio.sleep(0.1)
+            await entry.drain(lambda: 0)
+            with self.assertRaises(curio.TaskError):
+                await waiting.join()
+            self.assertEqual(1, entry.counts["gap_request_stopped"])
+
+        self.run_scenario(scenario)
+
+    def test_entry_that_stays_cut_off_leaves_the_rotation(self):
+        async def scenario(fleet):
+            await self.stop_entries(fleet)
+            await fleet.start_entry(0, is_first=False, features=GAP_FEATURES)
+            await curio.sleep(READY_TIMEOUT_S + 0.2)
+            self.assertFalse(fleet.entries[0].is_ready)
+
+        self.run_scenario(scenario)
+
+    async def stop_entries(self, fleet):
+        for index in list(fleet.entries):
+            await fleet.tasks.pop(index).cancel()
+            del fleet.entries[index]
+
+    async def find_queue(self, entry, timeout_s, is_abandoned=lambda: False):
+        request = CallerRequest(
+            received_at_s=steady_s(), timeout_s=timeout_s, is_abandoned=is_abandoned
+        )
+        return await entry.find_queue("h", "/q/j", request)
+
     def test_error_in_a_handler_costs_one_event_and_not_the_process(self):
         async def scenario(fleet):
             index = fleet.dispatching_index()
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -12,7 +12,11 @@
     )
     from hawthornbarrow.cells._dispatcher import Dispatcher
     from hawthornbarrow.cells._job_limits import InvalidJobError, check_document
-    from hawthornbarrow.cells._job_record import GIVE_UP_FACTOR, JobRecord
+    from hawthornbarrow.cells._job_record import (
+        GIVE_UP_FACTOR,
+        OVERHEAD_S,
+        JobRecord,
+    )
     from hawthornbarrow.cells._link_plan import LinkPlan
     from hawthornbarrow.cells._load_features import (
         FEATURES_VARIABLE,
@@ -91,6 +95,7 @@
 __all__ = [
     "FEATURES_VARIABLE",
     "GIVE_UP_FACTOR",
+    "OVERHEAD_S",
     "NO_FEATURES",
     "TRACE_RETENTION_S",
     "Admission",
@@ -175,6 +180,7 @@
         "InvalidJobError": "_job_limits",
         "check_document": "_job_limits",
         "GIVE_UP_FACTOR": "_job_record",
+        "OVERHEAD_S": "_job_record",
         "JobRecord": "_job_record",
         "LinkPlan": "_link_plan",
         "FEATURES_VARIABLE": "_load_features",
