Start jobs that are known to be new while agents of a takeover are missing

After the loss of an entry all jobs without a previous submission waited for the agents that the new dispatcher did not hear, up to 1.12 s, as any of them could be a resubmission by a caller of the lost entry.

Heartbeats tell entries how old the dispatcher's oldest proof is that an entry was alive. A job that was received before that time plus the callers' resend delay (bounds.resendMs) can not be a resubmission and starts at once. Levels for early refusal are not sent while an entry may have been lost.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -6,23 +6,30 @@
 
 import collections.abc
 import dataclasses
+import math
 
+import msgspec
 import structlog
 from hawthornbarrow.cells import (
+    LOST_ENTRY_WINDOW_S,
     AttachWorker,
     CellMessage,
     ConfigurationOutcome,
     ConfigurationSender,
     Dispatcher,
+    DispatcherHeartbeat,
+    EntryWatch,
     GetConfiguration,
     GetJobState,
     GrantClaim,
     HandoverComplete,
     JobStateReply,
     KnownAgents,
+    LoadFeature,
     ProposeConfiguration,
     RelayedMessage,
     RelayRoutes,
+    ResubmissionBound,
     Standby,
     SubmitJob,
     Superseded,
@@ -50,7 +57,6 @@
     VoterRepair,
 )
 
-LOST_ENTRY_WINDOW_S = 12.0  # jobs of an entry that was lost earlier have ended
 _log = structlog.get_logger()
 
 _Send = collections.abc.Callable[
@@ -109,6 +115,12 @@
         self._last_heartbeat_from = ""
         self._previous_dispatcher = ""
         self._handed_over_by: set[str] = set()
+        self._entry_watch = EntryWatch(now_s=now_s)
+        has_gap_waiting = LoadFeature.GAP_WAITING in settings.features
+        self._resubmission_bound = ResubmissionBound(
+            resend_s=settings.resend_s if has_gap_waiting else None
+        )
+        self._dispatching_since_s = now_s
         self._voter_repair = VoterRepair(tolerated_losses=settings.tolerated_losses)
         self._sent_agents: dict[str, frozenset[str]] = {}
         self._table: QueueTable | None = None
@@ -146,14 +158,29 @@
         if relayed.message is not None:
             await self._on_agent_message(agent, relayed.message, now_s)
 
-    def on_heartbeat(self, peer: str, term: int, now_s: float) -> None:
+    def on_heartbeat(
+        self, peer: str, heartbeat: DispatcherHeartbeat, now_s: float
+    ) -> None:
         """Processes a heartbeat of a dispatcher, at this entry or another."""
-        self._standby.on_heartbeat(term, now_s)
+        self._standby.on_heartbeat(heartbeat.term, now_s)
         self._last_heartbeat_from = peer
+        self._resubmission_bound.on_heartbeat(
+            heartbeat.heard_at_s, heartbeat.entries_alive_s
+        )
+
+    def on_entry_frame(self, entry: str, confirmed_at_s: float) -> None:
+        """Records which frame another entry is known to have received."""
+        self._entry_watch.on_frame(entry, confirmed_at_s)
+
+    def on_entry_down(self, entry: str, now_s: float) -> None:
+        """Records that the link to another entry was lost."""
+        self._entry_watch.on_entry_changed(entry, now_s)
 
     def on_peer_up(self, peer: str, *, is_restarted: bool) -> None:
         """Processes a new link, to a process that may not know the agents yet."""
         self._sent_agents.pop(peer, None)
+        if is_restarted:
+            self._entry_watch.on_entry_changed(peer, steady_s())
         if is_restarted and self._dispatcher is not None:
             self._dispatcher.on_agent_restarted(peer, steady_s())
 
@@ -265,10 +292,13 @@
         and the runs of their jobs expire before they resubmit. An entry that has just
         started does not know which entries were lost.
         """
-        if (
-            dispatcher.is_handover_complete
-            or now_s - self._started_at_s < LOST_ENTRY_WINDOW_S
-        ):
+        if dispatcher.is_handover_complete:
+            return
+        linked = {member.name for member in membership.alive}
+        if linked <= self._handed_over_by:
+            # Each of them has handed over its jobs. Others come from lost entries.
+            dispatcher.record_new_before(self._resubmission_bound.new_before_s)
+        if now_s - self._started_at_s < LOST_ENTRY_WINDOW_S:
             return
         previous = {self._previous_dispatcher}
         has_lost = membership.recently_lost(now_s, LOST_ENTRY_WINDOW_S) - previous
@@ -388,6 +418,7 @@
             features=self._settings.features,
         )
         self._table = None
+        self._dispatching_since_s = now_s
         is_own = self._last_heartbeat_from == self._settings.name
         self._previous_dispatcher = "" if is_own else self._last_heartbeat_from
         self._sent_agents.clear()
@@ -452,13 +483,33 @@
         for agent in self._relay_routes.agents(now_s):
             await self._send_relayed_heartbeat(self._dispatcher, agent, now_s)
         waiting = self._dispatcher.count_waiting_by_queue()
+        alive_age_s = self._entry_watch.alive_age_s(
+            self._port.peers_up("entry"),
+            dispatching_since_s=self._dispatching_since_s,
+            now_s=now_s,
+        )
         for peer in [*self._port.peers_up("entry"), self._settings.name]:
             is_own = peer == self._settings.name
             heard_at_s = now_s if is_own else self._port.peer_sent_at_s(peer)
             heartbeat = self._dispatcher.heartbeat_for_entry(
                 heard_at_s, version, waiting
             )
-            await self._send(peer, heartbeat)
+            await self._send(peer, self._complete_heartbeat(heartbeat, alive_age_s))
+
+    def _complete_heartbeat(
+        self, heartbeat: DispatcherHeartbeat, alive_age_s: float
+    ) -> DispatcherHeartbeat:
+        """Returns a heartbeat for an entry with what depends on the other entries.
+
+        While callers of a lost entry may submit their jobs again, entries must not
+        refuse jobs by levels: such a job may be running. Whether an entry was lost is
+        not known while the age of the oldest proof is infinite.
+        """
+        if LoadFeature.GAP_WAITING in self._settings.features:
+            heartbeat = msgspec.structs.replace(heartbeat, entries_alive_s=alive_age_s)
+        if heartbeat.levels and not math.isfinite(alive_age_s):
+            heartbeat = msgspec.structs.replace(heartbeat, levels=())
+        return heartbeat
 
     async def _send_dispatcher_messages(self) -> None:
         assert self._dispatcher is not None
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -410,6 +410,7 @@
             replica=self._replica.identity,
             first_start=self._settings.is_first_start,
             seeds=",".join(self._settings.seeds),
+            resend_s=self._settings.resend_s,
             start_took_s=seconds_since(self._settings.started_at_s),
         )
         host, _, port = self._settings.address.rpartition(":")
@@ -544,16 +545,21 @@
                 self._on_peer_down(item, now_s)
             case PeerHeartbeat():
                 self._dispatcher_role.on_frame(item.peer, now_s)
-                self._reachable.on_frame(item.peer, item.confirmed_at_s)
+                self._on_entry_frame(item.peer, item.confirmed_at_s)
             case MessageReceived():
                 self._dispatcher_role.on_frame(item.peer, now_s)
-                self._reachable.on_frame(item.peer, item.confirmed_at_s)
+                self._on_entry_frame(item.peer, item.confirmed_at_s)
                 await self._on_message(item.peer, item.message, now_s)
             case Applied():
                 await self._dispatcher_role.on_applied(item, now_s)
             case LedgerFailed():
                 _log.error("replica_lost", reason=item.reason)
 
+    def _on_entry_frame(self, peer: str, confirmed_at_s: float) -> None:
+        if self._roles.get(peer) == ENTRY_ROLE:
+            self._reachable.on_frame(peer, confirmed_at_s)
+            self._dispatcher_role.on_entry_frame(peer, confirmed_at_s)
+
     async def _on_peer_up(self, event: PeerUp, now_s: float) -> None:
         self._roles[event.peer] = event.role
         _log.info("peer_up", peer=event.peer, role=event.role)
@@ -570,6 +576,7 @@
         self._caller_jobs.on_link_down(event.peer)
         if role == ENTRY_ROLE:
             self._membership.on_link_change(event.peer, False, now_s)
+            self._dispatcher_role.on_entry_down(event.peer, now_s)
 
     async def _on_message(self, peer: str, message: object, now_s: float) -> None:
         match message:
@@ -623,7 +630,7 @@
     async def _on_heartbeat(
         self, peer: str, heartbeat: DispatcherHeartbeat, now_s: float
     ) -> None:
-        self._dispatcher_role.on_heartbeat(peer, heartbeat.term, now_s)
+        self._dispatcher_role.on_heartbeat(peer, heartbeat, now_s)
         if heartbeat.term < self._caller_jobs.term:
             await self._send(peer, Superseded(term=self._caller_jobs.term))
             return
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_settings.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_settings.py
@@ -26,6 +26,9 @@
         started_at_s: When the process started, on the steady clock, or None when
             unknown. The replica counts as inactive from then until it is opened.
         features: Optional features that the deployment has enabled.
+        resend_s: Minimum time after which a caller whose connection broke submits its
+            job again, or None when the platform does not say; nothing relies on it
+            then.
     """
 
     name: str
@@ -41,3 +44,4 @@
     listen_host: str = ""
     started_at_s: float | None = None
     features: frozenset[LoadFeature] = NO_FEATURES
+    resend_s: float | None = None
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
@@ -1,5 +1,6 @@
 """Tests of three entries and two agents with real links, in one curio kernel."""
 
+import math
 import pathlib
 import tempfile
 import unittest
@@ -8,11 +9,13 @@
 import curio
 from hawthornbarrow.cells import (
     NO_FEATURES,
+    DispatcherHeartbeat,
     JobDocument,
     ListedEndedRun,
     ListedRun,
     Listing,
     LoadFeature,
+    QueueLevel,
     Resources,
     RunLeaseTiming,
     RunOutcome,
@@ -20,6 +23,7 @@
     Step,
     SubmitJob,
     WorkerRecord,
+    _resubmission,
     is_standby_term,
 )
 from hawthornbarrow.clock import steady_s
@@ -116,8 +120,9 @@
 class Fleet:
     """Entries and agents with the curio tasks that run them."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, features=NO_FEATURES):
         self.folder = folder
+        self.features = features
         host = unused_host()
         self.addresses = [f"{host}:{port}" for port in free_ports(host, 3)]
         self.entries = {}
@@ -136,7 +141,8 @@
             tolerated_losses=1,
             timing=TIMING,
             cluster_key=KEY,
-            features=features,
+            features=features or self.features,
+            resend_s=1.3,
         )
         entry = FleetEntry(settings=settings, configuration_format=NumberFormat())
         self.entries[index] = entry
@@ -209,10 +215,10 @@
 
 
 class FleetProcessTest(unittest.TestCase):
-    def run_scenario(self, scenario):
+    def run_scenario(self, scenario, features=NO_FEATURES):
         async def main():
             with tempfile.TemporaryDirectory() as folder:
-                fleet = Fleet(pathlib.Path(folder))
+                fleet = Fleet(pathlib.Path(folder), features)
                 try:
                     await fleet.start()
                     await scenario(fleet)
@@ -365,6 +371,41 @@
 
         self.run_scenario(scenario)
 
+    def test_new_dispatcher_learns_from_the_last_one_which_jobs_are_new(self):
+        async def scenario(fleet):
+            lost_index = fleet.dispatching_index()
+            others = [e for i, e in fleet.entries.items() if i != lost_index]
+            began_at_s = steady_s()
+            for entry in others:
+                await fleet.wait_until(lambda e=entry: new_before_s(e) > began_at_s)
+            # The dispatcher goes on waiting for this agent.
+            await fleet.tasks.pop("a0").cancel()
+            await fleet.tasks.pop(lost_index).cancel()
+            del fleet.entries[lost_index]
+            await fleet.wait_until(lambda: any(e.is_dispatching for e in others))
+            entry = next(e for e in others if e.is_dispatching)
+            dispatcher = entry._dispatcher_role.dispatcher
+            await fleet.wait_until(lambda: dispatcher._new_before_s > began_at_s)
+
+        def new_before_s(entry):
+            return entry._dispatcher_role._resubmission_bound.new_before_s
+
+        with mock.patch.object(_resubmission, "LOST_ENTRY_WINDOW_S", 0.5):
+            self.run_scenario(scenario, GAP_FEATURES)
+
+    def test_entries_get_no_levels_while_jobs_of_a_lost_entry_may_come_again(self):
+        async def scenario(fleet):
+            role = fleet.entries[fleet.dispatching_index()]._dispatcher_role
+            level = QueueLevel(queue="q", wait_s=9.0, retry_after_s=2.0)
+            heartbeat = DispatcherHeartbeat(
+                term=1, heard_at_s=0.0, version=1, levels=(level,)
+            )
+            known = role._complete_heartbeat(heartbeat, 0.1)
+            unknown = role._complete_heartbeat(heartbeat, math.inf)
+            self.assertEqual(((level,), ()), (known.levels, unknown.levels))
+
+        self.run_scenario(scenario, GAP_FEATURES)
+
     async def stop_entries(self, fleet):
         for index in list(fleet.entries):
             await fleet.tasks.pop(index).cancel()
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -73,6 +73,11 @@
         WorkerRecord,
     )
     from hawthornbarrow.cells._relay_routes import RelayRoutes
+    from hawthornbarrow.cells._resubmission import (
+        LOST_ENTRY_WINDOW_S,
+        EntryWatch,
+        ResubmissionBound,
+    )
     from hawthornbarrow.cells._run_supervisor import RunSupervisor
     from hawthornbarrow.cells._run_times import RunTimes
     from hawthornbarrow.cells._standby import (
@@ -94,8 +99,11 @@
 
 __all__ = [
     "FEATURES_VARIABLE",
+    "EntryWatch",
     "GIVE_UP_FACTOR",
+    "LOST_ENTRY_WINDOW_S",
     "OVERHEAD_S",
+    "ResubmissionBound",
     "NO_FEATURES",
     "TRACE_RETENTION_S",
     "Admission",
@@ -230,6 +238,9 @@
         "TaskKey": "_parts",
         "WorkerRecord": "_parts",
         "RelayRoutes": "_relay_routes",
+        "EntryWatch": "_resubmission",
+        "LOST_ENTRY_WINDOW_S": "_resubmission",
+        "ResubmissionBound": "_resubmission",
         "RunSupervisor": "_run_supervisor",
         "RunTimes": "_run_times",
         "Standby": "_standby",
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -108,6 +108,7 @@
         self._swept_at_s = now_s
         self._has_changes = True
         self._is_handover_complete = False
+        self._new_before_s = -math.inf
         self._counts: collections.Counter[str] = collections.Counter()
         self._crash_monitor = CrashMonitor(
             history=self._crash_history,
@@ -167,6 +168,24 @@
         self._is_handover_complete = True
         self._has_changes = True
 
+    def record_new_before(self, received_before_s: float) -> None:
+        """Records that jobs received before a time can not be resubmissions.
+
+        Such a job is new, as after `record_handover_complete`, unless it was submitted
+        to a previous dispatcher.
+
+        Args:
+            received_before_s: Time before which the job's entry received it.
+        """
+        if received_before_s > self._new_before_s:
+            self._new_before_s = received_before_s
+            self._has_changes = True
+            _log.info(
+                "new_jobs_known",
+                received_before_s=round(received_before_s, 3),
+                term=self._term,
+            )
+
     def set_table(self, table: QueueTable) -> None:
         """Sets the configuration in force."""
         self._table = table
@@ -663,10 +682,13 @@
         if now_s - self._swept_at_s >= _SWEEP_INTERVAL_S:
             self._swept_at_s = now_s
             self._sweep(now_s)
-        may_place = self._is_handover_complete or not self.is_recovering(now_s)
-        if self._has_changes and may_place:
+        is_recovering = self.is_recovering(now_s)
+        new_before_s = self._known_new_before_s
+        if self._has_changes and (not is_recovering or new_before_s > -math.inf):
             self._has_changes = False
-            self._task_placer.place(now_s, only_new=self.is_recovering(now_s))
+            self._task_placer.place(
+                now_s, only_new=is_recovering, new_before_s=new_before_s
+            )
 
     def _sweep(self, now_s: float) -> None:
         for worker in self._pool.silent_workers(now_s):
@@ -690,9 +712,14 @@
                 self._pool.order_stop(worker, worker.runs[task])
         self._has_changes = True
 
+    @property
+    def _known_new_before_s(self) -> float:
+        """Time before which entries received new jobs only, infinite for any time."""
+        return math.inf if self._is_handover_complete else self._new_before_s
+
     def _start_delay_s(self, job: JobRecord, now_s: float) -> float:
         """Returns the time until a job may start if missing agents do not attach."""
-        if job.is_new and self._is_handover_complete:
+        if job.is_new and job.arrived_at_s < self._known_new_before_s:
             return 0.0
         return self._pool.start_delay_s(now_s)
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
@@ -44,6 +44,8 @@
         levels: For an entry, what new jobs of each queue can expect.
         known_worker: For an agent without a session, the worker that the ledger lists
             for it.
+        entries_alive_s: For an entry, age of the dispatcher's oldest proof that an
+            entry with jobs was alive, infinite when it has none.
     """
 
     term: int
@@ -56,6 +58,7 @@
     evacuated: tuple[str, ...] = ()
     levels: tuple[QueueLevel, ...] = ()
     known_worker: WorkerRecord | None = None
+    entries_alive_s: float = math.inf
 
 
 class AttachWorker(_Message, kw_only=True):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_task_placer.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_task_placer.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import math
 
 import structlog
 
@@ -67,17 +68,22 @@
         queue = self._table.queues.get(job.queue.name) if self._table else None
         return queue.service if queue else ""
 
-    def place(self, now_s: float, *, only_new: bool) -> None:
+    def place(
+        self, now_s: float, *, only_new: bool, new_before_s: float = math.inf
+    ) -> None:
         """Starts waiting tasks in order, as far as there is free capacity.
 
         Args:
             now_s: Current time.
             only_new: Whether jobs that were submitted to a previous dispatcher must
                 wait.
+            new_before_s: Time from which received jobs may have been submitted to a
+                previous dispatcher by another entry, and must wait too.
         """
         self._reservations.update(self._pool.workers, self._is_waiting, now_s)
         for job in self._job_registry.waiting_in_order(now_s):
-            if not only_new or job.is_new:
+            is_new = job.is_new and job.arrived_at_s < new_before_s
+            if not only_new or is_new:
                 self._place_job(job, now_s)
 
     def _place_job(self, job: JobRecord, now_s: float) -> None:
--- a/packages/hawthornbarrow/src/hawthornbarrow/observability/_unserved_jobs.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/_unserved_jobs.py
@@ -124,10 +124,11 @@
     if answer.event == "job_abandoned":
         return Cause.CALLER_LEFT
     reason = answer.fields.get("reason", "")
-    if answer.event == "job_refused":
-        return Cause.NO_DISPATCHER if reason == "no dispatcher" else Cause.OTHER
-    if reason == "no room in time":
+    if reason.startswith("no room in time"):
         return Cause.PREDICTED_WAIT
+    if answer.event == "job_refused":
+        is_gap = reason.startswith("no dispatcher") or reason == "too many callers wait"
+        return Cause.NO_DISPATCHER if is_gap else Cause.OTHER
     if int(answer.fields.get("offers", 0)) != 1:
         return Cause.TAKEOVER
     return _cause_from_runs(lines) or _cause_from_waits(answer, lines)
--- a/packages/hawthornbarrow/src/hawthornbarrow/observability/tests/test_unserved_jobs.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/tests/test_unserved_jobs.py
@@ -63,6 +63,17 @@
             with self.subTest(cause=cause.value):
                 self.assertEqual([cause], self.causes(*lines))
 
+    def test_refusals_of_an_entry_have_the_cause_of_its_reason(self):
+        for reason, cause in {
+            "no dispatcher in time": Cause.NO_DISPATCHER,
+            "too many callers wait": Cause.NO_DISPATCHER,
+            "no room in time by the level of the queue": Cause.PREDICTED_WAIT,
+            "the entry is stopping": Cause.OTHER,
+        }.items():
+            with self.subTest(reason=reason):
+                refused = line("job_refused", job="j", reason=reason)
+                self.assertEqual([cause], self.causes(refused))
+
     def test_causes_are_counted_with_the_time_of_their_runs(self):
         run = line("run_ended", task="j.0.0.1", run_s=0.25)
         jobs = find_unserved_jobs([run, GIVEN_UP])
--- a/tools/soak/_deployment.py
+++ b/tools/soak/_deployment.py
@@ -28,6 +28,7 @@
 holdMaxMs = 1000
 stopMs = 50
 graceS = 6
+resendMs = 1300
 """
 
 
