Keep entries of a new deployment out of rotation before its first configuration

With gap-waiting an entry that has just started counts as ready while others may be in the same state. Before the operator has sent a configuration there is nothing to wait for.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -157,7 +157,9 @@
         self._gate = RequestGate(waits=waits)
         self._reachable = ReachableEntries(started_at_s=self._created_at_s)
         self._readiness = Readiness(
-            waits_in_gaps=self._waits_in_gaps, reachable=self._reachable
+            waits_in_gaps=self._waits_in_gaps,
+            reachable=self._reachable,
+            is_first_start=settings.is_first_start,
         )
         self._roles: dict[str, str] = {}
         self._dialer = Dialer(port=self._port, own_address=settings.address)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_readiness.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_readiness.py
@@ -123,11 +123,20 @@
     Args:
         waits_in_gaps: Whether callers wait here while there is no dispatcher.
         reachable: Tracks which entries answer.
+        is_first_start: Whether the whole deployment starts for the first time. There
+            may be no configuration then for as long as the operator sends none.
     """
 
-    def __init__(self, *, waits_in_gaps: bool, reachable: ReachableEntries) -> None:
+    def __init__(
+        self,
+        *,
+        waits_in_gaps: bool,
+        reachable: ReachableEntries,
+        is_first_start: bool = False,
+    ) -> None:
         """Stores the settings."""
         self._waits_in_gaps = waits_in_gaps
+        self._is_first_start = is_first_start
         self._reachable = reachable
         self._was_ready: bool | None = None
 
@@ -150,6 +159,8 @@
     def _decide(self, state: ServingState) -> bool:
         if state.has_configuration and not state.is_configuration_current:
             return False
+        if self._is_first_start and not state.has_configuration:
+            return False
         if state.hears_dispatcher:
             return state.has_configuration or self._waits_in_gaps
         if not self._waits_in_gaps:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_readiness.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_readiness.py
@@ -87,6 +87,19 @@
         self.reachable.on_link_up("e1", 0.7)
         self.assertTrue(self.is_ready(state))
 
+    def test_entry_of_a_new_deployment_is_not_ready_before_the_first_configuration(
+        self,
+    ):
+        self.readiness = Readiness(
+            waits_in_gaps=True, reachable=self.reachable, is_first_start=True
+        )
+        state = dataclasses.replace(
+            SERVING, has_configuration=False, is_configuration_current=False
+        )
+        self.assertFalse(self.is_ready(state))
+        self.assertFalse(self.is_ready(state, hears_dispatcher=False))
+        self.assertTrue(self.is_ready(SERVING))
+
     def test_single_entry_stays_ready_through_a_restart(self):
         self.assertTrue(self.is_ready(GAP, has_other_entries=False))
 
