Count a lost link as linked until its loss is processed

The dispatcher's statement on when the entries were alive used the links of the moment. An entry whose link was just lost was left out before its loss was recorded, so the statement could be too young.

A caller's DELETE of a job that waits for a dispatcher now ends the wait; the job was submitted with the next heartbeat before.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
@@ -301,6 +301,18 @@
             return job.hold_until_s
         return job.received_at_s + UNSUBMITTED_WAIT_FACTOR * job.objective_s
 
+    def cancel(self, job: str, now_s: float) -> None:
+        """Cancels a job at a caller's request.
+
+        One that waits for a dispatcher here is not submitted any more.
+        """
+        if self._waits_in_gaps and job in self._held:
+            held = self._jobs[job]
+            self._remove(held)
+            outcome = CallerOutcome(kind=OutcomeKind.CANCELLED, reason="withdrawn")
+            self._finish(held, outcome, now_s)
+        self.withdraw(job)
+
     def withdraw(self, job: str) -> None:
         """Cancels a job at the dispatcher, whichever entry's callers wait for it."""
         if self._dispatcher:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -172,15 +172,17 @@
         """Records which frame another entry is known to have received."""
         self._entry_watch.on_frame(entry, confirmed_at_s)
 
+    def on_entry_up(self, entry: str, *, is_restarted: bool, now_s: float) -> None:
+        """Records a new link to another entry."""
+        self._entry_watch.on_link_up(entry, is_restarted=is_restarted, now_s=now_s)
+
     def on_entry_down(self, entry: str, now_s: float) -> None:
         """Records that the link to another entry was lost."""
-        self._entry_watch.on_entry_changed(entry, now_s)
+        self._entry_watch.on_link_down(entry, now_s)
 
     def on_peer_up(self, peer: str, *, is_restarted: bool) -> None:
         """Processes a new link, to a process that may not know the agents yet."""
         self._sent_agents.pop(peer, None)
-        if is_restarted:
-            self._entry_watch.on_entry_changed(peer, steady_s())
         if is_restarted and self._dispatcher is not None:
             self._dispatcher.on_agent_restarted(peer, steady_s())
 
@@ -483,10 +485,9 @@
         for agent in self._relay_routes.agents(now_s):
             await self._send_relayed_heartbeat(self._dispatcher, agent, now_s)
         waiting = self._dispatcher.count_waiting_by_queue()
+        # Frames may have arrived since this tick began, of which the heartbeats tell.
         alive_age_s = self._entry_watch.alive_age_s(
-            self._port.peers_up("entry"),
-            dispatching_since_s=self._dispatching_since_s,
-            now_s=now_s,
+            dispatching_since_s=self._dispatching_since_s, now_s=steady_s()
         )
         for peer in [*self._port.peers_up("entry"), self._settings.name]:
             is_own = peer == self._settings.name
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -356,8 +356,8 @@
         return answer.state
 
     async def withdraw(self, job: str) -> None:
-        """Cancels a job at the dispatcher."""
-        self._caller_jobs.withdraw(job)
+        """Cancels a job here if no dispatcher has it, or else at the dispatcher."""
+        self._caller_jobs.cancel(job, steady_s())
         await self._flush()
 
     def waiting_job_count(self, queue: Queue) -> int:
@@ -569,6 +569,9 @@
         if event.role == ENTRY_ROLE:
             self._membership.on_link_change(event.peer, True, now_s)
             self._reachable.on_link_up(event.peer, now_s)
+            self._dispatcher_role.on_entry_up(
+                event.peer, is_restarted=event.restarted, now_s=now_s
+            )
             self._uninformed_roles.update((ENTRY_ROLE, AGENT_ROLE))
         await self._send(event.peer, self._membership.directory())
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_caller_jobs.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_caller_jobs.py
@@ -356,3 +356,11 @@
         self.heartbeat(2, 11.0)
         (message,) = self.submissions()
         self.assertTrue(message.was_offered)
+
+    def test_job_that_is_cancelled_while_it_waits_is_not_submitted_later(self):
+        caller = waiter()
+        self.submit(10.0, caller=caller)
+        self.jobs.cancel("j", 10.1)
+        self.assertIs(OutcomeKind.CANCELLED, caller.outcome.kind)
+        self.heartbeat(1, 10.2)
+        self.assertEqual([], self.submissions())
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_resubmission.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_resubmission.py
@@ -16,7 +16,6 @@
 docs/design/gaps.md for the assumptions.
 """
 
-import collections.abc
 import math
 
 from hawthornbarrow.cells._timing import CLOCK_DRIFT, MARGIN_S
@@ -25,13 +24,30 @@
 
 
 class EntryWatch:
-    """Tracks at the dispatcher's entry when the other entries were alive."""
+    """Tracks at the dispatcher's entry when the other entries were alive.
+
+    It knows an entry as linked until the loss of the link was processed here. So a link
+    that is lost already, but is still linked here, shows in the age.
+    """
 
     def __init__(self, *, now_s: float) -> None:
         """Initializes a watch that knows no entries."""
+        self._linked: set[str] = set()
         self._confirmed_at_s: dict[str, float] = {}
         self._changed_at_s = now_s
 
+    def on_link_up(self, entry: str, *, is_restarted: bool, now_s: float) -> None:
+        """Records a new link, perhaps to an entry that has started anew."""
+        self._linked.add(entry)
+        if is_restarted:
+            self._confirmed_at_s.pop(entry, None)
+            self._changed_at_s = now_s
+
+    def on_link_down(self, entry: str, now_s: float) -> None:
+        """Records that the link to an entry was lost."""
+        self._linked.discard(entry)
+        self._changed_at_s = now_s
+
     def on_frame(self, entry: str, confirmed_at_s: float) -> None:
         """Records a frame of an entry.
 
@@ -44,32 +60,22 @@
             known_s = self._confirmed_at_s.get(entry, -math.inf)
             self._confirmed_at_s[entry] = max(known_s, confirmed_at_s)
 
-    def on_entry_changed(self, entry: str, now_s: float) -> None:
-        """Records that an entry was lost, or has started."""
-        self._confirmed_at_s.pop(entry, None)
-        self._changed_at_s = now_s
-
-    def alive_age_s(
-        self,
-        linked: collections.abc.Iterable[str],
-        *,
-        dispatching_since_s: float,
-        now_s: float,
-    ) -> float:
+    def alive_age_s(self, *, dispatching_since_s: float, now_s: float) -> float:
         """Returns the age of the oldest proof that an entry was alive.
 
         It is infinite, so that nothing follows from it, where entries with jobs may be
         unknown here: after a loss or a start of an entry, and after a takeover.
 
         Args:
-            linked: Entries whose links are up, without this one.
             dispatching_since_s: When this entry began to dispatch.
             now_s: Current time.
         """
         settled_at_s = max(self._changed_at_s, dispatching_since_s)
         if now_s - settled_at_s < LOST_ENTRY_WINDOW_S:
             return math.inf
-        confirmed_s = [self._confirmed_at_s.get(entry, -math.inf) for entry in linked]
+        confirmed_s = [
+            self._confirmed_at_s.get(entry, -math.inf) for entry in self._linked
+        ]
         return now_s - min(confirmed_s, default=now_s)
 
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_resubmission.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_resubmission.py
@@ -38,6 +38,8 @@
         self.choose_bound_s = bound_s
         self.bound = ResubmissionBound(resend_s=RESEND_S)
         self.watch = EntryWatch(now_s=0.0)
+        for name in self.entries:
+            self.watch.on_link_up(name, is_restarted=True, now_s=0.0)
         self.stated_at_s = -math.inf
         super().__init__(seed=seed)
 
@@ -99,9 +101,7 @@
         if self.now_s - self.stated_at_s < STATEMENT_INTERVAL_S:
             return
         self.stated_at_s = self.now_s
-        age_s = self.watch.alive_age_s(
-            self.entries, dispatching_since_s=0.0, now_s=self.now_s
-        )
+        age_s = self.watch.alive_age_s(dispatching_since_s=0.0, now_s=self.now_s)
         self.bound.on_heartbeat(self.now_s - self.generator.uniform(0, 0.1), age_s)
 
 
@@ -201,11 +201,13 @@
 class EntryWatchTest(unittest.TestCase):
     def setUp(self):
         self.watch = EntryWatch(now_s=0.0)
+        for entry in ("e1", "e2"):
+            self.watch.on_link_up(entry, is_restarted=True, now_s=0.0)
         self.now_s = LOST_ENTRY_WINDOW_S + 1.0
 
-    def age_s(self, linked=("e1", "e2"), *, dispatching_since_s=0.0):
+    def age_s(self, *, dispatching_since_s=0.0):
         return self.watch.alive_age_s(
-            linked, dispatching_since_s=dispatching_since_s, now_s=self.now_s
+            dispatching_since_s=dispatching_since_s, now_s=self.now_s
         )
 
     def test_age_is_that_of_the_entry_confirmed_longest_ago(self):
@@ -220,11 +222,21 @@
         self.assertEqual(math.inf, self.age_s())
 
     def test_nothing_is_known_after_the_loss_or_start_of_an_entry(self):
+        for change in (
+            lambda at_s: self.watch.on_link_down("e3", at_s),
+            lambda at_s: self.watch.on_link_up("e2", is_restarted=True, now_s=at_s),
+        ):
+            change(self.now_s - LOST_ENTRY_WINDOW_S + 0.1)
+            for entry in ("e1", "e2"):
+                self.watch.on_frame(entry, self.now_s)
+            self.assertEqual(math.inf, self.age_s())
+            self.now_s += 0.2
+            self.assertLess(self.age_s(), 1.0)
+
+    def test_link_that_came_back_without_a_restart_changes_nothing(self):
         for entry in ("e1", "e2"):
             self.watch.on_frame(entry, self.now_s)
-        self.watch.on_entry_changed("e3", self.now_s - LOST_ENTRY_WINDOW_S + 0.1)
-        self.assertEqual(math.inf, self.age_s())
-        self.now_s += 0.2
+        self.watch.on_link_up("e2", is_restarted=False, now_s=self.now_s)
         self.assertLess(self.age_s(), 1.0)
 
     def test_nothing_is_known_at_the_begin_of_a_term(self):
