--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
@@ -1,5 +1,6 @@
 """Tests of three entries and two agents with real links, in one curio kernel."""
 
+import math
 import pathlib
 import tempfile
 import unittest
@@ -7,10 +8,14 @@
 
 import curio
 from hawthornbarrow.cells import (
+    NO_FEATURES,
+    DispatcherHeartbeat,
     JobDocument,
     ListedEndedRun,
     ListedRun,
     Listing,
+    LoadFeature,
+    QueueLevel,
     Resources,
     RunLeaseTiming,
     RunOutcome,
@@ -18,6 +23,7 @@
     Step,
     SubmitJob,
     WorkerRecord,
+    _resubmission,
     is_standby_term,
 )
 from hawthornbarrow.clock import steady_s
@@ -27,6 +33,7 @@
 from hawthornbarrow_agent.fleet import FleetAgent, FleetAgentSettings, UpstreamClient
 
 from hawthornbarrow_entry.fleet import (
+    CallerRequest,
     FleetEntry,
     FleetEntrySettings,
     LeaderUnavailableError,
@@ -34,12 +41,14 @@
     _process,
 )
 from hawthornbarrow_entry.fleet._process import STARTUP_WAIT_S
+from hawthornbarrow_entry.fleet._readiness import READY_TIMEOUT_S
 from hawthornbarrow_entry.tests._deployment import free_ports, unused_host
 
 KEY = b"key"
 TIMING = RunLeaseTiming(run_lease_s=1.0, stop_s=0.05)
 RUN_S = 0.05
 WAIT_TIMEOUT_S = 20.0
+GAP_FEATURES = frozenset({LoadFeature.GAP_WAITING})
 
 
 class NumberFormat(ConfigurationFormat):
@@ -117,16 +126,17 @@
 class Fleet:
     """Entries and agents with the curio tasks that run them."""
 
-    def __init__(self, folder, agent_data_centres=("d0", "d0")):
+    def __init__(self, folder, agent_data_centres=("d0", "d0"), features=NO_FEATURES):
         self.folder = folder
         self.agent_data_centres = agent_data_centres
+        self.features = features
         host = unused_host()
         self.addresses = [f"{host}:{port}" for port in free_ports(host, 3)]
         self.entries = {}
         self.tasks = {}
         self.upstreams = []
 
-    async def start_entry(self, index, *, is_first):
+    async def start_entry(self, index, *, is_first, features=NO_FEATURES):
         name = f"e{index}"
         settings = FleetEntrySettings(
             name=name,
@@ -138,6 +148,8 @@
             tolerated_losses=1,
             timing=TIMING,
             cluster_key=KEY,
+            features=features or self.features,
+            resend_s=1.3,
         )
         entry = FleetEntry(settings=settings, configuration_format=NumberFormat())
         self.entries[index] = entry
@@ -210,10 +222,10 @@
 
 
 class FleetProcessTest(unittest.TestCase):
-    def run_scenario(self, scenario):
+    def run_scenario(self, scenario, features=NO_FEATURES):
         async def main():
             with tempfile.TemporaryDirectory() as folder:
-                fleet = Fleet(pathlib.Path(folder))
+                fleet = Fleet(pathlib.Path(folder), features)
                 try:
                     await fleet.start()
                     await scenario(fleet)
@@ -320,6 +332,98 @@
 
         self.run_scenario(scenario)
 
+    def test_requests_wait_for_a_restarted_fleet_as_long_as_their_callers_do(self):
+        async def scenario(fleet):
+            await self.stop_entries(fleet)
+            await fleet.start_entry(0, is_first=False, features=GAP_FEATURES)
+            entry = fleet.entries[0]
+            self.assertTrue(entry.is_ready)
+            patient = await curio.spawn(self.find_queue, entry, WAIT_TIMEOUT_S)
+            leaving = await curio.spawn(self.find_queue, entry, 5.0, lambda: True)
+            began_at_s = steady_s()
+            with self.assertRaises(LeaderUnavailableError):
+                await self.find_queue(entry, 0.5)
+            self.assertLess(steady_s() - began_at_s, 0.5)
+            with self.assertRaises(curio.TaskError):
+                await leaving.join()
+            self.assertEqual(1, entry.counts["gap_request_abandoned"])
+            self.assertEqual(1, entry.states["waiting_requests"])
+            for index in (1, 2):
+                await fleet.start_entry(index, is_first=False, features=GAP_FEATURES)
+            self.assertEqual("q", (await patient.join()).name)
+            self.assertEqual(0, entry.states["waiting_requests"])
+
+        self.run_scenario(scenario)
+
+    def test_entry_that_stops_answers_requests_that_wait(self):
+        async def scenario(fleet):
+            await self.stop_entries(fleet)
+            await fleet.start_entry(0, is_first=False, features=GAP_FEATURES)
+            entry = fleet.entries[0]
+            waiting = await curio.spawn(self.find_queue, entry, WAIT_TIMEOUT_S)
+            await curio.sleep(0.1)
+            await entry.drain(lambda: 0)
+            with self.assertRaises(curio.TaskError):
+                await waiting.join()
+            self.assertEqual(1, entry.counts["gap_request_stopped"])
+
+        self.run_scenario(scenario)
+
+    def test_entry_that_stays_cut_off_leaves_the_rotation(self):
+        async def scenario(fleet):
+            await self.stop_entries(fleet)
+            await fleet.start_entry(0, is_first=False, features=GAP_FEATURES)
+            await curio.sleep(READY_TIMEOUT_S + 0.2)
+            self.assertFalse(fleet.entries[0].is_ready)
+
+        self.run_scenario(scenario)
+
+    def test_new_dispatcher_learns_from_the_last_one_which_jobs_are_new(self):
+        async def scenario(fleet):
+            lost_index = fleet.dispatching_index()
+            others = [e for i, e in fleet.entries.items() if i != lost_index]
+            began_at_s = steady_s()
+            for entry in others:
+                await fleet.wait_until(lambda e=entry: new_before_s(e) > began_at_s)
+            # The dispatcher goes on waiting for this agent.
+            await fleet.tasks.pop("a0").cancel()
+            await fleet.tasks.pop(lost_index).cancel()
+            del fleet.entries[lost_index]
+            await fleet.wait_until(lambda: any(e.is_dispatching for e in others))
+            entry = next(e for e in others if e.is_dispatching)
+            dispatcher = entry._dispatcher_role.dispatcher
+            await fleet.wait_until(lambda: dispatcher._new_before_s > began_at_s)
+
+        def new_before_s(entry):
+            return entry._dispatcher_role._resubmission_bound.new_before_s
+
+        with mock.patch.object(_resubmission, "LOST_ENTRY_WINDOW_S", 0.5):
+            self.run_scenario(scenario, GAP_FEATURES)
+
+    def test_entries_get_no_levels_while_jobs_of_a_lost_entry_may_come_again(self):
+        async def scenario(fleet):
+            role = fleet.entries[fleet.dispatching_index()]._dispatcher_role
+            level = QueueLevel(queue="q", wait_s=9.0, retry_after_s=2.0)
+            heartbeat = DispatcherHeartbeat(
+                term=1, heard_at_s=0.0, version=1, levels=(level,)
+            )
+            known = role._complete_heartbeat(heartbeat, 0.1)
+            unknown = role._complete_heartbeat(heartbeat, math.inf)
+            self.assertEqual(((level,), ()), (known.levels, unknown.levels))
+
+        self.run_scenario(scenario, GAP_FEATURES)
+
+    async def stop_entries(self, fleet):
+        for index in list(fleet.entries):
+            await fleet.tasks.pop(index).cancel()
+            del fleet.entries[index]
+
+    async def find_queue(self, entry, timeout_s, is_abandoned=lambda: False):
+        request = CallerRequest(
+            received_at_s=steady_s(), timeout_s=timeout_s, is_abandoned=is_abandoned
+        )
+        return await entry.find_queue("h", "/q/j", request)
+
     def test_error_in_a_handler_costs_one_event_and_not_the_process(self):
         async def scenario(fleet):
             index = fleet.dispatching_index()
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -19,7 +19,11 @@
         check_data_centre_name,
     )
     from hawthornbarrow.cells._job_limits import InvalidJobError, check_document
-    from hawthornbarrow.cells._job_record import GIVE_UP_FACTOR, JobRecord
+    from hawthornbarrow.cells._job_record import (
+        GIVE_UP_FACTOR,
+        OVERHEAD_S,
+        JobRecord,
+    )
     from hawthornbarrow.cells._link_plan import LinkPlan
     from hawthornbarrow.cells._load_features import (
         FEATURES_VARIABLE,
@@ -77,6 +81,11 @@
         WorkerRecord,
     )
     from hawthornbarrow.cells._relay_routes import RelayRoutes
+    from hawthornbarrow.cells._resubmission import (
+        LOST_ENTRY_WINDOW_S,
+        EntryWatch,
+        ResubmissionBound,
+    )
     from hawthornbarrow.cells._run_supervisor import RunSupervisor
     from hawthornbarrow.cells._run_times import RunTimes
     from hawthornbarrow.cells._standby import (
@@ -99,7 +108,11 @@
 
 __all__ = [
     "FEATURES_VARIABLE",
+    "EntryWatch",
     "GIVE_UP_FACTOR",
+    "LOST_ENTRY_WINDOW_S",
+    "OVERHEAD_S",
+    "ResubmissionBound",
     "NO_FEATURES",
     "TRACE_RETENTION_S",
     "Admission",
@@ -197,6 +210,7 @@
         "InvalidJobError": "_job_limits",
         "check_document": "_job_limits",
         "GIVE_UP_FACTOR": "_job_record",
+        "OVERHEAD_S": "_job_record",
         "JobRecord": "_job_record",
         "LinkPlan": "_link_plan",
         "FEATURES_VARIABLE": "_load_features",
@@ -247,6 +261,9 @@
         "TaskKey": "_parts",
         "WorkerRecord": "_parts",
         "RelayRoutes": "_relay_routes",
+        "EntryWatch": "_resubmission",
+        "LOST_ENTRY_WINDOW_S": "_resubmission",
+        "ResubmissionBound": "_resubmission",
         "RunSupervisor": "_run_supervisor",
         "RunTimes": "_run_times",
         "Standby": "_standby",
