--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
@@ -225,7 +225,7 @@
     def run_scenario(self, scenario, features=NO_FEATURES):
         async def main():
             with tempfile.TemporaryDirectory() as folder:
-                fleet = Fleet(pathlib.Path(folder), features)
+                fleet = Fleet(pathlib.Path(folder), features=features)
                 try:
                     await fleet.start()
                     await scenario(fleet)
