Place tasks by predicted completion and tell long tails from slow workers

Uneven workers and runs of many times the mean made the dispatcher take healthy workers for slow ones and use fast ones for short tasks. With the feature run-time-tails, run times are kept as distributions by queue, speeds by worker, and a task goes to the slowest workers on which it ends by its objective.

--- a/benchmarks/cell_load.py
+++ b/benchmarks/cell_load.py
@@ -26,6 +26,7 @@
     JobDocument,
     JobOrder,
     JobState,
+    LoadFeature,
     PriorityOrder,
     Resources,
     RunLeaseTiming,
@@ -140,6 +141,7 @@
         load: float,
         seed: int,
         silent_span_s: tuple[float, float] = (0.0, 0.0),
+        features: frozenset[LoadFeature] = frozenset(),
     ) -> None:
         """Attaches the site's workers.
 
@@ -151,6 +153,7 @@
             silent_span_s: Start and end of the time in which two workers send no
                 frames except reports of ended runs, in seconds from the start of the
                 load. A worker that is detached meanwhile does not attach again.
+            features: Optional features of the dispatcher.
         """
         self._site = site
         self._load = load
@@ -158,7 +161,12 @@
         self._now_s = 100.0
         self._silent_span_s = silent_span_s
         self._dispatcher = Dispatcher(
-            term=1, timing=LEASE_TIMING, expected=(), now_s=self._now_s, order=order
+            term=1,
+            timing=LEASE_TIMING,
+            expected=(),
+            now_s=self._now_s,
+            order=order,
+            features=features,
         )
         queues = [
             Queue(
--- a/benchmarks/cell_slopes.py
+++ b/benchmarks/cell_slopes.py
@@ -8,7 +8,7 @@
 import time
 
 import structlog
-from hawthornbarrow.cells import TimelyPriorityOrder
+from hawthornbarrow.cells import LoadFeature, TimelyPriorityOrder, parse_features
 
 from benchmarks.cell_load import CellSite, JobKind, LoadRun
 
@@ -36,7 +36,10 @@
 
 
 def measure_dispatcher(
-    workers: int, task_count: int, seconds: float
+    workers: int,
+    task_count: int,
+    seconds: float,
+    features: frozenset[LoadFeature],
 ) -> tuple[float, float]:
     """Returns the dispatcher's CPU time per task, in microseconds, and share served."""
     load_run = LoadRun(
@@ -44,6 +47,7 @@
         order=TimelyPriorityOrder(),
         load=1.0,
         seed=1,
+        features=features,
     )
     cpu_time_s = 0.0
     dispatcher = load_run.dispatcher
@@ -69,13 +73,19 @@
     """Prints a row for each number of workers and of tasks per job."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=4.0)
+    parser.add_argument("--features", default="")
     arguments = parser.parse_args()
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
     )
     for workers in (11, 77, 160, 300, 1000):
         for task_count in (2, 8):
-            cost_us, served = measure_dispatcher(workers, task_count, arguments.seconds)
+            cost_us, served = measure_dispatcher(
+                workers,
+                task_count,
+                arguments.seconds,
+                parse_features(arguments.features),
+            )
             print(
                 f"{workers:4} workers, {task_count} tasks a job: "
                 f"{cost_us:6.0f} us a task, served {served:.3f}"
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -38,12 +38,12 @@
 from hawthornbarrow.cells._previous_runs import PreviousRuns
 from hawthornbarrow.cells._queue_capacity import QueueCapacity
 from hawthornbarrow.cells._queue_isolation import QueueIsolation
-from hawthornbarrow.cells._run_times import RunTimes
 from hawthornbarrow.cells._task_placer import TaskPlacer
 from hawthornbarrow.cells._timing import RunLeaseTiming
 from hawthornbarrow.cells._waiting_jobs import plain_work_ahead_core_s
-from hawthornbarrow.cells._worker_monitor import WorkerMonitor
+from hawthornbarrow.cells._worker_decisions import build_worker_decisions
 from hawthornbarrow.cells._worker_pool import WorkerPool
+from hawthornbarrow.cells._worker_selector import WorkerSelector
 from hawthornbarrow.cells._worker_view import Run, WorkerView
 from hawthornbarrow.queues import QueueTable
 
@@ -86,9 +86,10 @@
         """Initializes a dispatcher without agents, which awaits the expected ones."""
         self._term = term
         self._features = features
-        self._run_times = RunTimes()
+        self._decisions = build_worker_decisions(features)
+        self._run_times = self._decisions.run_times
         self._admission = Admission(run_times=self._run_times)
-        self._monitor = WorkerMonitor(run_times=self._run_times)
+        self._monitor = self._decisions.monitor
         self._pool = WorkerPool(
             term=term,
             timing=timing,
@@ -96,6 +97,7 @@
             expected=expected,
             now_s=now_s,
             has_lease_expired=has_lease_expired,
+            index=self._decisions.index,
         )
         self._job_registry = JobRegistry(
             term=term, order=order or TimelyPriorityOrder()
@@ -114,6 +116,7 @@
             isolation=self._isolation,
             counts=self._counts,
         )
+        selector = WorkerSelector(suspect_after_s=self._pool.suspect_after_s)
         self._task_placer = TaskPlacer(
             term=term,
             pool=self._pool,
@@ -122,6 +125,8 @@
             crash_history=self._crash_history,
             isolation=self._isolation,
             counts=self._counts,
+            selector=selector,
+            choice=self._decisions.build_choice(self._pool, selector, self._counts),
         )
 
     @property
@@ -129,6 +134,11 @@
         """Number of events of each kind in this term."""
         return self._counts
 
+    @property
+    def worker_gauges(self) -> dict[str, int]:
+        """Values about the speeds of workers by name, empty without the feature."""
+        return self._run_times.gauges
+
     @property
     def term(self) -> int:
         """Term in which it dispatches."""
@@ -263,6 +273,7 @@
         if message.is_leaving and not worker.is_leaving:
             worker.is_leaving = True
             _log.info("worker_leaving", agent=agent, upstream=worker.record.upstream)
+        self._decisions.drain_judge.on_report(worker, message, now_s)
         worker.is_silent = message.is_silent
         if message.capacity not in (None, worker.record.capacity):
             self._set_capacity(worker, message.capacity)
@@ -579,6 +590,21 @@
             progress.avoided.add(worker.agent)
         self._pool.order_stop(worker, run)
 
+    def _stop_hopeless_runs(self, worker: WorkerView, now_s: float) -> None:
+        """Stops runs that a leaving worker cuts off; their tasks wait again."""
+        for run in self._decisions.drain_judge.hopeless_runs(worker, now_s):
+            self._counts["run_stopped_by_drain"] += 1
+            _log.info(
+                "run_stopped_by_drain",
+                job=run.task.job,
+                task=str(run.task),
+                agent=worker.agent,
+                expected_s=round(run.expected_s, 3),
+                ran_s=round(now_s - run.started_at_s, 3),
+                remaining_s=round(worker.ends_at_s - now_s, 3),
+            )
+            self._pool.order_stop(worker, run)
+
     def _end_run(self, worker: WorkerView, ended: EndedRun, now_s: float) -> None:
         run = worker.runs.get(ended.task)
         if run is None or run.attempt != ended.attempt:
@@ -673,6 +699,9 @@
             self._detach(worker, "silent", now_s)
         for worker in self._pool.workers.values():
             self._monitor.detect_slow_runs(worker, now_s)
+            if worker.is_leaving:
+                self._stop_hopeless_runs(worker, now_s)
+        self._decisions.sweep(now_s)
         self._pool.refresh_all(now_s)
         if not self._pool.is_in_attach_window(now_s):
             self._refuse_infeasible(now_s)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_ready_capacity.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_ready_capacity.py
@@ -3,7 +3,7 @@
 import collections.abc
 import dataclasses
 
-from hawthornbarrow.cells._run_times import RunTimes
+from hawthornbarrow.cells._run_time_model import RunTimeModel
 from hawthornbarrow.cells._worker_view import WorkerView
 
 
@@ -48,7 +48,7 @@
         suspect_after_s: Silence after which a worker gets no new tasks.
     """
 
-    def __init__(self, *, run_times: RunTimes, suspect_after_s: float) -> None:
+    def __init__(self, *, run_times: RunTimeModel, suspect_after_s: float) -> None:
         """Initializes the sums over no workers."""
         self._run_times = run_times
         self._suspect_after_s = suspect_after_s
@@ -85,7 +85,7 @@
         if not worker.accepts_work(now_s, self._suspect_after_s):
             return
         total = self._sums.setdefault(worker.record.service, _Sum())
-        slowness = self._run_times.slowness(worker.record.upstream)
+        slowness = self._run_times.slowness(worker.speed_key)
         rate_cores = worker.record.capacity.cpu / 1000 / slowness
         free_cpu = max(0, worker.free.cpu)
         total.worker_count += 1
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_times.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_times.py
@@ -2,13 +2,14 @@
 
 import math
 
+from hawthornbarrow.cells._run_time_model import SPEED_CLASS_WIDTH, RunTimeModel
+
 _WORKER_WEIGHT = 0.08
 _QUEUE_WEIGHT = 0.02
 _MAX_LOG_RATIO = 3.0
-SPEED_CLASS_WIDTH = 0.12  # in log slowness; workers of one class count as equally fast
 
 
-class RunTimes:
+class RunTimes(RunTimeModel):
     """Learns the bias of callers' estimates by queue and the slowness of each worker.
 
     Both are factors on the estimate, stored as exponentially weighted means of
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_start_reservations.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_start_reservations.py
@@ -58,17 +58,14 @@
         self._agents: dict[str, str] = {}  # by job
         self._started_at_s: dict[str, float] = {}
 
-    def unreserved(
-        self, candidates: collections.abc.Iterable[tuple[int, WorkerView]]
-    ) -> collections.abc.Iterable[tuple[int, WorkerView]]:
-        """Returns the candidates on which tasks that are not suspected may start."""
-        if not self._reservations:
-            return candidates
-        return (
-            (speed_class, worker)
-            for speed_class, worker in candidates
-            if worker.agent not in self._reservations
-        )
+    @property
+    def is_any_reserved(self) -> bool:
+        """Whether any worker is reserved."""
+        return bool(self._reservations)
+
+    def is_reserved(self, worker: WorkerView) -> bool:
+        """Returns whether tasks that are not suspected may not start on a worker."""
+        return worker.agent in self._reservations
 
     def record_start(self, worker: WorkerView, now_s: float) -> None:
         """Records that a task was started on a worker."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_task_placer.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_task_placer.py
@@ -1,7 +1,6 @@
 """TaskPlacer: starts waiting tasks on workers with free capacity, in order."""
 
 import collections
-import collections.abc
 
 import structlog
 
@@ -10,8 +9,9 @@
 from hawthornbarrow.cells._job_registry import JobRegistry
 from hawthornbarrow.cells._parts import StartOrder, TaskKey
 from hawthornbarrow.cells._queue_isolation import QueueIsolation
-from hawthornbarrow.cells._run_times import RunTimes
+from hawthornbarrow.cells._run_time_model import RunTimeModel
 from hawthornbarrow.cells._start_reservations import StartReservations
+from hawthornbarrow.cells._worker_choice import WorkerChoice, WorkerFilter
 from hawthornbarrow.cells._worker_pool import WorkerPool
 from hawthornbarrow.cells._worker_selector import WorkerSelector
 from hawthornbarrow.cells._worker_view import Run, WorkerView
@@ -33,6 +33,8 @@
         crash_history: Tasks that may crash the upstreams that start them.
         isolation: Queues that are confined to some of the workers.
         counts: Event counters, in which starts are counted.
+        selector: Decides which workers may run a step.
+        choice: Chooses the workers of tasks that are not suspected.
     """
 
     def __init__(
@@ -41,10 +43,12 @@
         term: int,
         pool: WorkerPool,
         job_registry: JobRegistry,
-        run_times: RunTimes,
+        run_times: RunTimeModel,
         crash_history: CrashHistory,
         isolation: QueueIsolation,
         counts: collections.Counter[str],
+        selector: WorkerSelector,
+        choice: WorkerChoice,
     ) -> None:
         """Initializes a placer that places nothing until it has a configuration."""
         self._term = term
@@ -55,7 +59,8 @@
         self._isolation = isolation
         self._reservations = StartReservations(crash_history=crash_history)
         self._counts = counts
-        self._worker_selector = WorkerSelector(suspect_after_s=pool.suspect_after_s)
+        self._worker_selector = selector
+        self._choice = choice
         self._table: QueueTable | None = None
 
     def set_table(self, table: QueueTable) -> None:
@@ -76,6 +81,7 @@
                 wait.
         """
         self._reservations.update(self._pool.workers, self._is_waiting, now_s)
+        self._choice.begin_pass(now_s)
         for job in self._job_registry.waiting_in_order(now_s):
             if not only_new or job.is_new:
                 self._place_job(job, now_s)
@@ -121,22 +127,24 @@
         self, job: JobRecord, step: int, index: int, service: str, now_s: float
     ) -> WorkerView | None:
         """Returns the worker for a task that is not suspected, or None."""
-        candidates = self._candidates(job, step, service)
-        return self._worker_selector.choose(job, step, index, candidates, now_s)
-
-    def _candidates(
-        self, job: JobRecord, step: int, service: str
-    ) -> collections.abc.Iterable[tuple[int, WorkerView]]:
-        """Returns the speed classes and workers that a job may use, best first."""
-        cpu = job.document.steps[step].each.cpu
-        candidates = self._reservations.unreserved(self._pool.candidates(service, cpu))
-        if not self._isolation.is_active:
-            return candidates
-        return (
-            (speed_class, worker)
-            for speed_class, worker in candidates
-            if self._isolation.may_use(service, job.queue.name, worker.agent)
-        )
+        may_use = self._worker_filter(job, service)
+        return self._choice.choose(job, step, index, service, may_use, now_s)
+
+    def _worker_filter(self, job: JobRecord, service: str) -> WorkerFilter | None:
+        """Returns which workers a job may use, None for all."""
+        is_isolating = self._isolation.is_active
+        if not is_isolating and not self._reservations.is_any_reserved:
+            return None
+        queue = job.queue.name
+
+        def may_use(worker: WorkerView) -> bool:
+            if self._reservations.is_reserved(worker):
+                return False
+            return not is_isolating or self._isolation.may_use(
+                service, queue, worker.agent
+            )
+
+        return may_use
 
     def _is_waiting(self, task: TaskKey) -> bool:
         job = self._job_registry.waiting.records.get(task.job)
@@ -208,7 +216,7 @@
         progress.attempts += 1
         step_request = job.document.steps[step]
         key = TaskKey(job=job.job, step=step, index=index)
-        expected_s = self._run_times.expected_s(
+        expected_s = self._run_times.expected_task_s(
             job.queue.name, step_request.estimated_s
         )
         run = Run(
@@ -217,6 +225,9 @@
             needs=step_request.each,
             started_at_s=now_s,
             expected_s=max(expected_s, _MIN_EXPECTED_S),
+            is_remote=bool(step_request.rack)
+            and step_request.rack not in worker.record.labels,
+            queue=job.queue.name,
         )
         self._pool.add_run(worker, run, now_s)
         self._reservations.record_start(worker, now_s)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_index.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_index.py
@@ -4,7 +4,7 @@
 import collections.abc
 import itertools
 
-from hawthornbarrow.cells._run_times import RunTimes
+from hawthornbarrow.cells._run_time_model import RunTimeModel
 from hawthornbarrow.cells._worker_view import WorkerView
 
 # Negative free CPU, order of addition, and the worker, which is never compared.
@@ -21,7 +21,7 @@
         run_times: Expected run times, which define the speed classes.
     """
 
-    def __init__(self, *, run_times: RunTimes) -> None:
+    def __init__(self, *, run_times: RunTimeModel) -> None:
         """Initializes an index without workers."""
         self._run_times = run_times
         self._services: dict[str, dict[int, list[_Entry]]] = {}
@@ -34,12 +34,7 @@
 
     def remove(self, worker: WorkerView) -> None:
         """Removes a worker."""
-        speed_class, entry = self._entries.pop(worker.agent)
-        classes = self._services[worker.record.service]
-        entries = classes[speed_class]
-        del entries[bisect.bisect_left(entries, entry[:2])]
-        if not entries:
-            del classes[speed_class]
+        self._delete(worker)
 
     def update(self, worker: WorkerView) -> None:
         """Moves a worker to where its speed and free resources place it now."""
@@ -47,7 +42,7 @@
         is_same_class = speed_class == self._speed_class(worker)
         if is_same_class and entry[0] == -worker.free.cpu:
             return
-        self.remove(worker)
+        self._delete(worker)
         self._insert(worker, entry[1])
 
     def candidates(
@@ -75,5 +70,13 @@
         bisect.insort(classes.setdefault(speed_class, []), entry)
         self._entries[worker.agent] = (speed_class, entry)
 
+    def _delete(self, worker: WorkerView) -> None:
+        speed_class, entry = self._entries.pop(worker.agent)
+        classes = self._services[worker.record.service]
+        entries = classes[speed_class]
+        del entries[bisect.bisect_left(entries, entry[:2])]
+        if not entries:
+            del classes[speed_class]
+
     def _speed_class(self, worker: WorkerView) -> int:
-        return self._run_times.speed_class(worker.record.upstream)
+        return self._run_times.speed_class(worker.speed_key)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_monitor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_monitor.py
@@ -44,13 +44,7 @@
         if ended.end is RunOutcome.DONE:
             worker.health.record_success()
             if record is not None and run.expected_s:
-                step = record.document.steps[ended.task.step]
-                self._run_times.learn(
-                    record.queue.name,
-                    worker.record.upstream,
-                    step.estimated_s,
-                    ended.run_s,
-                )
+                self._learn(worker, run, ended, record)
         elif ended.end in (RunOutcome.FAILED, RunOutcome.REFUSED, RunOutcome.LOST):
             is_ejected = worker.health.record_failure(ended.task.job, now_s)
             _log.warning(
@@ -79,13 +73,20 @@
 
     def detect_slow_runs(self, worker: WorkerView, now_s: float) -> None:
         """Updates a worker's slowness from runs that far exceed their expected time."""
-        slowness = self._run_times.slowness(worker.record.upstream)
+        slowness = self._run_times.slowness(worker.speed_key)
         for run in worker.runs.values():
             if not run.expected_s or run.is_stopping:
                 continue
             limit_s = max(run.expected_s * _SLOW_RUN_FACTOR, _MIN_SLOW_RUN_S) * slowness
             ran_s = now_s - run.started_at_s
             if ran_s > limit_s:
-                self._run_times.record_overrun(
-                    worker.record.upstream, ran_s / run.expected_s
-                )
+                self._run_times.record_overrun(worker.speed_key, ran_s / run.expected_s)
+
+    def _learn(
+        self, worker: WorkerView, run: Run, ended: EndedRun, record: JobRecord
+    ) -> None:
+        """Updates run times after a run of a known job was completed."""
+        step = record.document.steps[ended.task.step]
+        self._run_times.learn(
+            record.queue.name, worker.speed_key, step.estimated_s, ended.run_s
+        )
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -18,7 +18,7 @@
     WorkerRecord,
 )
 from hawthornbarrow.cells._ready_capacity import CapacitySum, ReadyCapacity
-from hawthornbarrow.cells._run_times import RunTimes
+from hawthornbarrow.cells._run_time_model import RunTimeModel
 from hawthornbarrow.cells._timing import TRACE_RETENTION_S, RunLeaseTiming
 from hawthornbarrow.cells._worker_index import WorkerIndex
 from hawthornbarrow.cells._worker_view import Run, WorkerView
@@ -46,6 +46,7 @@
         expected: Agents that may still run tasks of a previous dispatcher.
         now_s: Current time.
         has_lease_expired: Whether the leases of the previous dispatcher have expired.
+        index: Index of the workers, None for one without racks.
     """
 
     def __init__(
@@ -53,10 +54,11 @@
         *,
         term: int,
         timing: RunLeaseTiming,
-        run_times: RunTimes,
+        run_times: RunTimeModel,
         expected: collections.abc.Iterable[str],
         now_s: float,
         has_lease_expired: bool = False,
+        index: WorkerIndex | None = None,
     ) -> None:
         """Initializes a pool without agents."""
         self._term = term
@@ -69,7 +71,8 @@
             0.0 if has_lease_expired else timing.lost_after_s
         )
         self._workers: dict[str, WorkerView] = {}
-        self._index = WorkerIndex(run_times=run_times)
+        self._run_times = run_times
+        self._index = index or WorkerIndex(run_times=run_times)
         self._ready = ReadyCapacity(
             run_times=run_times, suspect_after_s=timing.suspect_after_s
         )
@@ -146,6 +149,7 @@
         worker.is_leaving = message.is_leaving
         self._workers[agent] = worker
         self._lost.pop(agent, None)
+        self._run_times.add_worker(worker.speed_key, worker.record)
         self._index.add(worker)
         self._ready.refresh(worker, now_s)
         _log.info(
@@ -172,6 +176,7 @@
             self._lost[worker.agent] = (worker.record, now_s)
         self._index.remove(worker)
         self._ready.remove(worker)
+        self._run_times.remove_worker(worker.speed_key)
         self._starts.pop(worker.agent, None)
         self._stops.pop(worker.agent, None)
         _log.warning(
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_selector.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_selector.py
@@ -6,7 +6,7 @@
 from hawthornbarrow.cells._parts import (
     Step,
 )
-from hawthornbarrow.cells._run_times import SPEED_CLASS_WIDTH
+from hawthornbarrow.cells._run_time_model import SPEED_CLASS_WIDTH
 from hawthornbarrow.cells._worker_view import WorkerView
 
 _REMOTE_RACK_PENALTY = 0.5  # log of the run time factor away from the data's rack
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_view.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_view.py
@@ -1,5 +1,6 @@
 """WorkerView: the dispatcher's view of one agent and its worker."""
 
+import collections
 import dataclasses
 import math
 
@@ -12,6 +13,8 @@
     WorkerRecord,
 )
 
+_TIMELY_RUN_COUNT = 32
+
 
 @dataclasses.dataclass(kw_only=True)
 class Run:
@@ -24,6 +27,8 @@
         started_at_s: When the dispatcher ordered its start.
         expected_s: Expected run time, zero when unknown.
         is_stopping: Whether its stop was ordered.
+        is_remote: Whether its worker is away from the rack of its data.
+        queue: Name of its job's queue, empty when unknown.
     """
 
     task: TaskKey
@@ -32,6 +37,13 @@
     started_at_s: float
     expected_s: float = 0.0
     is_stopping: bool = False
+    is_remote: bool = False
+    queue: str = ""
+
+
+def speed_key(record: WorkerRecord) -> str:
+    """Returns the key by which the speed of an incarnation of a worker is kept."""
+    return f"{record.upstream}@{record.born_ms}" if record.born_ms else record.upstream
 
 
 class WorkerView:
@@ -58,10 +70,17 @@
         self.agent = agent
         self.session = session
         self.record = record
+        self.speed_key = speed_key(record)
         self.attach_sent_at_s = attach_sent_at_s
         self.heard_at_s = now_s
         self.is_leaving = False
         self.is_silent = False
+        # Earliest end of an upstream that leaves, None where it did not say.
+        self.ends_at_s: float | None = None
+        # When the last runs that ended in a probable time were started.
+        self.timely_starts_s: collections.deque[float] = collections.deque(
+            maxlen=_TIMELY_RUN_COUNT
+        )
         self.awaits_attach_until_s = -math.inf
         self.acknowledged = 0
         self.health = WorkerHealth()
