--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -609,7 +609,7 @@
         run = worker.runs.get(ended.task)
         if run is None or run.attempt != ended.attempt:
             return
-        self._pool.remove_run(worker, ended.task, now_s)
+        self._pool.release_run(worker, ended.task)
         self._crash_monitor.on_run_ended(worker, ended, now_s)
         self._counts[f"run_{ended.end.value}"] += 1
         self._previous_runs.remove_run(ended.task)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_release_rates.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_release_rates.py
@@ -3,6 +3,7 @@
 import math
 
 _WINDOW_S = 0.5
+_UPDATE_INTERVAL_S = 0.05
 _MIN_RATE = 1.0  # thousandths of a core per second
 
 # Service, rack or empty for all workers, and speed class.
@@ -30,6 +31,8 @@
     def begin_pass(self, now_s: float) -> None:
         """Begins a pass through the waiting tasks."""
         self._promised.clear()
+        if now_s - self._updated_at_s < _UPDATE_INTERVAL_S:
+            return
         decay = math.exp((self._updated_at_s - now_s) / _WINDOW_S)
         self._updated_at_s = now_s
         _update(self._released, self._new_released, decay)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_tail_run_times.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_tail_run_times.py
@@ -50,6 +50,8 @@
         self._queues: dict[str, _QueueRunTimes] = {}
         self._speeds = WorkerSpeeds()
         self._updated_at_s = -math.inf
+        # The last prediction, which is that for the other tasks of a step, too.
+        self._prediction = ("", 0.0, 0.0)
         self._default = RunTimeDistribution(tail_factor=SLOW_RUN_FACTOR)
 
     @property
@@ -76,19 +78,10 @@
 
         It is not proportional to the estimate, so it does not hold for sums.
         """
-        known = self._queues.get(queue)
-        if known is None or estimated_s <= 0:
-            return estimated_s
-        predicted = known.regression.predict(math.log(estimated_s))
-        return math.exp(predicted + self._speeds.reference)
-
-    def slowness(self, worker: str) -> float:
-        """Returns the ratio of a worker's run times to the expected ones."""
-        return self._speeds.slowness(worker)
-
-    def speed_class(self, worker: str) -> int:
-        """Returns the speed class of a worker; lower is faster."""
-        return self._speeds.speed_class(worker)
+        if self._prediction[:2] != (queue, estimated_s):
+            predicted_s = self._predict_s(queue, estimated_s)
+            self._prediction = (queue, estimated_s, predicted_s)
+        return self._prediction[2]
 
     def class_slowness(self, speed_class: int) -> float:
         """Returns the mean slowness of the workers of a class."""
@@ -121,6 +114,7 @@
         if now_s - self._updated_at_s >= _UPDATE_INTERVAL_S:
             self._updated_at_s = now_s
             self._speeds.update()
+            self._prediction = ("", 0.0, 0.0)
 
     def learn(
         self,
@@ -142,6 +136,7 @@
         """
         if estimated_s <= 0 or run_s <= 0:
             return
+        self._prediction = ("", 0.0, 0.0)
         known = self._queues.get(queue)
         if known is None:
             known = self._queues[queue] = _QueueRunTimes(
@@ -174,3 +169,18 @@
         known.remote_log += gain * max(-1.0, min(1.0, residual))
         # Remote runs are not shorter than local ones.
         known.remote_log = max(0.0, known.remote_log)
+
+    def _predict_s(self, queue: str, estimated_s: float) -> float:
+        known = self._queues.get(queue)
+        if known is None or estimated_s <= 0:
+            return estimated_s
+        predicted = known.regression.predict(math.log(estimated_s))
+        return math.exp(predicted + self._speeds.reference)
+
+    def slowness(self, worker: str) -> float:
+        """Returns the ratio of a worker's run times to the expected ones."""
+        return self._speeds.slowness(worker)
+
+    def speed_class(self, worker: str) -> int:
+        """Returns the speed class of a worker; lower is faster."""
+        return self._speeds.speed_class(worker)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_tail_worker_monitor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_tail_worker_monitor.py
@@ -112,9 +112,7 @@
     def _learn(
         self, worker: WorkerView, run: Run, ended: EndedRun, record: JobRecord
     ) -> None:
-        slowness = self._tail_run_times.slowness(worker.speed_key)
-        expected_s = run.expected_s * slowness * self._remote_factor(run)
-        if ended.run_s <= max(expected_s * SLOW_RUN_FACTOR, _MIN_OVERDUE_S):
+        if self._is_timely(worker, run, ended.run_s):
             worker.timely_starts_s.append(run.started_at_s)
         self._tail_run_times.learn(
             record.queue.name,
@@ -123,3 +121,10 @@
             ended.run_s,
             is_remote=run.is_remote,
         )
+
+    def _is_timely(self, worker: WorkerView, run: Run, run_s: float) -> bool:
+        limit_s = run.expected_s * SLOW_RUN_FACTOR
+        if run_s <= limit_s or run_s <= _MIN_OVERDUE_S:
+            return True
+        slowness = self._tail_run_times.slowness(worker.speed_key)
+        return run_s <= limit_s * slowness * self._remote_factor(run)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -276,12 +276,19 @@
 
     def remove_run(self, worker: WorkerView, task: TaskKey, now_s: float) -> None:
         """Removes a run from a worker and releases its resources."""
+        self.release_run(worker, task)
+        self.refresh(worker, now_s)
+
+    def release_run(self, worker: WorkerView, task: TaskKey) -> None:
+        """Removes a run from a worker that the caller refreshes afterwards.
+
+        After a report of several ended runs it needs to be refreshed only once.
+        """
         worker.remove(task)
         runs = self._runs_by_job.get(task.job, {})
         runs.pop((worker.agent, task), None)
         if not runs:
             self._runs_by_job.pop(task.job, None)
-        self.refresh(worker, now_s)
 
     def order_start(self, worker: WorkerView, order: StartOrder) -> None:
         """Queues an order to start a task."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_speeds.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_speeds.py
@@ -13,6 +13,7 @@
 _MAX_LOG_SLOWNESS = 3.0
 _PRIOR_SAMPLES = 8.0  # weight of the guess by kind, in runs
 _MIN_GAIN = 0.01
+_CLASS_INTERVAL = 4  # runs of a worker after which its class is determined anew
 # Cumulative sums of residuals show a change of speed. A drift below the slack is left
 # to the mean; errors of estimates that several runs share do not reach the limit.
 _CHANGE_SLACK = 0.3
@@ -172,7 +173,8 @@
         gain = max(_MIN_GAIN, 1 / (_PRIOR_SAMPLES + speed.sample_count))
         speed.mean += gain * residual
         speed.add_evidence(residual)
-        self._set_class(worker, speed)
+        if not speed.sample_count % _CLASS_INTERVAL:
+            self._set_class(worker, speed)
         return residual
 
     def raise_to(self, worker: str, log_slowness: float) -> None:
