--- a/benchmarks/uneven_load.py
+++ b/benchmarks/uneven_load.py
@@ -61,6 +61,8 @@
         swing: Relative amplitude of the arrival rates.
         period_s: Period of the arrival rates.
         slowed: Workers of which the speed halves, and when.
+        joining_every: Every so many workers attach late, none if zero.
+        joining_from_s: When the first of them attaches; the others follow one by one.
     """
 
     site: CellSite
@@ -72,6 +74,8 @@
     swing: float = 0.55
     period_s: float = 13.0
     slowed: dict[int, float] = dataclasses.field(default_factory=dict)
+    joining_every: int = 0
+    joining_from_s: float = 8.0
 
 
 def _second_site() -> CellSite:
@@ -122,6 +126,7 @@
         "slowed": dataclasses.replace(
             second, slowed={index: 8.0 for index in range(1, 54, 9)}
         ),
+        "joining": dataclasses.replace(second, joining_every=2),
         "even": first,
         "even-hot": dataclasses.replace(first, hot_fraction=0.3),
     }[name]
@@ -150,6 +155,7 @@
         self._mean_load = load
         self._base_s: float | None = None
         self._racks_of_jobs: dict[str, str] = {}
+        self._joining: list[int] = []
         super().__init__(
             site=uneven.site,
             order=TimelyPriorityOrder(),
@@ -163,6 +169,10 @@
         return f"r{worker // self._uneven.workers_per_rack}"
 
     def _attach(self, index: int) -> None:
+        every = self._uneven.joining_every
+        if every and self._base_s is None and index % every:
+            self._joining.append(index)
+            return
         site = self._uneven.site
         record = WorkerRecord(
             upstream=f"u{index}",
@@ -185,6 +195,9 @@
         phase = 2 * math.pi * (self._now_s - self._base_s) / self._uneven.period_s
         self._load = self._mean_load * (1 + self._uneven.swing * math.sin(phase))
         super()._submit_arrivals()
+        joins_from_s = self._base_s + self._uneven.joining_from_s
+        if self._joining and self._now_s >= joins_from_s:
+            self._attach(self._joining.pop())
 
     def _draw_run_times(self, kind: JobKind) -> tuple[list[float], float]:
         generator = self._random
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_speeds.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_speeds.py
@@ -19,7 +19,7 @@
 _CHANGE_SLACK = 0.3
 _CHANGE_LIMIT = 6.0
 _MAX_RESIDUAL = 0.9  # log ratio; a run of a long tail counts no more than this
-_CLASS_HYSTERESIS = 0.75  # class widths from the middle of the class
+_CLASS_HYSTERESIS = 1.0  # class widths from the middle of the class
 _MIN_KIND_SAMPLES = 30
 _MIN_KIND_WORKERS = 2
 
