--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -19,7 +19,7 @@
     WorkerRecord,
 )
 from hawthornbarrow.cells._ready_capacity import CapacitySum, ReadyCapacity
-from hawthornbarrow.cells._run_times import RunTimes
+from hawthornbarrow.cells._run_time_model import RunTimeModel
 from hawthornbarrow.cells._timing import TRACE_RETENTION_S, RunLeaseTiming
 from hawthornbarrow.cells._worker_index import WorkerIndex
 from hawthornbarrow.cells._worker_view import Run, WorkerView
@@ -51,6 +51,7 @@
         now_s: Current time.
         has_lease_expired: Whether the leases of the previous dispatcher have expired.
         attach_window_s: Time in which reachable workers attach.
+        index: Index of the workers, None for one without racks.
     """
 
     def __init__(
@@ -58,11 +59,12 @@
         *,
         term: int,
         timing: RunLeaseTiming,
-        run_times: RunTimes,
+        run_times: RunTimeModel,
         expected: collections.abc.Iterable[str],
         now_s: float,
         has_lease_expired: bool = False,
         attach_window_s: float = ATTACH_WINDOW_S,
+        index: WorkerIndex | None = None,
     ) -> None:
         """Initializes a pool without agents."""
         self._term = term
@@ -79,7 +81,8 @@
         self._evacuations = EvacuatedWorkers()
         self._evacuated: set[str] = set()
         self._returning: set[str] = set()
-        self._index = WorkerIndex(run_times=run_times)
+        self._run_times = run_times
+        self._index = index or WorkerIndex(run_times=run_times)
         self._ready = ReadyCapacity(
             run_times=run_times, suspect_after_s=timing.suspect_after_s
         )
@@ -170,6 +173,7 @@
         worker.is_leaving = message.is_leaving
         self._workers[agent] = worker
         self._lost.pop(agent, None)
+        self._run_times.add_worker(worker.speed_key, worker.record)
         self._index.add(worker)
         self._apply_evacuation(worker, now_s, is_returning=True)
         self._ready.refresh(worker, now_s)
@@ -229,7 +233,7 @@
             return
         self._evacuated.discard(worker.agent)
         if is_returning:
-            slowness = self._run_times.slowness(worker.record.incarnation)
+            slowness = self._run_times.slowness(worker.speed_key)
             worker.slow_start = self._evacuations.slow_start(
                 data_centre, slowness, now_s
             )
@@ -268,6 +272,7 @@
         self._evacuated.discard(worker.agent)
         self._returning.discard(worker.agent)
         self._ready.remove(worker)
+        self._run_times.remove_worker(worker.speed_key)
         self._starts.pop(worker.agent, None)
         self._stops.pop(worker.agent, None)
         _log.warning(
@@ -373,12 +378,19 @@
 
     def remove_run(self, worker: WorkerView, task: TaskKey, now_s: float) -> None:
         """Removes a run from a worker and releases its resources."""
+        self.release_run(worker, task)
+        self.refresh(worker, now_s)
+
+    def release_run(self, worker: WorkerView, task: TaskKey) -> None:
+        """Removes a run from a worker that the caller refreshes afterwards.
+
+        After a report of several ended runs it needs to be refreshed only once.
+        """
         worker.remove(task)
         runs = self._runs_by_job.get(task.job, {})
         runs.pop((worker.agent, task), None)
         if not runs:
             self._runs_by_job.pop(task.job, None)
-        self.refresh(worker, now_s)
 
     def order_start(self, worker: WorkerView, order: StartOrder) -> None:
         """Queues an order to start a task."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_view.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_view.py
@@ -1,5 +1,6 @@
 """WorkerView: the dispatcher's view of one agent and its worker."""
 
+import collections
 import dataclasses
 import math
 
@@ -13,6 +14,8 @@
 )
 from hawthornbarrow.cells._slow_start import SlowStart
 
+_TIMELY_RUN_COUNT = 32
+
 
 @dataclasses.dataclass(kw_only=True)
 class Run:
@@ -25,6 +28,8 @@
         started_at_s: When the dispatcher ordered its start.
         expected_s: Expected run time, zero when unknown.
         is_stopping: Whether its stop was ordered.
+        is_remote: Whether its worker is away from the rack of its data.
+        queue: Name of its job's queue, empty when unknown.
     """
 
     task: TaskKey
@@ -33,6 +38,13 @@
     started_at_s: float
     expected_s: float = 0.0
     is_stopping: bool = False
+    is_remote: bool = False
+    queue: str = ""
+
+
+def speed_key(record: WorkerRecord) -> str:
+    """Returns the key by which the speed of an incarnation of a worker is kept."""
+    return record.incarnation
 
 
 class WorkerView:
@@ -61,6 +73,7 @@
         self.agent = agent
         self.session = session
         self.record = record
+        self.speed_key = speed_key(record)
         self.attach_sent_at_s = attach_sent_at_s
         self.process = process
         self.heard_at_s = now_s
@@ -68,6 +81,12 @@
         self.is_silent = False
         self.is_evacuated = False
         self.slow_start: SlowStart | None = None
+        # Earliest end of an upstream that leaves, None where it did not say.
+        self.ends_at_s: float | None = None
+        # When the last runs that ended in a probable time were started.
+        self.timely_starts_s: collections.deque[float] = collections.deque(
+            maxlen=_TIMELY_RUN_COUNT
+        )
         self.awaits_attach_until_s = -math.inf
         self.acknowledged = 0
         self.health = WorkerHealth()
