--- a/benchmarks/cell_load.py
+++ b/benchmarks/cell_load.py
@@ -18,6 +18,7 @@
 
 import structlog
 from hawthornbarrow.cells import (
+    NO_FEATURES,
     ArrivalOrder,
     AttachWorker,
     Dispatcher,
@@ -26,6 +27,7 @@
     JobDocument,
     JobOrder,
     JobState,
+    LoadFeature,
     PriorityOrder,
     Resources,
     RunLeaseTiming,
@@ -136,10 +138,11 @@
         self,
         *,
         site: CellSite,
-        order: JobOrder,
+        order: JobOrder | None,
         load: float,
         seed: int,
         silent_span_s: tuple[float, float] = (0.0, 0.0),
+        features: frozenset[LoadFeature] = NO_FEATURES,
     ) -> None:
         """Attaches the site's workers.
 
@@ -151,6 +154,7 @@
             silent_span_s: Start and end of the time in which two workers send no
                 frames except reports of ended runs, in seconds from the start of the
                 load. A worker that is detached meanwhile does not attach again.
+            features: Features of the dispatcher that are enabled.
         """
         self._site = site
         self._load = load
@@ -158,7 +162,12 @@
         self._now_s = 100.0
         self._silent_span_s = silent_span_s
         self._dispatcher = Dispatcher(
-            term=1, timing=LEASE_TIMING, expected=(), now_s=self._now_s, order=order
+            term=1,
+            timing=LEASE_TIMING,
+            expected=(),
+            now_s=self._now_s,
+            order=order,
+            features=features,
         )
         queues = [
             Queue(
@@ -235,10 +244,15 @@
 
     def _submit_arrivals(self) -> None:
         for kind in self._site.job_kinds:
-            expected = kind.rate_per_s * self._load * TIME_STEP_S
+            rate_per_s = kind.rate_per_s * self._load * self._rate_factor(kind)
+            expected = rate_per_s * TIME_STEP_S
             for _ in range(self._draw_poisson(expected)):
                 self._submit(kind)
 
+    def _rate_factor(self, kind: JobKind) -> float:
+        """Returns the factor on the arrival rate of a kind of job at this time."""
+        return 1.0
+
     def _draw_poisson(self, expected: float) -> int:
         count, elapsed = 0, self._random.expovariate(1.0)
         while elapsed < expected:
