Add shares, a forecast of arrivals and a return plan, behind their switches

Under contention each queue has a share by weighted max-min fairness, jobs are admitted by the rate of their queue and size class, and placed by latest start. Without features the order and admission are unchanged.

--- a/benchmarks/contention.py
+++ b/benchmarks/contention.py
@@ -22,6 +22,7 @@
     AttachWorker,
     JobAnswer,
     JobDocument,
+    JobOrder,
     JobState,
     LoadFeature,
     Resources,
@@ -144,7 +145,12 @@
     """One simulated day of a customer on one dispatcher."""
 
     def __init__(
-        self, *, customer: Customer, seed: int, features: frozenset[LoadFeature]
+        self,
+        *,
+        customer: Customer,
+        seed: int,
+        features: frozenset[LoadFeature],
+        order: JobOrder | None = None,
     ) -> None:
         """Attaches the workers and draws the bursts of the day."""
         self._customer = customer
@@ -162,7 +168,7 @@
         self.return_states: collections.Counter[str] = collections.Counter()
         super().__init__(
             site=customer.site,
-            order=None,
+            order=order,
             load=self._scale_to_rest(customer.site),
             seed=seed,
             features=features,
@@ -220,7 +226,8 @@
 
     def _update_loss(self) -> None:
         is_lost = any(
-            burst.is_lossy and burst.start_s <= self._day_s - 1.0 < burst.start_s + LOSS_S
+            burst.is_lossy
+            and burst.start_s <= self._day_s - 1.0 < burst.start_s + LOSS_S
             for burst in self._bursts
         )
         if self._is_lost and not is_lost:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_admission.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_admission.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 from hawthornbarrow.cells._job_record import JobRecord
 from hawthornbarrow.cells._ready_capacity import CapacitySum
@@ -9,6 +10,7 @@
 
 _USABLE_FRACTION = 0.92  # of the capacity; the rest is lost to uneven task sizes
 _MIN_RATE_CORES = 0.001
+_ERROR_DEVIATIONS = 0.5  # standard deviations by which a wait may be longer
 _MIN_RETRY_AFTER_S = 1.0
 _MAX_RETRY_AFTER_S = 5.0
 
@@ -30,6 +32,19 @@
     retry_after_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Outlook:
+    """What is predicted beyond the present capacity and the work ahead of a job.
+
+    Attributes:
+        rate_cores: Core-seconds of the work ahead that are completed per second.
+        deviation: Relative standard deviation of the work of a job, zero to ignore it.
+    """
+
+    rate_cores: float
+    deviation: float = 0.0
+
+
 class Admission:
     """Refuses a job on arrival when the work ahead of it takes too long.
 
@@ -52,6 +67,7 @@
         now_s: float,
         *,
         start_delay_s: float = 0.0,
+        outlook: Outlook | None = None,
     ) -> AdmissionDecision:
         """Decides whether a job is admitted.
 
@@ -61,11 +77,14 @@
             capacity: Capacity of the workers that may run it.
             now_s: Current time.
             start_delay_s: Time until new jobs may start.
+            outlook: What is predicted, or None to use the present capacity.
         """
-        rate_cores = self._rate_cores(capacity)
+        rate_cores = outlook.rate_cores if outlook else self.rate_cores(capacity)
         wait_s = start_delay_s
         if ahead_core_s > 0 or capacity.free_cores < self._requested_cores(job):
             wait_s += (ahead_core_s + self._work_core_s(job) / 2) / rate_cores
+            if outlook is not None:
+                wait_s += self._wait_error_s(job, ahead_core_s, outlook)
         slack_s = job.start_by_s - now_s
         # A job that is late when it arrives, as it waited for a dispatcher, takes
         # nothing from others while there is free capacity.
@@ -74,7 +93,7 @@
             is_admitted=wait_s <= slack_s or starts_at_once,
             predicted_wait_s=wait_s,
             slack_s=slack_s,
-            retry_after_s=max(_MIN_RETRY_AFTER_S, min(_MAX_RETRY_AFTER_S, wait_s)),
+            retry_after_s=self.retry_after_s(wait_s),
         )
 
     def find_infeasible(
@@ -84,6 +103,7 @@
         now_s: float,
         *,
         start_delay_s: collections.abc.Callable[[JobRecord], float],
+        outlook: Outlook | None = None,
     ) -> list[JobRecord]:
         """Returns jobs that have not begun and cannot start by their ``refuse_by_s``.
 
@@ -92,8 +112,9 @@
             capacity: Capacity of the workers that may run them.
             now_s: Current time.
             start_delay_s: Returns the time until a job may start.
+            outlook: What is predicted, or None to use the present capacity.
         """
-        rate_cores = self._rate_cores(capacity)
+        rate_cores = outlook.rate_cores if outlook else self.rate_cores(capacity)
         ahead_core_s = 0.0
         infeasible = []
         for job in waiting:
@@ -104,10 +125,25 @@
                 ahead_core_s += self._work_core_s(job)
         return infeasible
 
-    def _rate_cores(self, capacity: CapacitySum) -> float:
+    def rate_cores(self, capacity: CapacitySum) -> float:
         """Returns the core-seconds of work that workers complete per second."""
         return max(capacity.rate_cores * _USABLE_FRACTION, _MIN_RATE_CORES)
 
+    def retry_after_s(self, wait_s: float) -> float:
+        """Returns the time after which a caller may try again, by the wait alone."""
+        return max(_MIN_RETRY_AFTER_S, min(_MAX_RETRY_AFTER_S, wait_s))
+
+    def _wait_error_s(
+        self, job: JobRecord, ahead_core_s: float, outlook: Outlook
+    ) -> float:
+        """Returns the error of a predicted wait, as the work ahead is estimated.
+
+        The work ahead is taken to consist of jobs of the same work as the new one.
+        """
+        work_core_s = self._work_core_s(job)
+        variance = outlook.deviation**2 * ahead_core_s * work_core_s
+        return _ERROR_DEVIATIONS * math.sqrt(variance) / outlook.rate_cores
+
     def _work_core_s(self, job: JobRecord) -> float:
         return self._run_times.expected_s(job.queue.name, job.remaining_work)
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -12,6 +12,7 @@
 import structlog
 
 from hawthornbarrow.cells._admission import Admission
+from hawthornbarrow.cells._contention_control import ContentionControl
 from hawthornbarrow.cells._crash_history import CrashHistory
 from hawthornbarrow.cells._crash_monitor import CrashMonitor
 from hawthornbarrow.cells._job_limits import InvalidJobError, check_document
@@ -31,6 +32,7 @@
     ActiveRun,
     EndedRun,
     JobState,
+    QueueLevel,
     Resources,
     RunOutcome,
     TaskKey,
@@ -85,7 +87,6 @@
     ) -> None:
         """Initializes a dispatcher without agents, which awaits the expected ones."""
         self._term = term
-        self._features = features
         self._run_times = RunTimes()
         self._admission = Admission(run_times=self._run_times)
         self._monitor = WorkerMonitor(run_times=self._run_times)
@@ -97,9 +98,6 @@
             now_s=now_s,
             has_lease_expired=has_lease_expired,
         )
-        self._job_registry = JobRegistry(
-            term=term, order=order or TimelyPriorityOrder()
-        )
         self._previous_runs = PreviousRuns(recovery_until_s=self._pool.recovery_until_s)
         self._crash_history = CrashHistory()
         self._isolation = QueueIsolation()
@@ -109,6 +107,17 @@
         self._has_changes = True
         self._is_handover_complete = False
         self._counts: collections.Counter[str] = collections.Counter()
+        self._contention = ContentionControl(
+            features=features,
+            admission=self._admission,
+            run_times=self._run_times,
+            capacity=self._capacity,
+            counts=self._counts,
+        )
+        self._job_registry = JobRegistry(
+            term=term, order=self._contention.order_for(order or TimelyPriorityOrder())
+        )
+        self._contention.set_waiting(self._job_registry.waiting)
         self._crash_monitor = CrashMonitor(
             history=self._crash_history,
             isolation=self._isolation,
@@ -121,6 +130,7 @@
             run_times=self._run_times,
             crash_history=self._crash_history,
             isolation=self._isolation,
+            contention=self._contention,
             counts=self._counts,
         )
 
@@ -129,6 +139,11 @@
         """Number of events of each kind in this term."""
         return self._counts
 
+    @property
+    def gauges(self) -> dict[str, int]:
+        """Current values of the gauges of the enabled features, by name."""
+        return self._contention.gauges
+
     @property
     def term(self) -> int:
         """Term in which it dispatches."""
@@ -171,6 +186,7 @@
         """Sets the configuration in force."""
         self._table = table
         self._task_placer.set_table(table)
+        self._contention.set_table(table)
         self._has_changes = True
 
     def state_of(self, job: str) -> JobState:
@@ -192,8 +208,21 @@
         """Returns the number of jobs that have not begun, by queue."""
         return self._job_registry.count_not_begun_by_queue()
 
+    def queue_levels(self, now_s: float) -> tuple[QueueLevel, ...]:
+        """Returns what new jobs of each queue can expect, empty where that is off.
+
+        It is also empty while workers are unknown, as admission then refuses nothing.
+        """
+        if self._pool.is_in_attach_window(now_s) or self.is_recovering(now_s):
+            return ()
+        return self._contention.levels(now_s)
+
     def heartbeat_for_entry(
-        self, heard_at_s: float, version: int, waiting: dict[str, int]
+        self,
+        heard_at_s: float,
+        version: int,
+        waiting: dict[str, int],
+        levels: tuple[QueueLevel, ...] = (),
     ) -> DispatcherHeartbeat:
         """Returns the heartbeat for an entry.
 
@@ -201,12 +230,14 @@
             heard_at_s: When, on its own clock, the entry sent its newest heard frame.
             version: Version of the configuration in force.
             waiting: Number of jobs that have not begun, by queue.
+            levels: What new jobs of each queue can expect.
         """
         return DispatcherHeartbeat(
             term=self._term,
             heard_at_s=heard_at_s,
             version=version,
             waiting=waiting,
+            levels=levels,
         )
 
     def take_messages(self) -> list[tuple[str, CellMessage]]:
@@ -389,6 +420,7 @@
             queue=queue,
             arrived_at_s=now_s - message.age_s,
             first_attempt=self._first_attempt(message, known),
+            data_centre=message.data_centre,
         )
         chain_s = self._run_times.expected_s(
             queue.name, record.document.longest_chain_s
@@ -404,6 +436,7 @@
             self._job_registry.add(record)
             self._fail_crashing(record, cause, now_s)
             return
+        self._contention.record_request(record, now_s)
         if self._refuse_unless_admitted(entry, record, message, now_s):
             return
         self._job_registry.add(record)
@@ -435,7 +468,7 @@
             return True
         capacity = self._capacity.of_queue(record.queue.service, record.queue.name)
         delay_s = self._start_delay_s(record, now_s)
-        decision = self._admission.evaluate(
+        decision = self._contention.evaluate(
             record,
             self._work_ahead_core_s(record, delay_s, now_s),
             capacity,
@@ -445,6 +478,9 @@
         if decision.is_admitted:
             return False
         self._counts["job_refused"] += 1
+        retry_after_s = self._contention.refuse(
+            record, decision.predicted_wait_s, decision.retry_after_s, capacity, now_s
+        )
         _log.info(
             "job_refused",
             job=record.job,
@@ -453,8 +489,10 @@
             slack_s=round(decision.slack_s, 3),
             waiting=self.waiting_count,
             workers=capacity.worker_count,
+            retry_after_s=round(retry_after_s, 1),
+            **self._contention.describe(record, capacity, now_s),
         )
-        self._refuse(entry, record.job, "no room in time", decision.retry_after_s)
+        self._refuse(entry, record.job, "no room in time", retry_after_s)
         return True
 
     def _work_ahead_core_s(
@@ -674,6 +712,7 @@
         for worker in self._pool.workers.values():
             self._monitor.detect_slow_runs(worker, now_s)
         self._pool.refresh_all(now_s)
+        self._contention.update(now_s)
         if not self._pool.is_in_attach_window(now_s):
             self._refuse_infeasible(now_s)
         for job in list(self._job_registry.waiting.records.values()):
@@ -705,7 +744,7 @@
             jobs.setdefault((service, is_confined), []).append(job)
         for (service, _), waiting in jobs.items():
             runnable = self._refuse_waiting_unrunnable(waiting, now_s)
-            infeasible = self._admission.find_infeasible(
+            infeasible = self._contention.find_infeasible(
                 runnable,
                 self._capacity.of_queue(service, waiting[0].queue.name),
                 now_s,
@@ -733,7 +772,11 @@
         Callers of a job that has not begun get a refusal with the advice to try again.
         """
         if not record.has_begun:
+            capacity = self._capacity.of_queue(record.queue.service, record.queue.name)
+            retry_after_s = self._contention.refuse(
+                record, 0.0, _RETRY_AFTER_S, capacity, now_s
+            )
             for entry in record.entries:
-                self._refuse(entry, record.job, "waited too long", _RETRY_AFTER_S)
+                self._refuse(entry, record.job, "waited too long", retry_after_s)
             record.entries.clear()
         self._close(record, JobState.CANCELLED, "waited too long", now_s)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
@@ -1,6 +1,7 @@
 """JobRecord: the dispatcher's state of one job."""
 
 import dataclasses
+import enum
 
 from hawthornbarrow.cells._parts import (
     JobDocument,
@@ -17,6 +18,19 @@
 OVERHEAD_S = 0.03  # time to send an order and to report its end
 
 
+class Lane(enum.IntEnum):
+    """Jobs of a queue that are served at a rate of their own under contention.
+
+    Jobs are divided by their work: up to the mean of the queue, less than twice it, and
+    at least twice it. Jobs that were refused and return have a lane of their own.
+    """
+
+    SMALL = 0
+    LARGE = 1
+    LARGEST = 2
+    RETURNED = 3
+
+
 @dataclasses.dataclass(kw_only=True)
 class TaskProgress:
     """The dispatcher's state of one task.
@@ -48,6 +62,7 @@
         queue: Its queue.
         arrived_at_s: When its entry received it.
         first_attempt: Attempt number after which starts are numbered.
+        data_centre: Data centre of its entry, empty when unknown.
     """
 
     def __init__(
@@ -57,6 +72,7 @@
         queue: Queue,
         arrived_at_s: float,
         first_attempt: int,
+        data_centre: str = "",
     ) -> None:
         """Initializes a job with all tasks waiting."""
         self.document = document
@@ -66,6 +82,8 @@
         self.refuse_by_s = arrived_at_s
         self.give_up_at_s = arrived_at_s + queue.timeout_s
         self.entries: set[str] = set()
+        self.data_centre = data_centre
+        self.lane = Lane.SMALL
         self.is_new = False
         self.state = JobState.QUEUED
         self.tasks = [
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_queue_capacity.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_queue_capacity.py
@@ -19,6 +19,15 @@
         self._pool = pool
         self._isolation = isolation
 
+    @property
+    def is_divided(self) -> bool:
+        """Whether some queues are confined to a part of the workers."""
+        return self._isolation.is_active
+
+    def of_service(self, service: str) -> CapacitySum:
+        """Returns the capacity of a service that accepts new tasks."""
+        return self._pool.ready_capacity(service)
+
     def of_queue(self, service: str, queue: str) -> CapacitySum:
         """Returns the capacity that accepts new tasks of a queue."""
         capacity = self._pool.ready_capacity(service)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_task_placer.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_task_placer.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from hawthornbarrow.cells._contention_control import ContentionControl
 from hawthornbarrow.cells._crash_history import CrashHistory, StartCare
 from hawthornbarrow.cells._job_record import JobRecord
 from hawthornbarrow.cells._job_registry import JobRegistry
@@ -32,6 +33,7 @@
         run_times: Expected run times.
         crash_history: Tasks that may crash the upstreams that start them.
         isolation: Queues that are confined to some of the workers.
+        contention: Is told what was started.
         counts: Event counters, in which starts are counted.
     """
 
@@ -44,6 +46,7 @@
         run_times: RunTimes,
         crash_history: CrashHistory,
         isolation: QueueIsolation,
+        contention: ContentionControl,
         counts: collections.Counter[str],
     ) -> None:
         """Initializes a placer that places nothing until it has a configuration."""
@@ -54,6 +57,7 @@
         self._crash_history = crash_history
         self._isolation = isolation
         self._reservations = StartReservations(crash_history=crash_history)
+        self._contention = contention
         self._counts = counts
         self._worker_selector = WorkerSelector(suspect_after_s=pool.suspect_after_s)
         self._table: QueueTable | None = None
@@ -82,6 +86,7 @@
 
     def _place_job(self, job: JobRecord, now_s: float) -> None:
         placed: list[str] = []
+        work_core_s = job.remaining_work
         service = self.service_of(job)
         for step in job.waiting_steps():
             for index in list(job.waiting_tasks(step)):
@@ -99,6 +104,7 @@
                 self._start(job, step, index, worker, now_s)
                 placed.append(f"{step}.{index}@{worker.agent}")
         if placed:
+            self._contention.record_start(job, work_core_s - job.remaining_work, now_s)
             self._job_registry.on_tasks_changed(job)
             _log.info(
                 "tasks_placed",
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_waiting_jobs.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_waiting_jobs.py
@@ -6,9 +6,10 @@
 import heapq
 import itertools
 
-from hawthornbarrow.cells._job_record import JobRecord
+from hawthornbarrow.cells._job_record import JobRecord, Lane
 from hawthornbarrow.cells._ordering import JobOrder
 from hawthornbarrow.cells._run_times import RunTimes
+from hawthornbarrow.queues import Queue
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -23,7 +24,7 @@
 
 @dataclasses.dataclass(kw_only=True)
 class _QueueWork:
-    """Waiting work of the jobs of a queue that can still start in time."""
+    """Waiting work of the jobs of a queue's lane that can still start in time."""
 
     job_count: int = 0
     core_s: float = 0.0
@@ -47,7 +48,7 @@
         self._sorted: list[tuple[tuple, int, JobRecord]] = []
         self._touched: set[str] = set()
         self._late_from: list[tuple[float, int, str]] = []
-        self._work: dict[tuple[str, int], _QueueWork] = {}
+        self._work: dict[tuple[str, int, Lane], _QueueWork] = {}
         self._sequence = itertools.count()
 
     def __len__(self) -> int:
@@ -75,6 +76,10 @@
         if self._records.get(record.job) is record:
             self._touched.add(record.job)
 
+    def touch_all(self) -> None:
+        """Reports that the order itself has changed."""
+        self._touched.update(self._records)
+
     def discard(self, record: JobRecord) -> None:
         """Removes a job if it is here."""
         if self._records.get(record.job) is not record:
@@ -109,11 +114,28 @@
         self._update(now_s)
         return sum(
             run_times.expected_s(queue, work.core_s)
-            for (queue, queue_priority), work in self._work.items()
+            for (queue, queue_priority, _), work in self._work.items()
             if queue_priority <= priority
             and (shares_workers is None or shares_workers(queue))
         )
 
+    def lane_work_core_s(
+        self, queue: Queue, lane: Lane, run_times: RunTimes, now_s: float
+    ) -> float:
+        """Returns the expected work of a queue's lane that can start in time."""
+        self._update(now_s)
+        work = self._work.get((queue.name, queue.priority, lane))
+        return run_times.expected_s(queue.name, work.core_s) if work else 0.0
+
+    def work_by_queue(self, run_times: RunTimes, now_s: float) -> dict[str, float]:
+        """Returns the expected work that can start in time, by queue."""
+        self._update(now_s)
+        core_s: dict[str, float] = {}
+        for (queue, _, _), work in self._work.items():
+            expected = run_times.expected_s(queue, work.core_s)
+            core_s[queue] = core_s.get(queue, 0.0) + expected
+        return core_s
+
     def _update(self, now_s: float) -> None:
         while self._late_from and self._late_from[0][0] < now_s:
             _, sequence, job = heapq.heappop(self._late_from)
@@ -133,8 +155,7 @@
         if record.start_by_s < now_s:
             return
         place.work = record.remaining_work
-        queue = (record.queue.name, record.queue.priority)
-        work = self._work.setdefault(queue, _QueueWork())
+        work = self._work.setdefault(_work_key(record), _QueueWork())
         work.job_count += 1
         work.core_s += place.work
 
@@ -145,14 +166,18 @@
             place.key = None
         if place.work is None:
             return
-        queue = (place.record.queue.name, place.record.queue.priority)
-        work = self._work[queue]
+        key = _work_key(place.record)
+        work = self._work[key]
         work.job_count -= 1
         work.core_s -= place.work
         place.work = None
         if not work.job_count:
             # Also removes what rounding has left.
-            del self._work[queue]
+            del self._work[key]
+
+
+def _work_key(record: JobRecord) -> tuple[str, int, Lane]:
+    return record.queue.name, record.queue.priority, record.lane
 
 
 def plain_work_ahead_core_s(
