--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -452,11 +452,12 @@
         for agent in self._relay_routes.agents(now_s):
             await self._send_relayed_heartbeat(self._dispatcher, agent, now_s)
         waiting = self._dispatcher.count_waiting_by_queue()
+        levels = self._dispatcher.queue_levels(now_s)
         for peer in [*self._port.peers_up("entry"), self._settings.name]:
             is_own = peer == self._settings.name
             heard_at_s = now_s if is_own else self._port.peer_sent_at_s(peer)
             heartbeat = self._dispatcher.heartbeat_for_entry(
-                heard_at_s, version, waiting
+                heard_at_s, version, waiting, levels
             )
             await self._send(peer, heartbeat)
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_admission.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_admission.py
@@ -79,11 +79,13 @@
             start_delay_s: Time until new jobs may start.
             outlook: What is predicted, or None to use the present capacity.
         """
-        rate_cores = outlook.rate_cores if outlook else self.rate_cores(capacity)
+        rate_cores = self.rate_cores(capacity)
         wait_s = start_delay_s
         if ahead_core_s > 0 or capacity.free_cores < self._requested_cores(job):
             wait_s += (ahead_core_s + self._work_core_s(job) / 2) / rate_cores
             if outlook is not None:
+                # Once its turn comes, a job starts at the rate of all workers.
+                wait_s += ahead_core_s / outlook.rate_cores - ahead_core_s / rate_cores
                 wait_s += self._wait_error_s(job, ahead_core_s, outlook)
         slack_s = job.start_by_s - now_s
         # A job that is late when it arrives, as it waited for a dispatcher, takes
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_arrival_forecast.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_arrival_forecast.py
@@ -2,14 +2,15 @@
 
 import collections
 import dataclasses
+import itertools
 import math
 
 _BIN_S = 0.1
-_SHORT_BINS = 3  # 0.3 s, within which a burst is noticed
+_BURST_BINS = (2, 3, 5)  # bins that are compared with the level; few for 0.3 s
 _LEVEL_WEIGHT = 0.05  # per bin
 _TREND_WEIGHT = 0.02  # per bin
 _MAX_TREND_S = 1.0  # a trend is not followed beyond this time
-_BURST_DEVIATIONS = 2.5
+_BURST_DEVIATIONS = 4.0
 _SEASON_BINS = 5  # bins of the level per bin of the history
 _SEASON_BIN_S = _BIN_S * _SEASON_BINS
 _HISTORY_BINS = 120  # of _SEASON_BIN_S
@@ -92,7 +93,9 @@
         self._bin_end_s = now_s + _BIN_S
         self._bin_core_s = 0.0
         self._bin_squares = 0.0
-        self._short: collections.deque[float] = collections.deque(maxlen=_SHORT_BINS)
+        self._short: collections.deque[float] = collections.deque(
+            maxlen=_BURST_BINS[-1]
+        )
         self._level = 0.0
         self._squares = 0.0
         self._trend = 0.0
@@ -148,18 +151,29 @@
 
     def _follow_sudden_change(self, former: float) -> bool:
         """Moves the level to that of the last bins if chance does not explain them."""
-        if self._bin_count <= 2 * _SHORT_BINS:
+        if self._bin_count <= _BURST_BINS[-1]:
             return False
-        short = sum(self._short) / len(self._short)
-        deviation = math.sqrt(max(self._squares, 1e-12) / (len(self._short) * _BIN_S))
-        if abs(short - former) < _BURST_DEVIATIONS * deviation:
+        strongest, count = max(
+            (self._deviations(former, bins), bins) for bins in _BURST_BINS
+        )
+        if strongest < _BURST_DEVIATIONS:
             return False
+        self._level = self._mean_of_last(count)
         if former > 0:
-            self._squares *= max(0.1, min(10.0, short / former))
-        self._level = short
+            self._squares *= max(0.1, min(10.0, self._level / former))
         self._trend = 0.0
+        # The level is the mean of the bins since the change until enough have passed.
+        self._bin_count = count
         return True
 
+    def _deviations(self, level: float, bins: int) -> float:
+        """Returns by how many standard deviations the last bins differ from a level."""
+        variance = max(self._squares, 1e-12) / (bins * _BIN_S)
+        return abs(self._mean_of_last(bins) - level) / math.sqrt(variance)
+
+    def _mean_of_last(self, bins: int) -> float:
+        return sum(itertools.islice(reversed(self._short), bins)) / bins
+
 
 class _Season:
     """Detects a periodic variation in a history of rates and extrapolates it.
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_contention_control.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_contention_control.py
@@ -19,7 +19,7 @@
 from hawthornbarrow.cells._ready_capacity import CapacitySum
 from hawthornbarrow.cells._return_plan import ReturnPlan
 from hawthornbarrow.cells._run_times import RunTimes
-from hawthornbarrow.cells._shares import Shares
+from hawthornbarrow.cells._shares import WINDOW_S, Shares
 from hawthornbarrow.cells._waiting_jobs import WaitingJobs
 from hawthornbarrow.queues import Queue, QueueTable
 
@@ -33,6 +33,9 @@
 class ContentionControl:
     """Applies the enabled ones of shares, forecast, return plan and queue levels.
 
+    It starts without history, as after a takeover, and decides as without the features
+    until its history covers the sliding window.
+
     While the queues of a service are confined because of crashes, its workers are
     divided by that, and the shares do not apply to it.
 
@@ -42,6 +45,7 @@
         run_times: Expected run times.
         capacity: Workers that each queue may use.
         counts: Event counters.
+        now_s: Current time.
     """
 
     def __init__(
@@ -52,8 +56,11 @@
         run_times: RunTimes,
         capacity: QueueCapacity,
         counts: collections.Counter[str],
+        now_s: float,
     ) -> None:
         """Initializes the control without any history."""
+        self._active_from_s = now_s + WINDOW_S
+        self._is_active = False
         self._admission = admission
         self._run_times = run_times
         self._capacity = capacity
@@ -107,10 +114,19 @@
 
     # Jobs
 
-    def record_request(self, job: JobRecord, now_s: float) -> None:
-        """Records a new job, and sets its lane."""
+    def record_request(
+        self, job: JobRecord, now_s: float, *, was_offered: bool
+    ) -> None:
+        """Records a new job, and sets its lane.
+
+        Args:
+            job: The job.
+            now_s: Current time.
+            was_offered: Whether it was handed over from a previous dispatcher. These
+                jobs arrive together and say nothing about those that will arrive.
+        """
         core_s = self._work_core_s(job)
-        if self._forecast is not None:
+        if self._forecast is not None and not was_offered:
             self._forecast.record(job.queue.name, core_s, now_s)
         if self._return_plan is not None and self._return_plan.take(job.job):
             job.lane = Lane.RETURNED
@@ -177,7 +193,7 @@
         core_s = self._work_core_s(job)
         if self._shares is not None:
             self._shares.record_refusal(job, core_s, now_s)
-        if self._return_plan is None:
+        if self._return_plan is None or not self._is_active:
             return retry_after_s
         free_cores = self._free_rate_cores(job.queue.service, capacity, now_s)
         return float(self._return_plan.book(job.job, core_s, wait_s, free_cores, now_s))
@@ -219,7 +235,7 @@
         lanes: dict[tuple[str, Lane], list[JobRecord]] = {}
         for job in waiting:
             lanes.setdefault((job.queue.name, job.lane), []).append(job)
-        return [
+        displaced = [
             infeasible
             for jobs in lanes.values()
             for infeasible in self._admission.find_infeasible(
@@ -230,12 +246,17 @@
                 outlook=self._outlook(jobs[0], capacity, now_s),
             )
         ]
+        self._counts["job_displaced"] += len(displaced)
+        return displaced
 
     # Time
 
     def update(self, now_s: float) -> None:
         """Computes shares and the state of contention anew."""
         self._overtaking.clear()
+        self._is_active = now_s >= self._active_from_s
+        if not self._is_active:
+            return
         if self._shares is None and self._return_plan is None:
             return
         backlogs = self._backlogs_by_service(now_s)
@@ -295,7 +316,7 @@
             )
             wait_s = ahead_core_s / self._admission.rate_cores(capacity)
         retry_after_s = self._admission.retry_after_s(wait_s)
-        if self._return_plan is not None:
+        if self._return_plan is not None and self._is_active:
             retry_after_s = float(self._return_plan.preview(wait_s, now_s))
         return QueueLevel(queue=queue.name, wait_s=wait_s, retry_after_s=retry_after_s)
 
@@ -316,7 +337,7 @@
         if self._is_shared(job.queue.service):
             rate_cores = self._shares.lane_rate_cores(job.queue, job.lane, now_s)
             return Outlook(rate_cores=rate_cores, deviation=deviation)
-        if not self._uses_forecast:
+        if not self._uses_forecast or not self._is_active:
             return None
         rate_cores = self._admission.rate_cores(capacity)
         overtaking = self._overtaking_cores(job.queue, now_s)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -113,6 +113,7 @@
             run_times=self._run_times,
             capacity=self._capacity,
             counts=self._counts,
+            now_s=now_s,
         )
         self._job_registry = JobRegistry(
             term=term, order=self._contention.order_for(order or TimelyPriorityOrder())
@@ -436,7 +437,7 @@
             self._job_registry.add(record)
             self._fail_crashing(record, cause, now_s)
             return
-        self._contention.record_request(record, now_s)
+        self._contention.record_request(record, now_s, was_offered=message.was_offered)
         if self._refuse_unless_admitted(entry, record, message, now_s):
             return
         self._job_registry.add(record)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_ordering.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_ordering.py
@@ -51,8 +51,9 @@
 class ContentionOrder(JobOrder):
     """Orders jobs by the latest start under contention, and otherwise by another order.
 
-    Admission leaves each queue about as much work as its share serves in time, so what
-    waits is placed by which job has to start first. Jobs of a queue, size class or data
+    Queues that request no more than their share go first. Admission leaves each queue
+    about as much work as its share serves in time, so what waits is placed by which job
+    has to start first. Jobs of a queue, size class or data
     centre that received less than the others are advanced by a part of their slack.
 
     Args:
@@ -72,7 +73,9 @@
         is_late = job.start_by_s < now_s and not job.running_count
         slack_s = job.start_by_s - job.arrived_at_s
         haste = self._shares.haste(job, now_s)
-        return (is_late, 0, job.arrived_at_s + slack_s * (1 - haste), 0.0)
+        is_over_share = self._shares.is_over_share(job.queue)
+        start_by_s = job.arrived_at_s + slack_s * (1 - haste)
+        return (is_late, int(is_over_share), start_by_s, 0.0)
 
 
 class ReturnedFirstOrder(JobOrder):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_shares.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_shares.py
@@ -12,7 +12,8 @@
 
 USABLE_FRACTION = 0.92  # of the capacity; the rest is lost to uneven task sizes
 _BIN_S = 0.25
-_WINDOW_BINS = 16  # 4 s
+_WINDOW_BINS = 16
+WINDOW_S = _BIN_S * _WINDOW_BINS
 _DEMAND_BINS = 4  # 1 s
 _BACKLOG_S = 0.5  # time in which a backlog should be served
 _BEGIN_PRESSURE = 1.0
@@ -113,6 +114,7 @@
         rate_cores: Work that they complete per second.
         demand_cores: Demand by queue, as rates.
         available_cores: Rate that each queue could use, by queue.
+        over_share: Queues that request more than their share.
     """
 
     is_contended: bool = False
@@ -120,6 +122,7 @@
     rate_cores: float = 0.0
     demand_cores: dict[str, float] = dataclasses.field(default_factory=dict)
     available_cores: dict[str, float] = dataclasses.field(default_factory=dict)
+    over_share: frozenset[str] = frozenset()
 
 
 class Shares:
@@ -164,6 +167,11 @@
         state = self._services.get(service)
         return state is not None and state.is_contended
 
+    def is_over_share(self, queue: Queue) -> bool:
+        """Returns whether a queue requests more than its share."""
+        state = self._services.get(queue.service)
+        return state is not None and queue.name in state.over_share
+
     def record_request(self, job: JobRecord, core_s: float, now_s: float) -> None:
         """Records a new job, and sets its lane by its work unless it returned.
 
@@ -232,7 +240,7 @@
         backlogs_core_s: dict[str, float],
         now_s: float,
     ) -> bool:
-        """Computes the shares of a service anew; returns whether contention changed.
+        """Computes the shares of a service anew; returns whether the order changed.
 
         Args:
             service: Name of the service.
@@ -257,8 +265,10 @@
             is_contended = now_s - state.pressed_at_s < _MIN_CONTENTION_S
         else:
             is_contended = pressure >= _BEGIN_PRESSURE
+        former_over_share = state.over_share
+        state.over_share = self._over_share(state) if is_contended else frozenset()
         if is_contended == state.is_contended:
-            return False
+            return state.over_share != former_over_share
         state.is_contended = is_contended
         self._counts["contention_began" if is_contended else "contention_ended"] += 1
         _log.info(
@@ -293,6 +303,21 @@
             weights -= other_weight
         return rate * weight / weights
 
+    def _over_share(self, state: _ServiceState) -> frozenset[str]:
+        """Returns the queues that request more than weighted max-min fairness gives."""
+        by_level = sorted(
+            (demand / self._queues[name].weight, name)
+            for name, demand in state.demand_cores.items()
+        )
+        rate = state.rate_cores
+        weights = sum(self._queues[name].weight for _, name in by_level)
+        for position, (level, name) in enumerate(by_level):
+            if level > rate / weights:
+                return frozenset(other for _, other in by_level[position:])
+            rate -= state.demand_cores[name]
+            weights -= self._queues[name].weight
+        return frozenset()
+
     def _mean_centre_part(self, now_s: float) -> float:
         parts = [usage.received_part(now_s) for usage in self._data_centres.values()]
         return sum(parts) / len(parts) if parts else 1.0
