--- a/benchmarks/cell_load.py
+++ b/benchmarks/cell_load.py
@@ -18,6 +18,7 @@
 
 import structlog
 from hawthornbarrow.cells import (
+    NO_FEATURES,
     ArrivalOrder,
     AttachWorker,
     Dispatcher,
@@ -137,11 +138,11 @@
         self,
         *,
         site: CellSite,
-        order: JobOrder,
+        order: JobOrder | None,
         load: float,
         seed: int,
         silent_span_s: tuple[float, float] = (0.0, 0.0),
-        features: frozenset[LoadFeature] = frozenset(),
+        features: frozenset[LoadFeature] = NO_FEATURES,
     ) -> None:
         """Attaches the site's workers.
 
@@ -243,10 +244,15 @@
 
     def _submit_arrivals(self) -> None:
         for kind in self._site.job_kinds:
-            expected = kind.rate_per_s * self._load * TIME_STEP_S
+            rate_per_s = kind.rate_per_s * self._load * self._rate_factor(kind)
+            expected = rate_per_s * TIME_STEP_S
             for _ in range(self._draw_poisson(expected)):
                 self._submit(kind)
 
+    def _rate_factor(self, kind: JobKind) -> float:
+        """Returns the factor on the arrival rate of a kind of job at this time."""
+        return 1.0
+
     def _draw_poisson(self, expected: float) -> int:
         count, elapsed = 0, self._random.expovariate(1.0)
         while elapsed < expected:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -598,6 +598,7 @@
         for agent in self._relay_routes.agents(now_s):
             await self._send_relayed_heartbeat(self._dispatcher, agent, now_s)
         waiting = self._dispatcher.count_waiting_by_queue()
+        levels = self._dispatcher.queue_levels(now_s)
         # Frames may have arrived since this tick began, of which the heartbeats tell.
         alive_age_s = self._entry_watch.alive_age_s(
             dispatching_since_s=self._dispatching_since_s, now_s=steady_s()
@@ -606,7 +607,7 @@
             is_own = peer == self._settings.name
             heard_at_s = now_s if is_own else self._port.peer_sent_at_s(peer)
             heartbeat = self._dispatcher.heartbeat_for_entry(
-                heard_at_s, version, waiting
+                heard_at_s, version, waiting, levels
             )
             await self._send(peer, self._complete_heartbeat(heartbeat, alive_age_s))
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -242,6 +242,7 @@
             "evacuated_workers": dispatcher.evacuated_count if dispatcher else 0,
             "attached_workers": len(dispatcher.workers) if dispatcher else 0,
             "waiting_jobs": dispatcher.waiting_count if dispatcher else 0,
+            **(dispatcher.gauges if dispatcher else {}),
         }
 
     @property
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_task_placer.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_task_placer.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from hawthornbarrow.cells._contention_control import ContentionControl
 from hawthornbarrow.cells._crash_history import CrashHistory, StartCare
 from hawthornbarrow.cells._job_record import JobRecord
 from hawthornbarrow.cells._job_registry import JobRegistry
@@ -34,6 +35,7 @@
         run_times: Expected run times.
         crash_history: Tasks that may crash the upstreams that start them.
         isolation: Queues that are confined to some of the workers.
+        contention: Is told what was started.
         counts: Event counters, in which starts are counted.
         selector: Decides which workers may run a step.
         choice: Chooses the workers of tasks that are not suspected.
@@ -48,6 +50,7 @@
         run_times: RunTimeModel,
         crash_history: CrashHistory,
         isolation: QueueIsolation,
+        contention: ContentionControl,
         counts: collections.Counter[str],
         selector: WorkerSelector,
         choice: WorkerChoice,
@@ -60,6 +63,7 @@
         self._crash_history = crash_history
         self._isolation = isolation
         self._reservations = StartReservations(crash_history=crash_history)
+        self._contention = contention
         self._counts = counts
         self._worker_selector = selector
         self._choice = choice
@@ -95,6 +99,7 @@
 
     def _place_job(self, job: JobRecord, now_s: float) -> None:
         placed: list[str] = []
+        work_core_s = job.remaining_work
         service = self.service_of(job)
         for step in job.waiting_steps():
             for index in list(job.waiting_tasks(step)):
@@ -112,6 +117,7 @@
                 self._start(job, step, index, worker, now_s)
                 placed.append(f"{step}.{index}@{worker.agent}")
         if placed:
+            self._contention.record_start(job, work_core_s - job.remaining_work, now_s)
             self._job_registry.on_tasks_changed(job)
             _log.info(
                 "tasks_placed",
