Bound the cost of levels and of the search for periods, and document contention

With hundreds of queues the forecast would have tried 14 periods for each of them twice a second, and each level added up all queues. The periods tried are now shared by all queues, and the work ahead is added up once per priority. A level of the queue's least loaded lane was nearly always zero (test of a burst); it is now that of the lane of small jobs or of the whole queue.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_arrival_forecast.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_arrival_forecast.py
@@ -16,7 +16,9 @@
 _HISTORY_BINS = 120  # of _SEASON_BIN_S
 _MIN_PERIODS = 2.0  # that the history must contain
 _PERIODS_S = tuple(period / 2 for period in range(8, 61))
-_PERIODS_PER_BIN = 14  # tried with each new bin of the history
+# Tried with each new bin of the history, by all queues and by one at most.
+_PERIODS_PER_BIN = 56
+_MAX_PERIODS_PER_BIN = 14
 _MIN_EXPLAINED = 0.25  # part of the history's variance
 _MIN_EVIDENCE = 9.0  # n/2 x explained part; noise gives it once in 150 scans
 _ERROR_WEIGHT = 0.1  # per bin of the history
@@ -60,6 +62,10 @@
         """Number of sudden changes of a level."""
         return self._burst_count
 
+    @property
+    def _period_count(self) -> int:
+        return min(_MAX_PERIODS_PER_BIN, 1 + _PERIODS_PER_BIN // len(self._queues))
+
     def record(self, queue: str, core_s: float, now_s: float) -> None:
         """Records that a job of some work arrived."""
         forecast = self._queues.get(queue)
@@ -68,7 +74,7 @@
             if len(self._queues) > _MAX_QUEUES:
                 self._queues.popitem(last=False)
         self._queues.move_to_end(queue)
-        self._burst_count += forecast.advance(now_s)
+        self._burst_count += forecast.advance(now_s, self._period_count)
         forecast.add(core_s)
 
     def predict(self, queue: str, now_s: float, ahead_s: float = 0.0) -> ArrivalRate:
@@ -82,7 +88,7 @@
         forecast = self._queues.get(queue)
         if forecast is None:
             return ArrivalRate()
-        self._burst_count += forecast.advance(now_s)
+        self._burst_count += forecast.advance(now_s, self._period_count)
         return forecast.predict(ahead_s)
 
 
@@ -107,13 +113,18 @@
         self._bin_core_s += core_s
         self._bin_squares += core_s**2
 
-    def advance(self, now_s: float) -> int:
-        """Closes the bins that have ended; returns the number of sudden changes."""
+    def advance(self, now_s: float, period_count: int) -> int:
+        """Closes the bins that have ended; returns the number of sudden changes.
+
+        Args:
+            now_s: Current time.
+            period_count: Number of periods to try with each bin of the history.
+        """
         changes = 0
         if now_s - self._bin_end_s > _HISTORY_BINS * _SEASON_BIN_S:
             self.__init__(now_s=now_s)
         while self._bin_end_s <= now_s:
-            changes += self._close_bin()
+            changes += self._close_bin(period_count)
             self._bin_end_s += _BIN_S
         return changes
 
@@ -131,7 +142,7 @@
             period_s=self._season.period_s if self._season.is_trusted else 0.0,
         )
 
-    def _close_bin(self) -> int:
+    def _close_bin(self, period_count: int) -> int:
         rate = self._bin_core_s / _BIN_S
         squares = self._bin_squares / _BIN_S
         self._short.append(rate)
@@ -146,7 +157,7 @@
             change = (self._level - former) / _BIN_S
             self._trend += _TREND_WEIGHT * (change - self._trend)
         is_sudden = self._follow_sudden_change(former)
-        self._season.add_bin(rate, self._level)
+        self._season.add_bin(rate, self._level, period_count)
         return int(is_sudden)
 
     def _follow_sudden_change(self, former: float) -> bool:
@@ -207,7 +218,7 @@
         """Whether forecasts with the variation are better than without."""
         return self._fit is not None and self._season_error < self._level_error
 
-    def add_bin(self, rate: float, level: float) -> None:
+    def add_bin(self, rate: float, level: float, period_count: int) -> None:
         """Adds the rate of one short bin, and the level after it."""
         self._sum += rate
         self._part_count += 1
@@ -215,7 +226,7 @@
             return
         self._history.append(self._sum / _SEASON_BINS)
         self._sum, self._part_count = 0.0, 0
-        self._scan()
+        self._scan(period_count)
         self._compare(level)
 
     def mean_rate(self, otherwise: float) -> float:
@@ -250,14 +261,14 @@
         change = self._fitted_change(_LOOK_AHEAD_BINS * _SEASON_BIN_S)
         self._forecasts.append((level, level + change))
 
-    def _scan(self) -> None:
+    def _scan(self, period_count: int) -> None:
         """Tries some of the periods, and after all of them takes the best one."""
         count = len(self._history)
         mean = sum(self._history) / count
         variance = sum((rate - mean) ** 2 for rate in self._history)
         if variance <= 0:
             return
-        for _ in range(_PERIODS_PER_BIN):
+        for _ in range(period_count):
             period_s = _PERIODS_S[self._next_period]
             if count * _SEASON_BIN_S >= _MIN_PERIODS * period_s:
                 cosine, sine = self._project(period_s, mean)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_contention_control.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_contention_control.py
@@ -93,7 +93,7 @@
         if self._forecast is not None:
             gauges["forecast_bursts"] = self._forecast.burst_count
         if self._return_plan is not None:
-            gauges["expected_returns"] = self._return_plan.remembered_count
+            gauges["remembered_refusals"] = self._return_plan.remembered_count
         return gauges
 
     def order_for(self, order: JobOrder) -> JobOrder:
@@ -288,25 +288,53 @@
     def levels(self, now_s: float) -> tuple[QueueLevel, ...]:
         """Returns what new jobs of each queue can expect, none where that is off.
 
-        A level is the wait of the lane that is served first, so that no job is refused
-        by it that might be admitted here.
+        A level leaves out the new job's own work, so that entries refuse only what
+        waits too long in any case.
         """
         if not self._has_levels or self._table is None:
             return ()
         queues = itertools.islice(self._table.queues.values(), _MAX_LEVELS)
-        return tuple(self._level(queue, now_s) for queue in queues)
+        ahead_core_s: dict[int, float] = {}
+        return tuple(self._level(queue, ahead_core_s, now_s) for queue in queues)
 
-    def _level(self, queue: Queue, now_s: float) -> QueueLevel:
+    def _level(
+        self, queue: Queue, ahead_core_s: dict[int, float], now_s: float
+    ) -> QueueLevel:
+        """Returns the level of a queue.
+
+        Args:
+            queue: The queue.
+            ahead_core_s: Work ahead by priority, computed once for all queues.
+            now_s: Current time.
+        """
         capacity = self._capacity.of_queue(queue.service, queue.name)
         if self._is_shared(queue.service):
-            lanes = (Lane.SMALL, Lane.LARGE, Lane.LARGEST)
-            wait_s = min(
-                self._waiting.lane_work_core_s(queue, lane, self._run_times, now_s)
-                / self._shares.lane_rate_cores(queue, lane, now_s)
-                for lane in lanes
-            )
+            wait_s = self._lane_wait_s(queue, now_s)
         else:
-            ahead_core_s = self._waiting.work_ahead_core_s(
+            wait_s = self._work_ahead_core_s(queue, ahead_core_s, now_s)
+            wait_s /= self._admission.rate_cores(capacity)
+        retry_after_s = self._admission.retry_after_s(wait_s)
+        if self._return_plan is not None and self._is_active:
+            retry_after_s = float(self._return_plan.preview(wait_s, now_s))
+        return QueueLevel(queue=queue.name, wait_s=wait_s, retry_after_s=retry_after_s)
+
+    def _lane_wait_s(self, queue: Queue, now_s: float) -> float:
+        """Returns the wait in the lane of most jobs, or in all lanes if less."""
+        by_lane = [
+            self._waiting.lane_work_core_s(queue, lane, self._run_times, now_s)
+            for lane in Lane
+        ]
+        lane_rate = self._shares.lane_rate_cores(queue, Lane.SMALL, now_s)
+        return min(
+            by_lane[Lane.SMALL] / lane_rate,
+            sum(by_lane) / self._shares.queue_rate_cores(queue),
+        )
+
+    def _work_ahead_core_s(
+        self, queue: Queue, ahead_core_s: dict[int, float], now_s: float
+    ) -> float:
+        if self._capacity.is_divided:
+            return self._waiting.work_ahead_core_s(
                 queue.priority,
                 self._run_times,
                 now_s,
@@ -314,11 +342,11 @@
                     queue.service, queue.name, other
                 ),
             )
-            wait_s = ahead_core_s / self._admission.rate_cores(capacity)
-        retry_after_s = self._admission.retry_after_s(wait_s)
-        if self._return_plan is not None and self._is_active:
-            retry_after_s = float(self._return_plan.preview(wait_s, now_s))
-        return QueueLevel(queue=queue.name, wait_s=wait_s, retry_after_s=retry_after_s)
+        if queue.priority not in ahead_core_s:
+            ahead_core_s[queue.priority] = self._waiting.work_ahead_core_s(
+                queue.priority, self._run_times, now_s
+            )
+        return ahead_core_s[queue.priority]
 
     # Predictions
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_shares.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_shares.py
@@ -197,12 +197,8 @@
         for usage in self._usages(job, self._queue_of(job)):
             usage.refused.add(core_s, now_s)
 
-    def lane_rate_cores(self, queue: Queue, lane: Lane, now_s: float) -> float:
-        """Returns the rate at which work of a queue's lane is served.
-
-        A lane gets the part of its queue's share that it has of the requests; returned
-        jobs get twice that, so that they are served before new ones.
-        """
+    def queue_rate_cores(self, queue: Queue) -> float:
+        """Returns the rate that a queue would get if it requested without limit."""
         state = self._services.get(queue.service)
         usage = self._queues.get(queue.name)
         if state is None or usage is None:
@@ -211,9 +207,20 @@
         if rate is None:
             rate = self._available_cores(state, queue.name, usage.weight)
             state.available_cores[queue.name] = rate
-        requested = usage.all.requested.total(now_s)
-        of_lane = usage.by_lane[lane].requested.total(now_s)
-        part = of_lane / requested if requested > 0 else 1.0
+        return max(rate, _MIN_RATE_CORES)
+
+    def lane_rate_cores(self, queue: Queue, lane: Lane, now_s: float) -> float:
+        """Returns the rate at which work of a queue's lane is served.
+
+        A lane gets the part of its queue's share that it has of the requests; returned
+        jobs get twice that, so that they are served before new ones.
+        """
+        rate = self.queue_rate_cores(queue)
+        usage = self._queues.get(queue.name)
+        requested = usage.all.requested.total(now_s) if usage else 0.0
+        if requested <= 0:
+            return rate
+        part = usage.by_lane[lane].requested.total(now_s) / requested
         if lane is Lane.RETURNED:
             part = min(1.0, 2 * part)
         return max(rate * part, _MIN_RATE_CORES)
