--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -205,6 +205,7 @@
             "dispatching": int(dispatcher is not None),
             "attached_workers": len(dispatcher.workers) if dispatcher else 0,
             "waiting_jobs": dispatcher.waiting_count if dispatcher else 0,
+            **(dispatcher.worker_gauges if dispatcher else {}),
         }
 
     @property
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_completion_placement.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_completion_placement.py
@@ -15,8 +15,8 @@
 _MIN_RUN_S = 1e-6
 # Interval of the sweeps that refuse jobs at their ``refuse_by_s``.
 _REFUSAL_MARGIN_S = 0.1
-# Fraction of the capacity that must be free for a late run away from its data: it earns
-# a fraction of a job in time and takes the capacity of more than one.
+# Free fraction of the capacity from which the most capable workers need not be spared,
+# and late runs away from their data displace no others.
 _SPARE_FRACTION = 0.25
 
 
@@ -56,10 +56,11 @@
 
 
 class CompletionPlacement(WorkerChoice):
-    """Chooses the slowest workers on which a task still ends by its objective.
+    """Chooses workers on which a task ends by its objective.
 
-    It handles uneven workers and a rack that many jobs want. Fast workers stay free for
-    long and late tasks; local ones are preferred, as a remote run uses more capacity.
+    It handles uneven workers and a rack that many jobs want. Under load it chooses the
+    slowest of these workers, so that fast ones stay free for long and late tasks, and
+    otherwise the fastest. Local ones are preferred, as a remote run uses more capacity.
     Where no free worker is in time, the task waits if a worker on which it is in time
     is expected soon enough, and otherwise goes where it ends soonest.
 
@@ -91,6 +92,7 @@
         self._counts = counts
         self._now_s = 0.0
         self._groups: dict[tuple[str, str, bool], list[_Group]] = {}
+        self._has_spare: dict[str, bool] = {}
         self._plan_job: JobRecord | None = None
         self._plan_step = 0
         self._plan = _Plan("", [], 0, 0.0, 0.0, 0.0)
@@ -100,6 +102,7 @@
         self._now_s = now_s
         self._plan_job = None
         self._groups.clear()
+        self._has_spare.clear()
         self._releases.begin_pass(now_s)
 
     def choose(
@@ -214,14 +217,18 @@
         )
 
     def _groups_for(self, service: str, queue: str, has_rack: bool) -> list[_Group]:
-        """Returns all groups, local ones first, then the slowest first."""
+        """Returns all groups, local ones first.
+
+        The slowest of them come first under load, so that fast workers stay free, and
+        the fastest while there is spare capacity.
+        """
         groups = self._groups.get((service, queue, has_rack))
         if groups is None:
             groups = [
                 _Group(self._run_times.class_slowness(speed_class), speed_class, False)
                 for speed_class in self._index.speed_classes(service)
             ]
-            groups.sort(reverse=True)
+            groups.sort(reverse=not self._has_spare_capacity(service))
             if has_rack:
                 factor = self._run_times.remote_factor(queue)
                 groups += [
@@ -262,9 +269,13 @@
         return False
 
     def _has_spare_capacity(self, service: str) -> bool:
-        """Returns whether a late run that uses more capacity displaces no other."""
-        capacity = self._pool.ready_capacity(service)
-        return capacity.free_cores >= _SPARE_FRACTION * capacity.rate_cores
+        """Returns whether a part of the capacity was free when the pass began."""
+        has_spare = self._has_spare.get(service)
+        if has_spare is None:
+            capacity = self._pool.ready_capacity(service)
+            has_spare = capacity.free_cores >= _SPARE_FRACTION * capacity.rate_cores
+            self._has_spare[service] = has_spare
+        return has_spare
 
 
 def _order(
