Do not wait for a rack whose workers all leave; document uneven workers

A late task waited for a rack in which no worker accepted tasks while capacity was short, and was refused in the end. Where no worker has the label of the rack, the remote factor counts too.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_completion_placement.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_completion_placement.py
@@ -13,6 +13,7 @@
 from hawthornbarrow.cells._worker_view import WorkerView
 
 _MIN_RUN_S = 1e-6
+_ANY_CPU = -(2**31)  # less than is free on any worker, also after its capacity shrank
 # Interval of the sweeps that refuse jobs at their ``refuse_by_s``.
 _REFUSAL_MARGIN_S = 0.1
 # Free fraction of the capacity from which the most capable workers need not be spared,
@@ -38,7 +39,7 @@
     """Where the tasks of a step go at one time.
 
     Attributes:
-        rack: Rack of the data, empty where no worker is in it.
+        rack: Rack of the data, empty where the task names none.
         groups: Groups of workers, the preferred first.
         in_time_count: How many of them are in time.
         expected_s: Expected run time of a task, local on a worker of middle speed.
@@ -207,8 +208,8 @@
         else:
             safe_ratio = max_ratio = slope + left_s / low_s
         rack = step_request.rack
-        if rack and not self._index.track_rack(service, rack):
-            rack = ""
+        if rack:
+            self._index.track_rack(service, rack)
         groups, in_time_count = _order(
             self._groups_for(service, queue.name, bool(rack)), safe_ratio, max_ratio
         )
@@ -251,7 +252,11 @@
         """
         plan = self._plan
         free = plan.groups[position]
-        if free.is_remote and not self._has_spare_capacity(service):
+        if (
+            free.is_remote
+            and not self._has_spare_capacity(service)
+            and self._has_local_worker(job, step, service)
+        ):
             return True
         if self._now_s + _REFUSAL_MARGIN_S >= job.refuse_by_s:
             return False
@@ -268,6 +273,16 @@
                 return True
         return False
 
+    def _has_local_worker(self, job: JobRecord, step: int, service: str) -> bool:
+        """Returns whether a worker in the rack of the data may run a step's tasks."""
+        return any(
+            self._selector.may_run(job, step, worker, self._now_s)
+            for speed_class in self._index.speed_classes(service)
+            for worker in self._index.near(
+                service, self._plan.rack, speed_class, _ANY_CPU
+            )
+        )
+
     def _has_spare_capacity(self, service: str) -> bool:
         """Returns whether a part of the capacity was free when the pass began."""
         has_spare = self._has_spare.get(service)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_tail_run_times.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_tail_run_times.py
@@ -181,6 +181,10 @@
         """Returns the ratio of a worker's run times to the expected ones."""
         return self._speeds.slowness(worker)
 
+    def is_well_known(self, worker: str) -> bool:
+        """Returns whether a worker's speed was learned from many runs."""
+        return self._speeds.is_well_known(worker)
+
     def speed_class(self, worker: str) -> int:
         """Returns the speed class of a worker; lower is faster."""
         return self._speeds.speed_class(worker)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_tail_worker_monitor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_tail_worker_monitor.py
@@ -114,6 +114,10 @@
     ) -> None:
         if self._is_timely(worker, run, ended.run_s):
             worker.timely_starts_s.append(run.started_at_s)
+        if run.task.index % 2 and self._tail_run_times.is_well_known(worker.speed_key):
+            # The tasks of a job share the error of its estimate, so half of them say
+            # almost as much as all.
+            return
         self._tail_run_times.learn(
             record.queue.name,
             worker.speed_key,
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_speeds.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_speeds.py
@@ -20,6 +20,7 @@
 _CHANGE_LIMIT = 6.0
 _MAX_RESIDUAL = 0.9  # log ratio; a run of a long tail counts no more than this
 _CLASS_HYSTERESIS = 1.0  # class widths from the middle of the class
+_WELL_KNOWN_SAMPLES = 60
 _MIN_KIND_SAMPLES = 30
 _MIN_KIND_WORKERS = 2
 
@@ -123,6 +124,11 @@
         speed = self._speeds.get(worker)
         return speed.speed_class if speed is not None else 0
 
+    def is_well_known(self, worker: str) -> bool:
+        """Returns whether a worker's speed was learned from many runs."""
+        speed = self._speeds.get(worker)
+        return speed is not None and speed.sample_count >= _WELL_KNOWN_SAMPLES
+
     def slowness(self, worker: str) -> float:
         """Returns a worker's slowness; that of the middle one is one."""
         speed = self._speeds.get(worker)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_uneven_workers.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_uneven_workers.py
@@ -75,6 +75,24 @@
         self.cell.run(0.02)
         self.assertEqual(1, len(self.cell.workers_of(job)))
 
+    def test_rack_whose_workers_all_leave_is_not_waited_for_under_load(self):
+        for index in range(3):
+            self.cell.drain(index, None)
+        with unittest.mock.patch.object(_completion_placement, "_SPARE_FRACTION", 2.0):
+            job = self.cell.submit("long", [1.5], rack="r0")
+            self.cell.now_s += 0.95
+            self.cell.run(0.05)
+        self.assertEqual(1, len(self.cell.workers_of(job)))
+
+    def test_late_task_under_load_does_not_run_away_from_its_data(self):
+        self.cell.submit("quick", [3.0] * 12, rack="r0", cpu=4000)
+        self.cell.run(0.05)
+        with unittest.mock.patch.object(_completion_placement, "_SPARE_FRACTION", 2.0):
+            job = self.cell.submit("long", [1.5], rack="r0", cpu=13000)
+            self.cell.now_s += 0.95
+            self.cell.run(0.05)
+        self.assertEqual(set(), self.cell.workers_of(job))
+
     def test_task_that_every_worker_would_run_late_still_starts(self):
         job = self.cell.submit("long", [1.5], estimate_s=1.5)
         self.cell.now_s += 1.1
