Learn return times of upstreams, and keep which workers fit a step

Callers whose job no attached worker could run were refused or kept by a constant: an upstream was expected back for 4 s, whether upstreams return after one second or five.

WorkerPool.can_run looked at the workers one by one for each arriving job, and ten times a second for each waiting one. The answer is now kept by service, resources and label of a step, and dropped when a worker attaches, is lost, starts to leave or changes capacity.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -1,6 +1,7 @@
 """WorkerPool: the attached agents and the orders to send to them."""
 
 import collections.abc
+import dataclasses
 import math
 
 import structlog
@@ -12,18 +13,20 @@
     StopTasks,
 )
 from hawthornbarrow.cells._parts import (
+    Resources,
     StartOrder,
     Step,
     TaskKey,
     WorkerRecord,
 )
 from hawthornbarrow.cells._ready_capacity import CapacitySum, ReadyCapacity
+from hawthornbarrow.cells._return_times import ReturnTimes
 from hawthornbarrow.cells._run_times import RunTimes
 from hawthornbarrow.cells._timing import TRACE_RETENTION_S, RunLeaseTiming
 from hawthornbarrow.cells._worker_index import WorkerIndex
 from hawthornbarrow.cells._worker_view import Run, WorkerView
 
-UPSTREAM_RETURN_S = 4.0  # time within which a lost upstream is expected back
+MAX_KEPT_FITS = 1024  # kinds of steps for which the fitting workers are kept
 ATTACH_WINDOW_S = 0.25  # time in which reachable workers attach to a new dispatcher
 
 _log = structlog.get_logger()
@@ -36,6 +39,19 @@
     return not step.label or step.label in record.labels
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _FittingWorkers:
+    """Workers that could run a task of a step if they were idle.
+
+    Attributes:
+        is_attached: Whether one of them is attached and is not leaving.
+        lost_at_s: When the last one of them was lost.
+    """
+
+    is_attached: bool
+    lost_at_s: float
+
+
 class WorkerPool:
     """Tracks which agents are attached and which are still awaited.
 
@@ -74,6 +90,10 @@
             run_times=run_times, suspect_after_s=timing.suspect_after_s
         )
         self._lost: dict[str, tuple[WorkerRecord, float]] = {}
+        self._return_times = ReturnTimes()
+        self._fitting: dict[tuple[str, Resources, str], _FittingWorkers] = {}
+        # What the kept results depend on, by agent.
+        self._fit_states: dict[str, tuple[WorkerRecord, bool]] = {}
         self._runs_by_job: dict[str, dict[tuple[str, TaskKey], Run]] = {}
         self._starts: dict[str, list[StartOrder]] = {}
         self._stops: dict[str, list[TaskKey]] = {}
@@ -83,6 +103,11 @@
         """Attached agents by name."""
         return self._workers
 
+    @property
+    def return_times(self) -> ReturnTimes:
+        """Times for which lost upstreams are away."""
+        return self._return_times
+
     @property
     def recovery_until_s(self) -> float:
         """Time after which no unreported run can exist."""
@@ -145,7 +170,8 @@
         )
         worker.is_leaving = message.is_leaving
         self._workers[agent] = worker
-        self._lost.pop(agent, None)
+        self._update_fits(worker)
+        self._record_return(agent, message.worker, now_s)
         self._index.add(worker)
         self._ready.refresh(worker, now_s)
         _log.info(
@@ -160,6 +186,15 @@
         )
         return worker
 
+    def _record_return(self, agent: str, record: WorkerRecord, now_s: float) -> None:
+        """Learns from the attachment of an agent whose upstream may have been lost."""
+        lost = self._lost.pop(agent, None)
+        if lost is None:
+            return
+        lost_record, lost_at_s = lost
+        if lost_record.upstream != record.upstream:
+            self._return_times.add(now_s - lost_at_s)
+
     def await_attach(self, worker: WorkerView, now_s: float) -> None:
         """Starts nothing on a worker until its agent has attached again, or is late."""
         worker.awaits_attach_until_s = now_s + 2 * self._timing.lost_after_s
@@ -168,6 +203,8 @@
     def detach(self, worker: WorkerView, reason: str, now_s: float) -> None:
         """Detaches an agent; no run of its session can exist any more."""
         del self._workers[worker.agent]
+        self._fit_states.pop(worker.agent, None)
+        self._fitting.clear()
         if not worker.is_leaving:
             self._lost[worker.agent] = (worker.record, now_s)
         self._index.remove(worker)
@@ -233,16 +270,48 @@
                 counts only if that is long enough for its return.
             now_s: Current time.
         """
-        attached = (
-            worker.record for worker in self._workers.values() if not worker.is_leaving
-        )
-        if any(_fits_step(record, service, step) for record in attached):
+        fitting = self._fitting_workers(service, step)
+        if fitting.is_attached:
             return True
-        return slack_s >= UPSTREAM_RETURN_S and any(
-            _fits_step(record, service, step)
-            for record, lost_at_s in self._lost.values()
-            if now_s - lost_at_s <= UPSTREAM_RETURN_S
-        )
+        limit_s = self._return_times.limit_s
+        return slack_s >= limit_s and now_s - fitting.lost_at_s <= limit_s
+
+    def return_delay_s(self, service: str, step: Step, now_s: float) -> float | None:
+        """Returns the time until a worker for a step is expected back.
+
+        None is returned where no returns were observed, or no such worker was lost.
+        """
+        fitting = self._fitting_workers(service, step)
+        if fitting.is_attached:
+            return 0.0
+        away_s = now_s - fitting.lost_at_s
+        if not self._return_times.is_learned or away_s > self._return_times.limit_s:
+            return None
+        return max(0.0, self._return_times.expected_s - away_s)
+
+    def _fitting_workers(self, service: str, step: Step) -> "_FittingWorkers":
+        """Returns what is known about the workers for a step, from earlier if kept."""
+        key = (service, step.each, step.label)
+        fitting = self._fitting.get(key)
+        if fitting is None:
+            if len(self._fitting) >= MAX_KEPT_FITS:
+                self._fitting.clear()
+            fitting = self._fitting[key] = _FittingWorkers(
+                is_attached=any(
+                    _fits_step(worker.record, service, step)
+                    for worker in self._workers.values()
+                    if not worker.is_leaving
+                ),
+                lost_at_s=max(
+                    (
+                        lost_at_s
+                        for record, lost_at_s in self._lost.values()
+                        if _fits_step(record, service, step)
+                    ),
+                    default=-math.inf,
+                ),
+            )
+        return fitting
 
     def candidates(
         self, service: str, cpu: int
@@ -253,12 +322,22 @@
     def refresh(self, worker: WorkerView, now_s: float) -> None:
         """Takes a change of an attached worker's speed or readiness into account."""
         if self._workers.get(worker.agent) is worker:
+            self._update_fits(worker)
             self._index.update(worker)
             self._ready.refresh(worker, now_s)
 
+    def _update_fits(self, worker: WorkerView) -> None:
+        """Drops the kept results when a worker is new, leaves or changes capacity."""
+        state = (worker.record, worker.is_leaving)
+        former = self._fit_states.get(worker.agent)
+        if former is None or former[0] is not state[0] or former[1] != state[1]:
+            self._fit_states[worker.agent] = state
+            self._fitting.clear()
+
     def refresh_all(self, now_s: float) -> None:
         """Takes into account which workers have become silent or slow."""
         for worker in self._workers.values():
+            self._update_fits(worker)
             self._index.update(worker)
         self._ready.refresh_all(self._workers.values(), now_s)
 
