List the suspects of earlier crashes after many crashed runs

A new dispatcher knew fewer crashes under a task than had happened: an agent lists 64 runs under crashes and dropped the oldest first, so a crash of an upstream with many runs hid the suspect of an earlier one. Such a task could be started more often after a takeover. A crash that was dropped in part could also seem to have only one job, which is blamed.

The log now drops runs that were no suspects beside others first, then whole crashes. The number listed stays.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_ended_run_log.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_ended_run_log.py
@@ -1,6 +1,7 @@
 """EndedRunLog: the ended runs that an agent reports to dispatchers."""
 
 import collections
+import collections.abc
 
 import msgspec
 import structlog
@@ -12,10 +13,16 @@
 )
 
 MAX_CRASHED_RUNS = 64
+YOUNG_RUN_S = 0.1  # runs that were no older at a crash may have caused it
 
 _log = structlog.get_logger()
 
 
+def _is_young(run: EndedRun) -> bool:
+    """Returns whether a run under a crash may have caused it."""
+    return run.run_s <= YOUNG_RUN_S
+
+
 class EndedRunLog:
     """Numbers ended runs and retains them until dispatchers no longer need them.
 
@@ -28,9 +35,7 @@
     def __init__(self) -> None:
         """Initializes an empty log."""
         self._ended: collections.deque[tuple[float, EndedRun]] = collections.deque()
-        self._crashed: collections.deque[tuple[float, EndedRun]] = collections.deque(
-            maxlen=MAX_CRASHED_RUNS
-        )
+        self._crashed: collections.deque[tuple[float, EndedRun]] = collections.deque()
         self._last_number = 0
         self._acknowledged = 0
 
@@ -88,6 +93,8 @@
         self._ended.append((now_s, ended))
         if ended.crashed_upstream:
             self._crashed.append((now_s, ended))
+            if len(self._crashed) > MAX_CRASHED_RUNS:
+                self._limit_crashed_runs()
         _log.info(
             "run_ended",
             task=str(order.task),
@@ -114,6 +121,52 @@
         crashed = [run for _, run in self._crashed if run.number < first_number]
         return crashed + ended
 
+    def _limit_crashed_runs(self) -> None:
+        """Removes the crashed runs from which a new dispatcher would learn least.
+
+        These are the runs of the oldest crash that were no suspects beside others that
+        were, then older crashes without such runs. Those are removed whole, as a part
+        of one might seem to have only one job, which would then be blamed.
+        """
+        runs = [run for _, run in self._crashed]
+        upstreams = list(dict.fromkeys(run.crashed_upstream for run in runs))
+        with_young = {run.crashed_upstream for run in runs if _is_young(run)}
+        with_both = {
+            run.crashed_upstream
+            for run in runs
+            if run.crashed_upstream in with_young and not _is_young(run)
+        }
+        for upstream in upstreams:
+            if upstream in with_both:
+                self._remove_crashed(
+                    lambda run, upstream=upstream: (
+                        run.crashed_upstream == upstream and not _is_young(run)
+                    )
+                )
+                return
+        for upstream in upstreams[:-1]:
+            if upstream not in with_young:
+                self._remove_crashed(
+                    lambda run, upstream=upstream: run.crashed_upstream == upstream
+                )
+                return
+        if upstreams[-1] in with_young and len(upstreams) > 1:
+            self._remove_crashed(lambda run: run.crashed_upstream == upstreams[0])
+            return
+        newest = [run for run in runs if run.crashed_upstream == upstreams[-1]]
+        counts = collections.Counter(run.task.job for run in newest)
+        number = next(
+            run.number for run in newest if run.task.job == counts.most_common(1)[0][0]
+        )
+        self._remove_crashed(lambda run: run.number == number)
+
+    def _remove_crashed(
+        self, is_removed: collections.abc.Callable[[EndedRun], bool]
+    ) -> None:
+        self._crashed = collections.deque(
+            (at_s, run) for at_s, run in self._crashed if not is_removed(run)
+        )
+
     def remove_old(self, now_s: float) -> None:
         """Removes acknowledged runs whose retention time has passed."""
         while self._crashed and now_s - self._crashed[0][0] > CRASHED_RUN_RETENTION_S:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_crash_reports.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_crash_reports.py
@@ -22,6 +22,7 @@
     WorkerRecord,
     first_term,
 )
+from hawthornbarrow.cells._ended_run_log import MAX_CRASHED_RUNS, EndedRunLog
 
 TIMING = RunLeaseTiming(run_lease_s=1.0, stop_s=0.05)
 CAPACITY = Resources(cpu=8000)
@@ -160,6 +161,61 @@
         self.assertEqual([task_at(0)], [run.task for run in self.crashed()])
 
 
+class CrashedRunLimitTest(unittest.TestCase):
+    """Tests which crashed runs an agent still lists after many of them."""
+
+    def setUp(self):
+        self.log = EndedRunLog()
+        self.now_s = 100.0
+
+    def crash(self, upstream, indexes, *, run_s):
+        for index in indexes:
+            order = StartOrder(
+                task=task_at(index), attempt=1, spec="", needs=Resources(cpu=1000)
+            )
+            self.log.add(
+                order,
+                RunOutcome.LOST,
+                self.now_s,
+                worker=record_of(upstream),
+                run_s=run_s,
+                crashed_at_s=self.now_s,
+            )
+
+    def listed(self, upstream):
+        self.log.acknowledge(10_000)
+        self.log.remove_old(self.now_s + 10.0)
+        return [
+            run.task.index
+            for run in self.log.retained()
+            if run.crashed_upstream == upstream
+        ]
+
+    def test_suspect_is_listed_after_many_later_runs_that_are_none(self):
+        self.crash("u1", range(1), run_s=0.01)
+        self.crash("u2", range(100, 100 + MAX_CRASHED_RUNS), run_s=1.0)
+        self.assertEqual([0], self.listed("u1"))
+
+    def test_suspect_is_listed_after_many_runs_of_other_crashes(self):
+        for number in range(1, 9):
+            self.crash(f"u{number}", range(1), run_s=0.01)
+            self.crash(f"u{number}", range(100, 115), run_s=1.0)
+        for number in range(1, 9):
+            self.assertIn(0, self.listed(f"u{number}"))
+
+    def test_crash_without_suspects_is_not_listed_in_part(self):
+        self.crash("u1", range(40), run_s=1.0)
+        self.crash("u2", range(40), run_s=1.0)
+        self.assertEqual([], self.listed("u1"))
+        self.assertEqual(40, len(self.listed("u2")))
+
+    def test_number_of_listed_runs_is_limited(self):
+        for number in range(20):
+            self.crash(f"u{number}", range(20), run_s=0.01)
+        total = sum(len(self.listed(f"u{number}")) for number in range(20))
+        self.assertLessEqual(total, MAX_CRASHED_RUNS)
+
+
 class DelayedAnnouncementTest(_AgentTestCase):
     """Tests that an announcement of a former incarnation changes nothing."""
 
