--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_confinement_plan.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_confinement_plan.py
@@ -5,6 +5,9 @@
 
 USABLE_FRACTION = 0.92  # of the capacity; the rest is lost to uneven task sizes
 DEMAND_MARGIN = 1.25  # times the mean demand, as it varies within seconds
+# Further workers of a queue that crashes upstreams, where they cost the others nothing:
+# nothing else starts beside a suspect, and each crash takes one until the next plan.
+SPARE_WORKERS = 1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -74,14 +77,24 @@
     def others_loss(left: int, drained: float) -> float:
         return others.shortage(min(left, known - drained), cores)
 
+    def others_cost(queue: str) -> float:
+        drained_with = drained + 1 + confined[queue].drain
+        return others_loss(left - 1, drained_with) - others_loss(left, drained)
+
+    def move_worker(queue: str) -> None:
+        nonlocal left, drained
+        parts[queue] += 1
+        left -= 1
+        drained += 1 + confined[queue].drain
+
     drained = 0.0
     while left > 1:
         queue = max(parts, key=gain)
-        drained_with = drained + 1 + confined[queue].drain
-        cost = others_loss(left - 1, drained_with) - others_loss(left, drained)
-        if gain(queue) <= cost:
+        if gain(queue) <= others_cost(queue):
             break
-        parts[queue] += 1
-        left -= 1
-        drained = drained_with
+        move_worker(queue)
+    for queue, need in confined.items():
+        for _ in range(SPARE_WORKERS if need.crashes_per_s > 0 else 0):
+            if left > 1 and others_cost(queue) <= 0:
+                move_worker(queue)
     return parts
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_queue_isolation.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_queue_isolation.py
@@ -400,6 +400,8 @@
         While no demand is known, agents whose upstreams have crashed and are away go
         first, as they are not needed elsewhere for the moment.
         """
+        if count <= 0:
+            return
         taken = self._agents[service].keys() | part.agents
         others = sorted(
             (agent for agent in self._known_at_s[service] if agent not in taken),
@@ -409,7 +411,7 @@
                 agent,
             ),
         )
-        part.agents |= frozenset(others[: max(0, count)])
+        part.agents |= frozenset(others[:count])
 
     def _shrink(self, part: _Part, attached: dict[str, WorkerView]) -> None:
         """Returns the worker with the fewest runs to the other queues."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_confinement_plan.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_confinement_plan.py
@@ -37,6 +37,10 @@
         need = QueueNeed(demand_cores=8.0, drain=1.0)
         self.assertEqual({"q": 3}, self.plan(10.0, q=need))
 
+    def test_queue_that_crashes_upstreams_gets_a_worker_for_its_suspects(self):
+        need = QueueNeed(demand_cores=8.0, crashes_per_s=0.5)
+        self.assertEqual({"q": 4}, self.plan(10.0, q=need))
+
     def test_others_keep_a_worker(self):
         self.assertEqual({"q": 0}, self.plan(1.0, workers=1, known=1, q=60.0))
         self.assertEqual({"q": 1}, self.plan(0.0, workers=2, known=2, q=60.0))
