--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_admission.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_admission.py
@@ -53,11 +53,17 @@
 
     Args:
         run_times: Expected run times.
+        admits_useful_late_jobs: Whether a job that missed its objective while it waited
+            for a dispatcher is admitted to free capacity, as long as its late result
+            is of use.
     """
 
-    def __init__(self, *, run_times: RunTimes) -> None:
+    def __init__(
+        self, *, run_times: RunTimes, admits_useful_late_jobs: bool = False
+    ) -> None:
         """Initializes admission with expected run times."""
         self._run_times = run_times
+        self._admits_useful_late_jobs = admits_useful_late_jobs
 
     def evaluate(
         self,
@@ -90,7 +96,7 @@
         slack_s = job.start_by_s - now_s
         # A job that is late when it arrives, as it waited for a dispatcher, takes
         # nothing from others while there is free capacity.
-        starts_at_once = wait_s <= 0 and now_s <= job.refuse_by_s
+        starts_at_once = wait_s <= 0 and now_s <= self._late_by_s(job)
         return AdmissionDecision(
             is_admitted=wait_s <= slack_s or starts_at_once,
             predicted_wait_s=wait_s,
@@ -121,12 +127,19 @@
         infeasible = []
         for job in waiting:
             wait_s = max(start_delay_s(job), ahead_core_s / rate_cores)
-            if not job.has_begun and now_s + wait_s > job.refuse_by_s:
+            late_by_s = self._late_by_s(job) if wait_s <= 0 else job.refuse_by_s
+            if not job.has_begun and now_s + wait_s > late_by_s:
                 infeasible.append(job)
             else:
                 ahead_core_s += self._work_core_s(job)
         return infeasible
 
+    def _late_by_s(self, job: JobRecord) -> float:
+        """Returns the latest time at which a job may start on free capacity."""
+        if not self._admits_useful_late_jobs:
+            return job.refuse_by_s
+        return max(job.refuse_by_s, job.useful_start_by_s)
+
     def rate_cores(self, capacity: CapacitySum) -> float:
         """Returns the core-seconds of work that workers complete per second."""
         return max(capacity.rate_cores * _USABLE_FRACTION, _MIN_RATE_CORES)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -95,7 +95,10 @@
         self._term = term
         self._decisions = build_worker_decisions(features)
         self._run_times = self._decisions.run_times
-        self._admission = Admission(run_times=self._run_times)
+        self._admission = Admission(
+            run_times=self._run_times,
+            admits_useful_late_jobs=LoadFeature.GAP_WAITING in features,
+        )
         self._monitor = self._decisions.monitor
         self._pool = WorkerPool(
             term=term,
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
@@ -81,6 +81,7 @@
         self.start_by_s = arrived_at_s
         self.refuse_by_s = arrived_at_s
         self.give_up_at_s = arrived_at_s + queue.timeout_s
+        self.useful_start_by_s = arrived_at_s
         self.entries: set[str] = set()
         self.data_centre = data_centre
         self.lane = Lane.SMALL
@@ -137,6 +138,7 @@
         self.start_by_s = self.arrived_at_s + objective_s - chain_s - OVERHEAD_S
         self.refuse_by_s = self.start_by_s + LATE_START_FRACTION * objective_s
         self.give_up_at_s = self.arrived_at_s + GIVE_UP_FACTOR * objective_s
+        self.useful_start_by_s = self.give_up_at_s - chain_s - OVERHEAD_S
 
     def progress(self, key: TaskKey) -> TaskProgress | None:
         """Returns the state of a task, or None when the job has no such task."""
