--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -399,7 +399,7 @@
         if message.is_leaving and not worker.is_leaving:
             worker.is_leaving = True
             _log.info("worker_leaving", agent=agent, upstream=worker.record.incarnation)
-        self._decisions.drain_judge.on_report(worker, message, now_s)
+        self._decisions.drain_policy.on_report(worker, message, now_s)
         worker.is_silent = message.is_silent
         if message.capacity not in (None, worker.record.capacity):
             self._set_capacity(worker, message.capacity)
@@ -731,9 +731,9 @@
             progress.avoided.add(worker.agent)
         self._pool.order_stop(worker, run)
 
-    def _stop_hopeless_runs(self, worker: WorkerView, now_s: float) -> None:
+    def _stop_unfinishable_runs(self, worker: WorkerView, now_s: float) -> None:
         """Stops runs that a leaving worker cuts off; their tasks wait again."""
-        for run in self._decisions.drain_judge.hopeless_runs(worker, now_s):
+        for run in self._decisions.drain_policy.unfinishable_runs(worker, now_s):
             self._counts["run_stopped_by_drain"] += 1
             _log.info(
                 "run_stopped_by_drain",
@@ -847,7 +847,7 @@
         for worker in self._pool.workers.values():
             self._monitor.detect_slow_runs(worker, now_s)
             if worker.is_leaving:
-                self._stop_hopeless_runs(worker, now_s)
+                self._stop_unfinishable_runs(worker, now_s)
         self._decisions.sweep(now_s)
         self._pool.refresh_all(now_s)
         self._contention.update(now_s)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_drain_judge.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_drain_policy.py
@@ -1,4 +1,4 @@
-"""DrainJudge: finds runs that will probably not end before their upstream."""
+"""DrainPolicy: finds runs that will probably not end before their upstream."""
 
 import abc
 
@@ -7,7 +7,7 @@
 from hawthornbarrow.cells._worker_view import Run, WorkerView
 
 
-class DrainJudge(abc.ABC):
+class DrainPolicy(abc.ABC):
     """Decides which runs of a leaving worker are better started elsewhere at once."""
 
     @abc.abstractmethod
@@ -15,22 +15,22 @@
         """Takes a report of a leaving worker into account."""
 
     @abc.abstractmethod
-    def hopeless_runs(self, worker: WorkerView, now_s: float) -> list[Run]:
+    def unfinishable_runs(self, worker: WorkerView, now_s: float) -> list[Run]:
         """Returns the runs that will probably not end before the upstream."""
 
 
-class PatientDrainJudge(DrainJudge):
+class KeepRunsPolicy(DrainPolicy):
     """Lets all runs of a leaving worker go on."""
 
     def on_report(self, worker: WorkerView, report: WorkerReport, now_s: float) -> None:
         """Ignores a report."""
 
-    def hopeless_runs(self, worker: WorkerView, now_s: float) -> list[Run]:
+    def unfinishable_runs(self, worker: WorkerView, now_s: float) -> list[Run]:
         """Returns no runs."""
         return []
 
 
-class RemainingTimeJudge(DrainJudge):
+class RemainingTimePolicy(DrainPolicy):
     """Compares the probable ends of runs with the end that the upstream announced.
 
     It handles workers that leave while long tasks run there: a run that is cut off by
@@ -55,7 +55,7 @@
         if worker.ends_at_s is None or ends_at_s > worker.ends_at_s:
             worker.ends_at_s = ends_at_s
 
-    def hopeless_runs(self, worker: WorkerView, now_s: float) -> list[Run]:
+    def unfinishable_runs(self, worker: WorkerView, now_s: float) -> list[Run]:
         """Returns runs of which even a short probable run time takes too long."""
         if worker.ends_at_s is None or now_s >= worker.ends_at_s:
             return []
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_decisions.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_decisions.py
@@ -5,10 +5,10 @@
 import collections.abc
 
 from hawthornbarrow.cells._completion_placement import CompletionPlacement
-from hawthornbarrow.cells._drain_judge import (
-    DrainJudge,
-    PatientDrainJudge,
-    RemainingTimeJudge,
+from hawthornbarrow.cells._drain_policy import (
+    DrainPolicy,
+    KeepRunsPolicy,
+    RemainingTimePolicy,
 )
 from hawthornbarrow.cells._load_features import LoadFeature
 from hawthornbarrow.cells._rack_index import RackIndex
@@ -44,7 +44,7 @@
 
     @property
     @abc.abstractmethod
-    def drain_judge(self) -> DrainJudge:
+    def drain_policy(self) -> DrainPolicy:
         """Judges the runs of leaving workers."""
 
     @abc.abstractmethod
@@ -69,7 +69,7 @@
         self._run_times = RunTimes()
         self._index = WorkerIndex(run_times=self._run_times)
         self._monitor = WorkerMonitor(run_times=self._run_times)
-        self._drain_judge = PatientDrainJudge()
+        self._drain_policy = KeepRunsPolicy()
 
     @property
     def run_times(self) -> RunTimeModel:
@@ -87,9 +87,9 @@
         return self._monitor
 
     @property
-    def drain_judge(self) -> DrainJudge:
+    def drain_policy(self) -> DrainPolicy:
         """Judges the runs of leaving workers."""
-        return self._drain_judge
+        return self._drain_policy
 
     def build_choice(
         self,
@@ -112,7 +112,7 @@
         self._monitor = TailWorkerMonitor(
             run_times=self._run_times, index=self._index, releases=self._releases
         )
-        self._drain_judge = RemainingTimeJudge(run_times=self._run_times)
+        self._drain_policy = RemainingTimePolicy(run_times=self._run_times)
 
     @property
     def run_times(self) -> RunTimeModel:
@@ -130,9 +130,9 @@
         return self._monitor
 
     @property
-    def drain_judge(self) -> DrainJudge:
+    def drain_policy(self) -> DrainPolicy:
         """Judges the runs of leaving workers."""
-        return self._drain_judge
+        return self._drain_policy
 
     def build_choice(
         self,
