--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_history.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_history.py
@@ -97,6 +97,7 @@
         changed_at_s: When the last crash became known.
         upstreams: Incarnations that crashed under it.
         unexplained: Runs that were lost for unknown reasons, by attempt number.
+        is_suspect: Whether it may have caused the last crash.
         service: Service of the upstream that crashed last.
         queue: Name of the job's queue.
     """
@@ -106,6 +107,7 @@
     queue: str = ""
     upstreams: list[str] = dataclasses.field(default_factory=list)
     unexplained: dict[int, _LostRun] = dataclasses.field(default_factory=dict)
+    is_suspect: bool = False
 
     @property
     def possible_count(self) -> int:
@@ -120,21 +122,6 @@
                 del self.unexplained[attempt]
 
 
-@dataclasses.dataclass(kw_only=True)
-class _JobCrashes:
-    """Crashes under the tasks of one job, joined as they become known.
-
-    Attributes:
-        tasks: Tasks with crashes or unexplained losses.
-        suspects: Those that may have caused the last crash.
-        upstreams: Incarnations that crashed under any of them.
-    """
-
-    tasks: set[TaskKey] = dataclasses.field(default_factory=set)
-    suspects: set[TaskKey] = dataclasses.field(default_factory=set)
-    upstreams: set[str] = dataclasses.field(default_factory=set)
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Crash:
     """When and where an upstream crashed.
@@ -180,17 +167,16 @@
     def __init__(self) -> None:
         """Initializes a history without crashes."""
         self._tasks: dict[TaskKey, _TaskCrashes] = {}
-        self._jobs: dict[str, _JobCrashes] = {}
+        self._tasks_by_job: dict[str, set[TaskKey]] = {}
         self._crashes: dict[str, _Crash] = {}  # by incarnation of the upstream
         self._suspicions: list[_Suspicion] = []
-        self._pending_jobs: set[str] = set()  # of the suspicions
         self._beyond_limit: list[TaskKey] = []
         self._causes: dict[str, tuple[TaskKey, float]] = {}
         self._cleaned_at_s = -math.inf
 
     def has_crashes(self, job: str) -> bool:
         """Returns whether an upstream may have crashed under a task of a job."""
-        return job in self._jobs
+        return job in self._tasks_by_job
 
     def crashes_under(self, task: TaskKey) -> tuple[str, ...]:
         """Returns the incarnations that crashed under a task."""
@@ -208,20 +194,27 @@
         A job with several tasks may crash several upstreams at once, so the crashes
         under all of them decide whether they run alone.
         """
-        job = self._jobs.get(task.job)
-        if job is None:
+        siblings = self._tasks_by_job.get(task.job)
+        if siblings is None:
             return StartCare.NONE
         crashes = self._tasks.get(task)
         possible_count = crashes.possible_count if crashes else 0
         if possible_count >= MAX_CRASHES or self.is_pending(task.job):
             return StartCare.HELD
-        if max(possible_count, len(job.upstreams)) >= ALONE_CRASHES:
+        if possible_count >= ALONE_CRASHES:
             return StartCare.ALONE
-        return StartCare.OBSERVED if job.suspects else StartCare.NONE
+        upstreams: set[str] = set()
+        for sibling in siblings:
+            upstreams.update(self._tasks[sibling].upstreams)
+        if len(upstreams) >= ALONE_CRASHES:
+            return StartCare.ALONE
+        if any(self._tasks[sibling].is_suspect for sibling in siblings):
+            return StartCare.OBSERVED
+        return StartCare.NONE
 
     def is_pending(self, job: str) -> bool:
         """Returns whether a task of a job is yet to be judged."""
-        return job in self._pending_jobs
+        return any(suspicion.task.job == job for suspicion in self._suspicions)
 
     def learn(
         self, task: TaskKey, upstreams: collections.abc.Sequence[str], now_s: float
@@ -232,7 +225,7 @@
         crashes = self._crashes_of(task, now_s)
         for upstream in upstreams:
             if self._add_upstream(task, crashes, upstream):
-                self._jobs[task.job].suspects.add(task)
+                crashes.is_suspect = True
 
     def record_unexplained_loss(
         self, task: TaskKey, attempt: int, upstream: str, now_s: float
@@ -279,9 +272,9 @@
             self._add_upstream(run.task, crashes, upstream)
         if known is not None and known.had_runs:
             return False
-        suspects = suspects_of(runs)
+        suspects = self._suspects(runs)
         for task in suspects:
-            self._jobs[task.job].suspects.add(task)
+            self._tasks[task].is_suspect = True
         _log.warning(
             "upstream_crashed",
             upstream=upstream,
@@ -305,7 +298,6 @@
                         judged_from_s=now_s + REPORT_WINDOW_S,
                     )
                 )
-                self._pending_jobs.add(task.job)
         return True
 
     def record_idle_crash(self, upstream: str, data_centre: str, now_s: float) -> None:
@@ -319,9 +311,9 @@
 
     def clear(self, task: TaskKey) -> None:
         """Records that a task ran past its observation, or completed."""
-        job = self._jobs.get(task.job)
-        if job is not None:
-            job.suspects.discard(task)
+        crashes = self._tasks.get(task)
+        if crashes is not None:
+            crashes.is_suspect = False
 
     def take_causes(self, now_s: float) -> list[CrashCause]:
         """Judges suspicions, and returns the tasks that are found to be causes.
@@ -337,7 +329,6 @@
             elif not self._is_in_group(suspicion):
                 found.append(suspicion.task)
         self._suspicions = waiting
-        self._pending_jobs = {suspicion.task.job for suspicion in waiting}
         found += self._beyond_limit
         self._beyond_limit = []
         for task in found:
@@ -360,7 +351,11 @@
             if crashes.possible_count < ALONE_CRASHES:
                 crashes.drop_losses_before(now_s - UNEXPLAINED_RETENTION_S)
             if now_s - crashes.changed_at_s > RETENTION_S:
-                self._remove_task(task)
+                del self._tasks[task]
+                siblings = self._tasks_by_job[task.job]
+                siblings.discard(task)
+                if not siblings:
+                    del self._tasks_by_job[task.job]
         for job, (_, found_at_s) in list(self._causes.items()):
             if now_s - found_at_s > RETENTION_S:
                 del self._causes[job]
@@ -368,24 +363,11 @@
             if now_s - crash.crashed_at_s > RETENTION_S:
                 del self._crashes[upstream]
 
-    def _remove_task(self, task: TaskKey) -> None:
-        del self._tasks[task]
-        job = self._jobs[task.job]
-        job.tasks.discard(task)
-        job.suspects.discard(task)
-        job.upstreams = {
-            upstream
-            for sibling in job.tasks
-            for upstream in self._tasks[sibling].upstreams
-        }
-        if not job.tasks:
-            del self._jobs[task.job]
-
     def _crashes_of(self, task: TaskKey, now_s: float) -> _TaskCrashes:
         crashes = self._tasks.get(task)
         if crashes is None:
             crashes = self._tasks[task] = _TaskCrashes(changed_at_s=now_s)
-            self._jobs.setdefault(task.job, _JobCrashes()).tasks.add(task)
+            self._tasks_by_job.setdefault(task.job, set()).add(task)
         crashes.changed_at_s = now_s
         return crashes
 
@@ -396,28 +378,27 @@
         if upstream in crashes.upstreams:
             return False
         crashes.upstreams.append(upstream)
-        self._jobs[task.job].upstreams.add(upstream)
         if len(crashes.upstreams) == MAX_CRASHES and task.job not in self._causes:
             self._beyond_limit.append(task)
         return True
 
+    def _suspects(self, runs: collections.abc.Sequence[CrashedRun]) -> list[TaskKey]:
+        """Returns the tasks that may have caused a crash.
+
+        These are the tasks started shortly before it, or those of the only job.
+        """
+        young = [run.task for run in runs if run.survived_s <= OBSERVATION_S]
+        if young or len({run.task.job for run in runs}) != 1:
+            return young
+        return [run.task for run in runs]
+
     def _is_in_group(self, suspicion: _Suspicion) -> bool:
         """Returns whether others crashed then and there without a task of the job."""
-        job = self._jobs.get(suspicion.task.job)
-        job_upstreams = job.upstreams if job else set()
+        job_upstreams: set[str] = set()
+        for sibling in self._tasks_by_job.get(suspicion.task.job, ()):
+            job_upstreams.update(self._tasks[sibling].upstreams)
         others = sum(
             crash.is_near(suspicion.crash) and upstream not in job_upstreams
             for upstream, crash in self._crashes.items()
         )
         return others + 1 >= GROUP_SIZE
-
-
-def suspects_of(runs: collections.abc.Sequence[CrashedRun]) -> list[TaskKey]:
-    """Returns the tasks that may have caused a crash.
-
-    These are the tasks started shortly before it, or those of the only job.
-    """
-    young = [run.task for run in runs if run.survived_s <= OBSERVATION_S]
-    if young or len({run.task.job for run in runs}) != 1:
-        return young
-    return [run.task for run in runs]
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_monitor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_crash_monitor.py
@@ -3,15 +3,9 @@
 import collections
 import collections.abc
 
-from hawthornbarrow.cells._crash_history import (
-    CrashCause,
-    CrashedRun,
-    CrashHistory,
-    suspects_of,
-)
-from hawthornbarrow.cells._job_record import JobRecord
+from hawthornbarrow.cells._crash_history import CrashCause, CrashedRun, CrashHistory
 from hawthornbarrow.cells._messages import AttachWorker
-from hawthornbarrow.cells._parts import ActiveRun, EndedRun, RunOutcome
+from hawthornbarrow.cells._parts import ActiveRun, EndedRun
 from hawthornbarrow.cells._queue_isolation import QueueIsolation
 from hawthornbarrow.cells._worker_view import Run, WorkerView
 
@@ -36,8 +30,6 @@
         self._history = history
         self._isolation = isolation
         self._counts = counts
-        # Work of the runs of workers that were detached since the last update.
-        self._lost_core_s: dict[str, float] = {}
 
     def on_ended_runs(
         self,
@@ -68,7 +60,7 @@
                 upstream, crashed_runs, crashed_at_s[upstream], now_s
             )
             if is_new:
-                self._on_crash(upstream, crashed_runs, now_s)
+                self._on_crash(crashed_runs, now_s)
 
     def on_adopted_run(self, active: ActiveRun, now_s: float) -> None:
         """Processes a run that a previous dispatcher started and that goes on."""
@@ -79,10 +71,6 @@
         """Processes the loss of a worker, whose upstream may have crashed."""
         if worker.is_leaving:
             return
-        self._lost_core_s[worker.record.upstream] = sum(
-            run.needs.cpu / 1000 * (now_s - run.started_at_s)
-            for run in worker.runs.values()
-        )
         for run in worker.runs.values():
             self._history.record_unexplained_loss(
                 run.task, run.attempt, worker.record.incarnation, now_s
@@ -122,24 +110,8 @@
                 former.incarnation, former.data_centre, now_s
             )
 
-    def on_run_ended(
-        self,
-        worker: WorkerView,
-        ended: EndedRun,
-        job: JobRecord | None,
-        now_s: float,
-    ) -> None:
-        """Processes the end of a run of an attached worker.
-
-        Args:
-            worker: The worker.
-            ended: The run.
-            job: Its job, None if it is not known.
-            now_s: Current time.
-        """
-        if job is not None and ended.end is RunOutcome.DONE:
-            service = worker.record.service
-            self._isolation.record_survival(service, job.queue.name, now_s)
+    def on_run_ended(self, worker: WorkerView, ended: EndedRun, now_s: float) -> None:
+        """Processes the end of a run of an attached worker."""
         if ended.is_upstream_silent:
             self._history.record_unexplained_loss(
                 ended.task, ended.attempt, worker.record.incarnation, now_s
@@ -159,19 +131,14 @@
             self._isolation.record_cause(
                 cause.service, cause.queue, cause.task.job, now_s
             )
-        self._lost_core_s.clear()
         self._isolation.update(workers, now_s)
         self._history.remove_old(now_s)
         return causes
 
-    def _on_crash(self, upstream: str, runs: list[CrashedRun], now_s: float) -> None:
+    def _on_crash(self, runs: list[CrashedRun], now_s: float) -> None:
         self._counts["upstream_crashed"] += 1
-        suspects = set(suspects_of(runs))
-        queues = {run.queue for run in runs if not suspects or run.task in suspects}
-        lost_core_s = self._lost_core_s.pop(upstream, 0.0)
-        self._isolation.record_crash(
-            runs[0].service, queues, now_s, lost_core_s=lost_core_s
-        )
+        queues = {run.queue for run in runs}
+        self._isolation.record_crash(runs[0].service, queues, now_s)
 
 
 def _crashed_run(ended: EndedRun) -> CrashedRun:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -60,7 +60,7 @@
 ATTEMPTS_PER_TERM = 8
 _RETRY_AFTER_S = 1.0
 _UNRUNNABLE_REASON = "no worker can run it"
-# Upstreams that crashed are back after some seconds; used until returns are observed.
+# Upstreams that crashed are back after some seconds.
 _UNRUNNABLE_RETRY_AFTER_S = 3.0
 _SWEEP_INTERVAL_S = 0.1
 
@@ -116,7 +116,7 @@
         )
         self._previous_runs = PreviousRuns(recovery_until_s=self._pool.recovery_until_s)
         self._crash_history = CrashHistory()
-        self._isolation = QueueIsolation(return_times=self._pool.return_times)
+        self._isolation = QueueIsolation()
         self._capacity = QueueCapacity(pool=self._pool, isolation=self._isolation)
         self._table: QueueTable | None = None
         self._swept_at_s = now_s
@@ -532,12 +532,7 @@
             queue.name, record.document.longest_chain_s
         )
         record.set_times(chain_s)
-        self._isolation.record_submission(
-            queue.service,
-            queue.name,
-            now_s,
-            work_core_s=self._run_times.expected_s(queue.name, record.remaining_work),
-        )
+        self._isolation.record_submission(queue.service, queue.name, now_s)
         record.entries.add(entry)
         record.is_new = not message.was_offered and not self._previous_runs.has_trace(
             job
@@ -650,13 +645,10 @@
             slack_s=round(record.start_by_s - now_s, 3),
             workers=len(self._pool.workers),
         )
-        service = self._task_placer.service_of(record)
-        delay_s = self._capacity.return_delay_s(record, service, now_s)
-        retry_after_s = _UNRUNNABLE_RETRY_AFTER_S
-        if delay_s is not None:
-            retry_after_s = max(_RETRY_AFTER_S, delay_s)
         for entry in record.entries:
-            self._refuse(entry, record.job, _UNRUNNABLE_REASON, retry_after_s)
+            self._refuse(
+                entry, record.job, _UNRUNNABLE_REASON, _UNRUNNABLE_RETRY_AFTER_S
+            )
         record.entries.clear()
 
     def _refuse(self, entry: str, job: str, reason: str, retry_after_s: float) -> None:
@@ -753,10 +745,10 @@
         if ended.end is RunOutcome.DONE:
             worker.record_done(run, ended.run_s or now_s - run.started_at_s)
         self._pool.release_run(worker, ended.task)
-        record = self._job_registry.jobs.get(ended.task.job)
-        self._crash_monitor.on_run_ended(worker, ended, record, now_s)
+        self._crash_monitor.on_run_ended(worker, ended, now_s)
         self._counts[f"run_{ended.end.value}"] += 1
         self._previous_runs.remove_run(ended.task)
+        record = self._job_registry.jobs.get(ended.task.job)
         self._monitor.on_run_ended(worker, run, ended, record, now_s)
         if record is None:
             if ended.end is RunOutcome.DONE:
@@ -880,11 +872,11 @@
 
     def _refuse_infeasible(self, now_s: float) -> None:
         """Refuses jobs as soon as they are expected to start after ``refuse_by_s``."""
-        jobs: dict[tuple[str, str], list[JobRecord]] = {}
+        jobs: dict[tuple[str, bool], list[JobRecord]] = {}
         for job in self._job_registry.waiting_in_order(now_s):
             service = self._task_placer.service_of(job)
-            part = self._isolation.part_of(service, job.queue.name)
-            jobs.setdefault((service, part), []).append(job)
+            is_confined = self._isolation.is_confined(service, job.queue.name)
+            jobs.setdefault((service, is_confined), []).append(job)
         for (service, _), waiting in jobs.items():
             runnable = self._refuse_waiting_unrunnable(waiting, now_s)
             infeasible = self._contention.find_infeasible(
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_queue_capacity.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_queue_capacity.py
@@ -33,18 +33,18 @@
         capacity = self._pool.ready_capacity(service)
         if not self._isolation.is_active:
             return capacity
-        if self._isolation.is_confined(service, queue):
-            agents = self._isolation.confined_agents(service, queue)
-            return self._pool.ready_capacity_of(service, agents)
         agents = self._isolation.confined_agents(service)
-        return capacity.minus(self._pool.ready_capacity_of(service, agents))
+        confined = self._pool.ready_capacity_of(service, agents)
+        if self._isolation.is_confined(service, queue):
+            return confined
+        return capacity.minus(confined)
 
     def are_shared(self, service: str, queue: str, other: str) -> bool:
         """Returns whether two queues of a service use the same workers."""
         if not self._isolation.is_active:
             return True
-        part = self._isolation.part_of(service, queue)
-        return part == self._isolation.part_of(service, other)
+        is_confined = self._isolation.is_confined(service, queue)
+        return is_confined == self._isolation.is_confined(service, other)
 
     def can_run(self, job: JobRecord, service: str, now_s: float) -> bool:
         """Returns whether there are workers for each step of a job.
@@ -59,14 +59,3 @@
             self._pool.can_run(service, step, slack_s, now_s)
             for step in set(job.document.steps)
         )
-
-    def return_delay_s(
-        self, job: JobRecord, service: str, now_s: float
-    ) -> float | None:
-        """Returns the time until there are workers for each step, None if unknown."""
-        delays_s = [
-            self._pool.return_delay_s(service, step, now_s)
-            for step in job.document.steps
-        ]
-        known_s = [delay_s for delay_s in delays_s if delay_s is not None]
-        return max(known_s) if known_s and len(known_s) == len(delays_s) else None
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -1,7 +1,6 @@
 """WorkerPool: the attached agents and the orders to send to them."""
 
 import collections.abc
-import dataclasses
 import math
 
 import structlog
@@ -14,20 +13,18 @@
     StopTasks,
 )
 from hawthornbarrow.cells._parts import (
-    Resources,
     StartOrder,
     Step,
     TaskKey,
     WorkerRecord,
 )
 from hawthornbarrow.cells._ready_capacity import CapacitySum, ReadyCapacity
-from hawthornbarrow.cells._return_times import ReturnTimes
 from hawthornbarrow.cells._run_time_model import RunTimeModel
 from hawthornbarrow.cells._timing import TRACE_RETENTION_S, RunLeaseTiming
 from hawthornbarrow.cells._worker_index import WorkerIndex
 from hawthornbarrow.cells._worker_view import Run, WorkerView
 
-MAX_KEPT_FITS = 1024  # kinds of steps for which the fitting workers are kept
+UPSTREAM_RETURN_S = 4.0  # time within which a lost upstream is expected back
 ATTACH_WINDOW_S = 0.25  # time in which reachable workers attach to a new dispatcher
 # That time where restarted agents ask the upstreams that the directory lists, and stop
 # their runs first.
@@ -43,19 +40,6 @@
     return not step.label or step.label in record.labels
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _FittingWorkers:
-    """Workers that could run a task of a step if they were idle.
-
-    Attributes:
-        is_attached: Whether one of them is attached and is not leaving.
-        lost_at_s: When the last one of them was lost.
-    """
-
-    is_attached: bool
-    lost_at_s: float
-
-
 class WorkerPool:
     """Tracks which agents are attached and which are still awaited.
 
@@ -105,10 +89,6 @@
         self._lost: dict[str, tuple[WorkerRecord, float]] = {}
         # Agents at which runs may exist that this dispatcher has ordered.
         self._had_session: set[str] = set()
-        self._return_times = ReturnTimes()
-        self._fitting: dict[tuple[str, Resources, str], _FittingWorkers] = {}
-        # What the kept results depend on, by agent.
-        self._fit_states: dict[str, tuple[WorkerRecord, bool, bool]] = {}
         self._runs_by_job: dict[str, dict[tuple[str, TaskKey], Run]] = {}
         self._starts: dict[str, list[StartOrder]] = {}
         self._stops: dict[str, list[TaskKey]] = {}
@@ -128,11 +108,6 @@
         """Number of attached workers in evacuated data centres."""
         return len(self._evacuated)
 
-    @property
-    def return_times(self) -> ReturnTimes:
-        """Times for which lost upstreams are away."""
-        return self._return_times
-
     @property
     def recovery_until_s(self) -> float:
         """Time after which no unreported run can exist."""
@@ -197,11 +172,10 @@
         )
         worker.is_leaving = message.is_leaving
         self._workers[agent] = worker
-        self._record_return(agent, message.worker, now_s)
+        self._lost.pop(agent, None)
         self._run_times.add_worker(worker.speed_key, worker.record)
         self._index.add(worker)
         self._apply_evacuation(worker, now_s, is_returning=True)
-        self._update_fits(worker)
         self._ready.refresh(worker, now_s)
         _log.info(
             "worker_attached",
@@ -229,7 +203,6 @@
             now_s: Current time.
         """
         self._evacuations.set_state(state, withdrawn_at_s)
-        self._fitting.clear()
         for worker in self._workers.values():
             self._apply_evacuation(worker, now_s, is_returning=worker.is_evacuated)
         self.refresh_all(now_s)
@@ -284,15 +257,6 @@
         """Records that the leases of all runs at an agent have expired."""
         self._had_session.discard(agent)
 
-    def _record_return(self, agent: str, record: WorkerRecord, now_s: float) -> None:
-        """Learns from the attachment of an agent whose upstream may have been lost."""
-        lost = self._lost.pop(agent, None)
-        if lost is None:
-            return
-        lost_record, lost_at_s = lost
-        if lost_record.incarnation != record.incarnation:
-            self._return_times.add(now_s - lost_at_s)
-
     def await_attach(self, worker: WorkerView, now_s: float) -> None:
         """Starts nothing on a worker until its agent has attached again, or is late."""
         worker.awaits_attach_until_s = now_s + 2 * self._timing.lost_after_s
@@ -301,8 +265,6 @@
     def detach(self, worker: WorkerView, reason: str, now_s: float) -> None:
         """Detaches an agent; no run of its session can exist any more."""
         del self._workers[worker.agent]
-        self._fit_states.pop(worker.agent, None)
-        self._fitting.clear()
         if not worker.is_leaving:
             self._lost[worker.agent] = (worker.record, now_s)
         if worker.agent not in self._evacuated:
@@ -372,49 +334,19 @@
                 counts only if that is long enough for its return.
             now_s: Current time.
         """
-        fitting = self._fitting_workers(service, step)
-        if fitting.is_attached:
+        attached = (
+            worker.record
+            for worker in self._workers.values()
+            if not worker.is_leaving and not worker.is_evacuated
+        )
+        if any(_fits_step(record, service, step) for record in attached):
             return True
-        limit_s = self._return_times.limit_s
-        return slack_s >= limit_s and now_s - fitting.lost_at_s <= limit_s
-
-    def return_delay_s(self, service: str, step: Step, now_s: float) -> float | None:
-        """Returns the time until a worker for a step is expected back.
-
-        None is returned where no returns were observed, or no such worker was lost.
-        """
-        fitting = self._fitting_workers(service, step)
-        if fitting.is_attached:
-            return 0.0
-        away_s = now_s - fitting.lost_at_s
-        if not self._return_times.is_learned or away_s > self._return_times.limit_s:
-            return None
-        return max(0.0, self._return_times.expected_s - away_s)
-
-    def _fitting_workers(self, service: str, step: Step) -> "_FittingWorkers":
-        """Returns what is known about the workers for a step, from earlier if kept."""
-        key = (service, step.each, step.label)
-        fitting = self._fitting.get(key)
-        if fitting is None:
-            if len(self._fitting) >= MAX_KEPT_FITS:
-                self._fitting.clear()
-            fitting = self._fitting[key] = _FittingWorkers(
-                is_attached=any(
-                    _fits_step(worker.record, service, step)
-                    for worker in self._workers.values()
-                    if not worker.is_leaving and not worker.is_evacuated
-                ),
-                lost_at_s=max(
-                    (
-                        lost_at_s
-                        for record, lost_at_s in self._lost.values()
-                        if _fits_step(record, service, step)
-                        and not self._evacuations.is_evacuated(record.data_centre)
-                    ),
-                    default=-math.inf,
-                ),
-            )
-        return fitting
+        return slack_s >= UPSTREAM_RETURN_S and any(
+            _fits_step(record, service, step)
+            for record, lost_at_s in self._lost.values()
+            if now_s - lost_at_s <= UPSTREAM_RETURN_S
+            and not self._evacuations.is_evacuated(record.data_centre)
+        )
 
     def candidates(
         self, service: str, cpu: int
@@ -425,24 +357,14 @@
     def refresh(self, worker: WorkerView, now_s: float) -> None:
         """Takes a change of an attached worker's speed or readiness into account."""
         if self._workers.get(worker.agent) is worker:
-            self._update_fits(worker)
             if not worker.is_evacuated:
                 self._index.update(worker)
             self._ready.refresh(worker, now_s)
 
-    def _update_fits(self, worker: WorkerView) -> None:
-        """Drops the kept results when a worker changes in what they depend on."""
-        state = (worker.record, worker.is_leaving, worker.is_evacuated)
-        former = self._fit_states.get(worker.agent)
-        if former is None or former[0] is not state[0] or former[1:] != state[1:]:
-            self._fit_states[worker.agent] = state
-            self._fitting.clear()
-
     def refresh_all(self, now_s: float) -> None:
         """Takes into account which workers have become silent or slow."""
         self._end_slow_starts(now_s)
         for worker in self._workers.values():
-            self._update_fits(worker)
             if not worker.is_evacuated:
                 self._index.update(worker)
         self._ready.refresh_all(self._workers.values(), now_s)
