Answer the first request of connections that open while the server drains

A draining server closed each new connection without reading from it, though the balancer sends callers there until it has noticed the stop. Change: the first request of such a connection is read and answered, with 'Connection: close'. Test: fails before (no response), passes after.

--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
@@ -70,7 +70,11 @@
         return self._active_requests
 
     def drain(self) -> None:
-        """Makes the server close each connection after its next response."""
+        """Makes the server close each connection after its next response.
+
+        New connections are still accepted, and their first requests answered: a load
+        balancer may send callers here until it has noticed that the server leaves.
+        """
         self._is_draining = True
 
     async def serve_address(self, address: str) -> None:
@@ -166,8 +170,6 @@
         """Waits for the first bytes of a request; returns False when none arrive."""
         if connection.trailing_data[0]:
             return True
-        if self._is_draining:
-            return False
         data = await curio.ignore_after(
             self._limits.idle_timeout_s, sock.recv, _READ_SIZE_BYTES
         )
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/tests/test_http.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/tests/test_http.py
@@ -1,5 +1,6 @@
 import socket
 import threading
+import time
 import unittest
 
 import curio
@@ -34,9 +35,11 @@
     )
 
 
-def run_with_server(scenario):
+def run_with_server(scenario, *, is_draining=False):
     """Runs a scenario in a thread against a server and returns its result."""
     server = HttpServer(handler=echo, limits=LIMITS)
+    if is_draining:
+        server.drain()
     result = []
 
     async def main():
@@ -130,6 +133,20 @@
         self.assertIn(b"200", valid_reply)
         self.assertEqual(slow_reply, b"")
 
+    def test_new_connection_is_answered_once_while_the_server_drains(self):
+        def scenario(port):
+            with socket.create_connection(("127.0.0.1", port), timeout=5) as sock:
+                time.sleep(0.05)
+                sock.sendall(GET + GET)
+                received = b""
+                while chunk := sock.recv(65536):
+                    received += chunk
+                return received
+
+        received = run_with_server(scenario, is_draining=True)
+        self.assertEqual(1, received.count(b"HTTP/1.1 200"))
+        self.assertIn(b"Connection: close", received)
+
     def test_connections_over_the_limit_are_refused(self):
         def scenario(port):
             socks = [
