Report the times of the stages of jobs from logs

Change: 'hawthornbarrow report stages' prints the 50th, 95th and 99th percentiles of placement, runs and answer by window, and draws the 95th as a plot.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/cli/_main.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/cli/_main.py
@@ -16,6 +16,7 @@
   hawthornbarrow explain order-17
   hawthornbarrow report burn
   hawthornbarrow report unserved --logs entry-1.log entry-2.log agent-1.log
+  hawthornbarrow report stages --logs entry-1.log entry-2.log --plot stages.png
 
 exit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 no entry reachable
 """
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/cli/_operate.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/cli/_operate.py
@@ -1,11 +1,18 @@
 """Commands `hawthornbarrow status|ledger|report` for operators."""
 
 import argparse
+import collections.abc
 import itertools
 import pathlib
 
 import msgspec
-from hawthornbarrow.observability import count_by_cause, find_unserved_jobs
+from hawthornbarrow.observability import (
+    count_by_cause,
+    find_unserved_jobs,
+    measure_stages,
+    render_stage_plot,
+    render_stage_text,
+)
 
 from hawthornbarrow_entry.cli._client import add_connection_flags, call, finish
 from hawthornbarrow_entry.cli._serve import add_init_parser
@@ -40,7 +47,23 @@
     unserved = report.add_parser(
         "unserved", help="show from logs why jobs were not served in time"
     )
-    unserved.add_argument(
+    _add_logs_flag(unserved)
+    unserved.set_defaults(run=_unserved)
+    stages = report.add_parser(
+        "stages", help="show from logs how long the stages of jobs took"
+    )
+    _add_logs_flag(stages)
+    stages.add_argument(
+        "--window", type=float, default=2.0, help="seconds of a row (default 2)"
+    )
+    stages.add_argument(
+        "--plot", type=pathlib.Path, help="write a plot to this .png or .svg file"
+    )
+    stages.set_defaults(run=_stages)
+
+
+def _add_logs_flag(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
         "--logs",
         nargs="+",
         type=pathlib.Path,
@@ -48,7 +71,12 @@
         metavar="FILE",
         help="logs of all processes",
     )
-    unserved.set_defaults(run=_unserved)
+
+
+def _read_logs(arguments: argparse.Namespace) -> collections.abc.Iterator[str]:
+    return itertools.chain.from_iterable(
+        file.read_text("utf-8", "replace").splitlines() for file in arguments.logs
+    )
 
 
 def _get(arguments: argparse.Namespace, path: str) -> int:
@@ -62,16 +90,23 @@
 
 
 def _unserved(arguments: argparse.Namespace) -> int:
-    lines = itertools.chain.from_iterable(
-        file.read_text("utf-8", "replace").splitlines() for file in arguments.logs
-    )
-    jobs = find_unserved_jobs(lines)
+    jobs = find_unserved_jobs(_read_logs(arguments))
     print(f"{'cause':<45} {'jobs':>6} {'run time s':>11}  first job")
     for cause, count, run_s, first_job in count_by_cause(jobs):
         print(f"{cause.value:<45} {count:>6} {run_s:>11.1f}  {first_job}")
     return 0
 
 
+def _stages(arguments: argparse.Namespace) -> int:
+    rows = measure_stages(_read_logs(arguments), window_s=arguments.window)
+    print(render_stage_text(rows))
+    if arguments.plot is not None:
+        image = render_stage_plot(rows, arguments.plot.suffix.removeprefix("."))
+        arguments.plot.write_bytes(image)
+        print(arguments.plot)
+    return 0
+
+
 def _burn(arguments: argparse.Namespace) -> int:
     if arguments.plot is None:
         suffix = "" if arguments.json else ".txt"
--- a/packages/hawthornbarrow/src/hawthornbarrow/observability/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/__init__.py
@@ -21,6 +21,13 @@
     )
     from hawthornbarrow.observability._logs import configure_logs
     from hawthornbarrow.observability._metrics import Metrics
+    from hawthornbarrow.observability._stage_times import (
+        Stage,
+        StageRow,
+        measure_stages,
+        render_stage_plot,
+        render_stage_text,
+    )
     from hawthornbarrow.observability._unserved_jobs import (
         Cause,
         UnservedJob,
@@ -37,13 +44,18 @@
     "LogLine",
     "Metrics",
     "MetricsEndpoint",
+    "Stage",
+    "StageRow",
     "UnservedJob",
     "configure_logs",
     "count_by_cause",
     "find_unserved_jobs",
+    "measure_stages",
     "parse_log_line",
     "render_burn_plot",
     "render_burn_text",
+    "render_stage_plot",
+    "render_stage_text",
     "build_timeline",
 ]
 
@@ -58,6 +70,11 @@
         "CellMetrics": "_cell_metrics",
         "EventGuard": "_event_guard",
         "Metrics": "_metrics",
+        "Stage": "_stage_times",
+        "StageRow": "_stage_times",
+        "measure_stages": "_stage_times",
+        "render_stage_plot": "_stage_times",
+        "render_stage_text": "_stage_times",
         "Cause": "_unserved_jobs",
         "UnservedJob": "_unserved_jobs",
         "count_by_cause": "_unserved_jobs",
