Serve late jobs on the capacity that the demand leaves

A late result is of use, and estimates are rough, so some of these jobs would even have been in time.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_load_features.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_load_features.py
@@ -19,6 +19,7 @@
     FORECAST = "forecast"
     RETURN_PLAN = "return-plan"
     RUN_TIME_TAILS = "run-time-tails"
+    LATE_SERVICE = "late-service"
 
 
 NO_FEATURES: frozenset[LoadFeature] = frozenset()
