Let entries reach a dispatcher that they are cut off from through a relay

Change: with the feature entry-relays such an entry exchanges submissions, answers, heartbeats and the configuration through another entry, as agents do. With a change of path it submits open jobs again; a refusal of one of these is reported as unknown, as its first submission may still arrive. Tests: three scenarios with real links fail with the feature off.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_job.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_job.py
@@ -18,7 +18,9 @@
         received_at_s: When the entry received it.
         waiters: Callers that wait for it.
         submitted_term: Term of the dispatcher that it was submitted to last, or zero.
-        submission_count: Number of dispatchers that it was submitted to.
+        submission_count: Number of its submissions, to any dispatcher.
+        has_late_copy: Whether an earlier submission to the same dispatcher may still
+            arrive there, on another path.
     """
 
     document: JobDocument
@@ -27,6 +29,7 @@
     waiters: list[Waiter]
     submitted_term: int = 0
     submission_count: int = 0
+    has_late_copy: bool = False
 
     @property
     def start_by_s(self) -> float:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
@@ -205,6 +205,21 @@
                 term=self._term,
             )
 
+    def on_path_changed(self, now_s: float) -> None:
+        """Submits all jobs again, as messages on the former path may be lost.
+
+        The dispatcher answers those that it knows, and those that have ended, again.
+        """
+        jobs = [
+            job for job in self._jobs.values() if job.submitted_term == self._term != 0
+        ]
+        for job in jobs:
+            self._submit_to_dispatcher(job, now_s)
+            job.has_late_copy = True
+        if jobs:
+            self._counts["job_submitted_on_new_path"] += len(jobs)
+            _log.info("jobs_submitted_on_new_path", jobs=len(jobs), term=self._term)
+
     def on_link_down(self, peer: str) -> None:
         """Processes the loss of a link; jobs wait if it led to the dispatcher.
 
@@ -344,8 +359,10 @@
         if is_previous and answer.state is not JobState.COMPLETE:
             self.withdraw(answer.job)
         is_refusal_certain = answer.has_not_run and answer.term > 0
-        if kind is None and job.submission_count > 1 and not is_refusal_certain:
-            # A previous dispatcher may have run it, so "refused" would be wrong.
+        may_run = job.has_late_copy or not is_refusal_certain
+        if kind is None and job.submission_count > 1 and may_run:
+            # A previous dispatcher may have run it, or this one may run a submission
+            # that arrives late, so "refused" would be wrong.
             kind = OutcomeKind.UNKNOWN
         outcome = CallerOutcome(
             kind=kind or OutcomeKind.REFUSED,
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -145,6 +145,7 @@
             timing=settings.timing, features=settings.features
         )
         self._relay_routes = RelayRoutes(timing=settings.timing)
+        self._relayed_entries: set[str] = set()
 
     @property
     def dispatcher(self) -> Dispatcher | None:
@@ -158,20 +159,46 @@
             self._dispatcher.on_frame(peer, now_s)
 
     async def on_relayed(
-        self, relay: str, relayed: RelayedMessage, now_s: float
+        self, relay: str, relayed: RelayedMessage, now_s: float, *, is_entry: bool
     ) -> None:
-        """Processes a message of an agent that another entry has forwarded."""
-        agent = relayed.source
-        is_new = self._relay_routes.on_frame(agent, relay, relayed.sent_at_s, now_s)
-        if self._dispatcher is None or relay != self._relay_routes.relay_of(agent):
+        """Processes a message of an agent or entry that another entry has forwarded.
+
+        Args:
+            relay: Entry that forwarded it.
+            relayed: The message.
+            now_s: Current time.
+            is_entry: Whether its source is an entry.
+        """
+        source = relayed.source
+        is_new = self._relay_routes.on_frame(source, relay, relayed.sent_at_s, now_s)
+        if self._dispatcher is None or relay != self._relay_routes.relay_of(source):
+            return
+        if is_entry:
+            self._relayed_entries.add(source)
+        else:
+            self.on_frame(source, now_s)
+        authority = self._current_authority(now_s, self._table)
+        if is_new and authority is not None:
+            await self._send_relayed_heartbeat(self._dispatcher, source, now_s)
+        if is_entry:
+            await self._on_relayed_entry_message(source, relayed.message, now_s)
             return
-        self.on_frame(agent, now_s)
-        if is_new and self._current_authority(now_s, self._table) is not None:
-            await self._send_relayed_heartbeat(self._dispatcher, agent, now_s)
         if isinstance(relayed.message, AttachWorker):
-            self._relay_routes.on_attach(agent, is_relayed=True)
+            self._relay_routes.on_attach(source, is_relayed=True)
         if relayed.message is not None:
-            await self._on_agent_message(agent, relayed.message, now_s)
+            await self._on_agent_message(source, relayed.message, now_s)
+
+    async def _on_relayed_entry_message(
+        self, entry: str, message: CellMessage | None, now_s: float
+    ) -> None:
+        if message is None:
+            return
+        self._entry_watch.on_relayed_entry(now_s)
+        self._relay_routes.on_attach(entry, is_relayed=True)
+        if isinstance(message, SubmitJob | WithdrawJob):
+            self._on_job_message(entry, message, now_s)
+        else:
+            await self._answer_request(entry, message, now_s)
 
     def on_heartbeat(
         self, peer: str, heartbeat: DispatcherHeartbeat, now_s: float
@@ -306,13 +333,21 @@
                 if isinstance(message, AttachWorker):
                     self._relay_routes.on_attach(peer, is_relayed=False)
                 await self._on_agent_message(peer, message, now_s)
-            case SubmitJob():
-                self._dispatcher.submit(peer, message, now_s)
-            case WithdrawJob():
-                self._dispatcher.withdraw(message.job, now_s)
+            case SubmitJob() | WithdrawJob():
+                self._relay_routes.on_attach(peer, is_relayed=False)
+                self._on_job_message(peer, message, now_s)
             case HandoverComplete() if message.term == self._dispatcher.term:
                 self._handed_over_by.add(peer)
 
+    def _on_job_message(
+        self, entry: str, message: SubmitJob | WithdrawJob, now_s: float
+    ) -> None:
+        assert self._dispatcher is not None
+        if isinstance(message, SubmitJob):
+            self._dispatcher.submit(entry, message, now_s)
+        else:
+            self._dispatcher.withdraw(message.job, now_s)
+
     async def _on_agent_message(
         self, agent: str, message: CellMessage, now_s: float
     ) -> None:
@@ -423,15 +458,21 @@
 
     async def on_request(self, peer: str, message: CellMessage, now_s: float) -> None:
         """Replies to a request that only the dispatcher or the leader can answer."""
+        if isinstance(message, GetJobState | GetConfiguration):
+            self._relay_routes.on_attach(peer, is_relayed=False)
+        await self._answer_request(peer, message, now_s)
+
+    async def _answer_request(
+        self, peer: str, message: CellMessage, now_s: float
+    ) -> None:
         if isinstance(message, GetJobState):
             if (
                 self._current_authority(now_s, self._table)
                 and self._dispatcher is not None
             ):
                 state = self._dispatcher.state_of(message.job)
-                await self._send(
-                    peer, JobStateReply(number=message.number, state=state)
-                )
+                reply = JobStateReply(number=message.number, state=state)
+                await self._send_on_path(peer, reply)
             return
         ledger = self._replica.ledger
         if ledger is None or not ledger.leads(now_s) or not ledger.is_caught_up():
@@ -442,7 +483,7 @@
                 reply = self._configuration_sender.reply(
                     message, put.version, put.document
                 )
-                await self._send(peer, reply)
+                await self._send_on_path(peer, reply)
             case ProposeConfiguration():
                 await self._on_proposal(peer, message)
             case ProposeEvacuation():
@@ -533,6 +574,7 @@
         self._sent_agents.clear()
         self._handed_over_by.clear()
         self._relay_routes = RelayRoutes(timing=self._settings.timing)
+        self._relayed_entries.clear()
         self._registry = AgentRegistry(
             timing=self._settings.timing, features=self._settings.features
         )
@@ -597,19 +639,28 @@
             )
         for agent in self._relay_routes.agents(now_s):
             await self._send_relayed_heartbeat(self._dispatcher, agent, now_s)
-        waiting = self._dispatcher.count_waiting_by_queue()
-        levels = self._dispatcher.queue_levels(now_s)
+        template = self._entry_heartbeat(self._dispatcher, now_s)
+        for peer in [*self._port.peers_up("entry"), self._settings.name]:
+            is_own = peer == self._settings.name
+            heard_at_s = now_s if is_own else self._port.peer_sent_at_s(peer)
+            heartbeat = msgspec.structs.replace(template, heard_at_s=heard_at_s)
+            await self._send(peer, heartbeat)
+
+    def _entry_heartbeat(
+        self, dispatcher: Dispatcher, now_s: float
+    ) -> DispatcherHeartbeat:
+        """Returns a heartbeat for entries that lacks only when each one was heard."""
+        heartbeat = dispatcher.heartbeat_for_entry(
+            -math.inf,
+            max(0, self._sent_version),
+            dispatcher.count_waiting_by_queue(),
+            dispatcher.queue_levels(now_s),
+        )
         # Frames may have arrived since this tick began, of which the heartbeats tell.
         alive_age_s = self._entry_watch.alive_age_s(
             dispatching_since_s=self._dispatching_since_s, now_s=steady_s()
         )
-        for peer in [*self._port.peers_up("entry"), self._settings.name]:
-            is_own = peer == self._settings.name
-            heard_at_s = now_s if is_own else self._port.peer_sent_at_s(peer)
-            heartbeat = self._dispatcher.heartbeat_for_entry(
-                heard_at_s, version, waiting, levels
-            )
-            await self._send(peer, self._complete_heartbeat(heartbeat, alive_age_s))
+        return self._complete_heartbeat(heartbeat, alive_age_s)
 
     def _complete_heartbeat(
         self, heartbeat: DispatcherHeartbeat, alive_age_s: float
@@ -629,24 +680,32 @@
     async def _send_dispatcher_messages(self) -> None:
         assert self._dispatcher is not None
         for receiver, message in self._dispatcher.take_messages():
-            if self._relay_routes.is_attached(receiver):
-                await self._send_relayed(receiver, message)
-            else:
-                await self._send(receiver, message)
+            await self._send_on_path(receiver, message)
+
+    async def _send_on_path(self, receiver: str, message: CellMessage) -> None:
+        """Sends a message directly, or through the receiver's relay if it uses one."""
+        if self._relay_routes.is_attached(receiver):
+            await self._send_relayed(receiver, message)
+        else:
+            await self._send(receiver, message)
 
     async def _send_relayed_heartbeat(
-        self, dispatcher: Dispatcher, agent: str, now_s: float
+        self, dispatcher: Dispatcher, receiver: str, now_s: float
     ) -> None:
-        heard_at_s = self._relay_routes.sent_at_s(agent)
-        heartbeat = self._heartbeat_for_agent(dispatcher, agent, heard_at_s)
-        await self._send_relayed(agent, heartbeat)
-
-    async def _send_relayed(self, agent: str, message: CellMessage) -> None:
-        """Sends a message to an agent through its relay, or drops it without one."""
-        relay = self._relay_routes.relay_of(agent)
+        heard_at_s = self._relay_routes.sent_at_s(receiver)
+        if receiver in self._relayed_entries:
+            template = self._entry_heartbeat(dispatcher, now_s)
+            heartbeat = msgspec.structs.replace(template, heard_at_s=heard_at_s)
+        else:
+            heartbeat = self._heartbeat_for_agent(dispatcher, receiver, heard_at_s)
+        await self._send_relayed(receiver, heartbeat)
+
+    async def _send_relayed(self, receiver: str, message: CellMessage) -> None:
+        """Sends a message through the receiver's relay, or drops it without one."""
+        relay = self._relay_routes.relay_of(receiver)
         relayed = RelayedMessage(
             source=self._settings.name,
-            target=agent,
+            target=receiver,
             sent_at_s=steady_s(),
             message=message,
         )
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -62,6 +62,10 @@
 
 from hawthornbarrow_entry.fleet._caller_jobs import CallerJobs
 from hawthornbarrow_entry.fleet._caller_outcome import CallerOutcome, Waiter
+from hawthornbarrow_entry.fleet._dispatcher_link import (
+    RELAYED_REPLIES,
+    DispatcherLink,
+)
 from hawthornbarrow_entry.fleet._dispatcher_role import DispatcherRole
 from hawthornbarrow_entry.fleet._entry_configuration import (
     READ_TIMEOUT_S,
@@ -139,6 +143,7 @@
             data_centre=settings.data_centre,
             replica=self._replica.identity,
             is_relay=True,
+            relays_entries=True,
         )
         self._membership = Membership(own=own, now_s=steady_s())
         self._caller_jobs = CallerJobs(
@@ -157,6 +162,13 @@
             configuration_format=configuration_format
         )
         self._created_at_s = steady_s()
+        self._dispatcher_link = DispatcherLink(
+            entry=settings.name,
+            port=self._port,
+            timing=settings.timing,
+            is_enabled=LoadFeature.ENTRY_RELAYS in settings.features,
+            now_s=self._created_at_s,
+        )
         self._waits_in_gaps = LoadFeature.GAP_WAITING in settings.features
         waits = GapWaits(
             is_enabled=self._waits_in_gaps,
@@ -520,6 +532,7 @@
                 self._maintained_at_s = now_s
                 await self._run_maintenance(now_s)
             await self._ask_entries_if_silent(now_s)
+            self._dispatcher_link.probe_if_due(self._entry_relays(), now_s)
             if self._gate.count and self._is_serving(now_s):
                 await self._gate.release(now_s)
             await self._flush()
@@ -625,7 +638,11 @@
     def _on_peer_down(self, event: PeerDown, now_s: float) -> None:
         role = self._roles.get(event.peer, "")
         _log.warning("peer_down", peer=event.peer, role=role)
-        self._caller_jobs.on_link_down(event.peer)
+        if event.peer == self._caller_jobs.dispatcher and self._dispatcher_link.relay:
+            # Its jobs were submitted again through the relay.
+            self._port.drop_unacknowledged(event.peer)
+        else:
+            self._caller_jobs.on_link_down(event.peer)
         if role == ENTRY_ROLE:
             self._membership.on_link_change(event.peer, False, now_s)
             self._dispatcher_role.on_entry_down(event.peer, now_s)
@@ -662,17 +679,47 @@
     async def _on_relayed(
         self, peer: str, relayed: RelayedMessage, now_s: float
     ) -> None:
-        """Takes a forwarded message, or forwards one between agent and dispatcher."""
+        """Takes a forwarded message, or forwards one to or from the dispatcher."""
         if relayed.target == self._settings.name:
-            await self._dispatcher_role.on_relayed(peer, relayed, now_s)
+            if isinstance(relayed.message, RELAYED_REPLIES):
+                await self._on_relayed_reply(peer, relayed, now_s)
+                return
+            is_entry = relayed.source in self._membership.members
+            await self._dispatcher_role.on_relayed(
+                peer, relayed, now_s, is_entry=is_entry
+            )
             return
         target = relayed.target
-        if not target and self._caller_jobs.hears_dispatcher(now_s):
+        hears_directly = not self._dispatcher_link.relay
+        if not target and hears_directly and self._caller_jobs.hears_dispatcher(now_s):
             target = self._caller_jobs.dispatcher
         if target == self._settings.name or not self._may_forward(target):
             return
         await self._send(target, msgspec.structs.replace(relayed, target=target))
 
+    async def _on_relayed_reply(
+        self, relay: str, relayed: RelayedMessage, now_s: float
+    ) -> None:
+        """Takes a message that the dispatcher has sent through a relay."""
+        dispatcher = self._membership.members.get(relayed.source)
+        if dispatcher is None or not dispatcher.relays_entries:
+            return
+        if isinstance(relayed.message, DispatcherHeartbeat):
+            await self._on_heartbeat(
+                relayed.source, relayed.message, now_s, relay=relay
+            )
+        else:
+            await self._on_message(relayed.source, relayed.message, now_s)
+
+    def _entry_relays(self) -> list[str]:
+        """Returns the linked entries that may forward messages to the dispatcher."""
+        return [
+            member.name
+            for member in self._membership.alive
+            if member.relays_entries
+            and member.name not in (self._settings.name, self._caller_jobs.dispatcher)
+        ]
+
     def _may_forward(self, target: str) -> bool:
         """Returns whether a message can be forwarded at once to a process.
 
@@ -684,7 +731,12 @@
         return self._port.is_up(target) and understands and has_room
 
     async def _on_heartbeat(
-        self, peer: str, heartbeat: DispatcherHeartbeat, now_s: float
+        self,
+        peer: str,
+        heartbeat: DispatcherHeartbeat,
+        now_s: float,
+        *,
+        relay: str = "",
     ) -> None:
         self._dispatcher_role.on_heartbeat(peer, heartbeat, now_s)
         information = self._evacuation.on_heartbeat(heartbeat, now_s)
@@ -693,7 +745,12 @@
         if heartbeat.term < self._caller_jobs.term:
             await self._send(peer, Superseded(term=self._caller_jobs.term))
             return
+        has_new_path = self._dispatcher_link.on_heartbeat(relay, heartbeat, now_s)
+        if not relay and LoadFeature.ENTRY_RELAYS in self._settings.features:
+            self._port.acknowledge(peer)
         self._caller_jobs.on_heartbeat(peer, heartbeat, now_s)
+        if has_new_path:
+            self._caller_jobs.on_path_changed(now_s)
         if self._caller_jobs.hears_dispatcher(now_s):
             self._reachable.on_dispatcher_heard()
         await self._request_configuration_if_newer(now_s)
@@ -767,6 +824,8 @@
         """Sends a message; one to this entry itself goes through its own mailbox."""
         if receiver == self._settings.name:
             await self._mailbox.post(MessageReceived(peer=receiver, message=message))
+        elif receiver and receiver == self._caller_jobs.dispatcher:
+            self._dispatcher_link.send(receiver, message, steady_s())
         elif receiver:
             self._port.send(receiver, message)
 
--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_entry_relays.py
@@ -0,0 +1,146 @@
+"""Tests of entries that are cut off from the dispatcher but not from other entries."""
+
+import pathlib
+import tempfile
+import unittest
+
+import curio
+from hawthornbarrow.cells import (
+    DispatcherHeartbeat,
+    JobAnswer,
+    JobState,
+    LoadFeature,
+    SubmitJob,
+)
+from hawthornbarrow.clock import steady_s
+from hawthornbarrow.links import MessageReceived, PeerHeartbeat
+from hawthornbarrow.observability import EventGuard
+
+from hawthornbarrow_entry.fleet import CallerJobs, OutcomeKind
+from hawthornbarrow_entry.fleet.tests.test_caller_jobs import JOB, waiter
+from hawthornbarrow_entry.fleet.tests.test_process import Fleet, document
+
+FEATURES = frozenset({LoadFeature.GAP_WAITING, LoadFeature.ENTRY_RELAYS})
+SERVED_WITHIN_S = 2.0  # three heartbeats until the cut is noticed, a relay, the runs
+
+
+def ignore_peer(entry, peer):
+    """Makes an entry lose all that arrives from a peer; returns how to undo that."""
+    guard = entry._events
+
+    async def handle(item, now_s):
+        is_frame = isinstance(item, MessageReceived | PeerHeartbeat)
+        if not is_frame or item.peer != peer:
+            await entry._on_event(item, now_s)
+
+    def restore():
+        entry._events = guard
+
+    entry._events = EventGuard(handler=handle)
+    return restore
+
+
+def cut(fleet, first, second):
+    """Cuts two entries off from each other; returns how to join them again."""
+    restores = [
+        ignore_peer(fleet.entries[first], f"e{second}"),
+        ignore_peer(fleet.entries[second], f"e{first}"),
+    ]
+
+    def join():
+        for restore in restores:
+            restore()
+
+    return join
+
+
+class EntryRelayTest(unittest.TestCase):
+    """Plays a partition between the dispatcher and one of two other entries."""
+
+    def run_scenario(self, scenario, features=FEATURES):
+        async def main():
+            with tempfile.TemporaryDirectory() as folder:
+                fleet = Fleet(pathlib.Path(folder), features=features)
+                try:
+                    await fleet.start()
+                    dispatching = fleet.dispatching_index()
+                    await scenario(fleet, dispatching, (dispatching + 1) % 3)
+                finally:
+                    await fleet.stop()
+
+        curio.run(main)
+
+    async def submit_once(self, entry, name):
+        return await entry.submit(
+            document(name),
+            received_at_s=steady_s(),
+            timeout_s=SERVED_WITHIN_S,
+            is_abandoned=lambda: False,
+        )
+
+    def started(self, fleet):
+        return sorted(task for up in fleet.upstreams for task in up.started)
+
+    def test_callers_of_an_entry_that_is_cut_off_are_served(self):
+        async def scenario(fleet, dispatching, lonely):
+            cut(fleet, dispatching, lonely)
+            await curio.sleep(0.3)
+            outcome = await self.submit_once(fleet.entries[lonely], "j")
+            self.assertEqual(OutcomeKind.COMPLETE, outcome.kind)
+            self.assertEqual(3, len(self.started(fleet)))
+
+        self.run_scenario(scenario)
+
+    def test_answer_that_was_lost_in_the_cut_arrives_through_the_relay(self):
+        async def scenario(fleet, dispatching, lonely):
+            entry = fleet.entries[lonely]
+            job = await curio.spawn(self.submit_once, entry, "j")
+            await fleet.wait_until(lambda: self.started(fleet))
+            cut(fleet, dispatching, lonely)
+            outcome = await job.join()
+            self.assertEqual(OutcomeKind.COMPLETE, outcome.kind)
+            tasks = self.started(fleet)
+            self.assertEqual(sorted(set(tasks)), tasks)
+
+        self.run_scenario(scenario)
+
+    def test_direct_link_is_used_again_after_the_cut(self):
+        async def scenario(fleet, dispatching, lonely):
+            entry = fleet.entries[lonely]
+            join = cut(fleet, dispatching, lonely)
+            await fleet.wait_until(lambda: entry._dispatcher_link.relay)
+            join()
+            await fleet.wait_until(lambda: not entry._dispatcher_link.relay)
+            outcome = await self.submit_once(entry, "j")
+            self.assertEqual(OutcomeKind.COMPLETE, outcome.kind)
+
+        self.run_scenario(scenario)
+
+
+class ChangeOfPathTest(unittest.TestCase):
+    def setUp(self):
+        self.caller_jobs = CallerJobs(features=FEATURES)
+        heartbeat = DispatcherHeartbeat(term=1, heard_at_s=10.0, version=1)
+        self.caller_jobs.on_heartbeat("d", heartbeat, 10.0)
+        self.caller = waiter()
+        self.caller_jobs.submit(
+            JOB, self.caller, 10.0, received_at_s=10.0, objective_s=1.0
+        )
+        self.caller_jobs.take_messages()
+        self.caller_jobs.on_path_changed(10.6)
+
+    def test_jobs_are_submitted_again_as_perhaps_known(self):
+        messages = [message for _, message in self.caller_jobs.take_messages()]
+        self.assertEqual([True], [message.was_offered for message in messages])
+        self.assertIsInstance(messages[0], SubmitJob)
+
+    def test_refusal_is_unknown_while_the_first_submission_may_arrive_late(self):
+        answer = JobAnswer(
+            job="j", state=JobState.UNKNOWN, reason="no", has_not_run=True, term=1
+        )
+        self.caller_jobs.on_answer(answer, 10.7)
+        self.assertEqual(OutcomeKind.UNKNOWN, self.caller.outcome.kind)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -12,6 +12,7 @@
         with_document,
     )
     from hawthornbarrow.cells._dispatcher import Dispatcher
+    from hawthornbarrow.cells._dispatcher_path import DispatcherPath
     from hawthornbarrow.cells._evacuation import (
         EvacuationState,
         EvacuationView,
@@ -158,6 +159,7 @@
     "HandoverComplete",
     "PriorityOrder",
     "DispatcherHeartbeat",
+    "DispatcherPath",
     "Resources",
     "RunOutcome",
     "RelayRoutes",
@@ -226,6 +228,7 @@
         "ConfigurationReply": "_messages",
         "Directory": "_messages",
         "DispatcherHeartbeat": "_messages",
+        "DispatcherPath": "_dispatcher_path",
         "EvacuationOutcome": "_messages",
         "GetConfiguration": "_messages",
         "GetJobState": "_messages",
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher_path.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher_path.py
@@ -1,14 +1,15 @@
-"""DispatcherPath: the way on which an agent exchanges messages with its dispatcher.
-
-A partition may separate an agent from the dispatcher, while other entries reach both.
-Their upstream would stay idle and its runs would end with their leases. So one of those
-entries forwards the messages of both sides, at most one hop, until the direct link
-works again.
-
-The agent decides, as it knows first whether its lease is renewed. A path is fresh
-while heartbeats on it show that the dispatcher hears the agent: each one carries the
-time at which the agent sent the newest frame that arrived on the same path. Leases rest
-on these times of sending, so a relay that delays messages can only shorten them.
+"""DispatcherPath: the way on which a process exchanges messages with its dispatcher.
+
+A partition may separate an agent or an entry from the dispatcher, while other entries
+reach both. The upstream of the agent would stay idle and its runs would end with their
+leases, and the callers of the entry would not be served. So one of those entries
+forwards the messages of both sides, at most one hop, until the direct link works again.
+
+The process that is cut off decides, as it knows first whether its lease is renewed. A
+path is fresh while heartbeats on it show that the dispatcher hears the process: each
+one carries the time at which the process sent the newest frame that arrived on the same
+path. Leases rest on these times of sending, so a relay that delays messages can only
+shorten them.
 """
 
 import math
@@ -28,7 +29,7 @@
 
 
 class DispatcherPath:
-    """Decides whether an agent uses its link to the dispatcher or a relay.
+    """Decides whether a process uses its link to the dispatcher or a relay.
 
     Args:
         timing: Durations of the leases of runs.
@@ -52,7 +53,7 @@
         return self._relay
 
     def is_fresh(self, now_s: float) -> bool:
-        """Returns whether the dispatcher hears the agent on the current path."""
+        """Returns whether the dispatcher hears the process on the current path."""
         heard_at_s = self._heard_at_s.get(self._relay, -math.inf)
         return now_s - max(heard_at_s, self._changed_at_s) <= self._stale_after_s
 
@@ -66,7 +67,7 @@
 
         Args:
             relay: Entry that forwarded it, or empty.
-            heard_at_s: When the agent sent the newest frame that the dispatcher heard
+            heard_at_s: When the process sent the newest frame that the dispatcher heard
                 on the same path.
             now_s: Current time.
         """
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
@@ -322,7 +322,7 @@
 
 
 class RelayedMessage(_Message, kw_only=True):
-    """A message that an entry forwards between an agent and the dispatcher.
+    """A message that an entry forwards between a cut-off process and the dispatcher.
 
     Attributes:
         source: Process that sent it.
@@ -340,6 +340,13 @@
         | DispatcherHeartbeat
         | StartTasks
         | StopTasks
+        | SubmitJob
+        | WithdrawJob
+        | JobAnswer
+        | GetJobState
+        | JobStateReply
+        | GetConfiguration
+        | ConfigurationReply
         | None
     ) = None
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_parts.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_parts.py
@@ -279,6 +279,8 @@
         data_centre: Its data centre.
         replica: Identity of its ledger replica, empty where it has no disk.
         is_relay: Whether it forwards relayed messages; other versions may not.
+        relays_entries: Whether it forwards those of entries too, and answers them as
+            the dispatcher.
     """
 
     name: str
@@ -286,3 +288,4 @@
     data_centre: str
     replica: str
     is_relay: bool = False
+    relays_entries: bool = False
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_relay_routes.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_relay_routes.py
@@ -1,4 +1,4 @@
-"""RelayRoutes: relays on which a dispatcher hears agents that it is cut off from."""
+"""RelayRoutes: relays on which a dispatcher hears processes it is cut off from."""
 
 import dataclasses
 
@@ -13,9 +13,9 @@
 
 
 class RelayRoutes:
-    """Knows the relay of each agent whose frames arrive through one.
+    """Knows the relay of each agent or entry whose frames arrive through one.
 
-    An agent that is cut off asks all entries at once. The dispatcher keeps the first
+    A process that is cut off asks all entries at once. The dispatcher keeps the first
     relay that brings a frame and changes it only when that one falls silent.
 
     Args:
@@ -52,14 +52,17 @@
         return True
 
     def on_attach(self, agent: str, *, is_relayed: bool) -> None:
-        """Records whether an agent's session runs through its relay."""
+        """Records whether messages for an agent or entry go through its relay.
+
+        That is the path on which an agent attached, or an entry submitted jobs, last.
+        """
         if is_relayed:
             self._attached.add(agent)
         else:
             self._attached.discard(agent)
 
     def is_attached(self, agent: str) -> bool:
-        """Returns whether an agent's orders go through its relay."""
+        """Returns whether messages for an agent or entry go through its relay."""
         return agent in self._attached
 
     def relay_of(self, agent: str) -> str:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_resubmission.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_resubmission.py
@@ -48,6 +48,10 @@
         self._linked.discard(entry)
         self._changed_at_s = now_s
 
+    def on_relayed_entry(self, now_s: float) -> None:
+        """Records that an entry without a link here has jobs here through a relay."""
+        self._changed_at_s = now_s
+
     def on_frame(self, entry: str, confirmed_at_s: float) -> None:
         """Records a frame of an entry.
 
@@ -64,7 +68,8 @@
         """Returns the age of the oldest proof that an entry was alive.
 
         It is infinite, so that nothing follows from it, where entries with jobs may be
-        unknown here: after a loss or a start of an entry, and after a takeover.
+        unknown here: after a loss or a start of an entry, after a takeover, and while
+        entries use relays.
 
         Args:
             dispatching_since_s: When this entry began to dispatch.
