Elect a leader at once after a restart of all voters

Change: with the feature fast-restart the first voter by name asks all voters for a unanimous vote until one has heard a leader. No lease can exist then: its holder would be among the voters, and refuse. Links are dialed again within 0.1 s in the first three seconds of a process. Ways: wait for the lease (stands); a vote of a majority that has restarted was discarded, as the missing minority may lead.

--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -29,6 +29,7 @@
 )
 from hawthornbarrow.clock import seconds_since, steady_s
 from hawthornbarrow.links import (
+    FAST_START_LINK_TIMINGS,
     FLEET_LINK_TIMINGS,
     Dialer,
     LinkPort,
@@ -177,7 +178,11 @@
             incarnation=incarnation,
             cluster_key=settings.cluster_key,
             mailbox=self._mailbox,
-            timings=FLEET_LINK_TIMINGS,
+            timings=(
+                FAST_START_LINK_TIMINGS
+                if LoadFeature.FAST_RESTART in settings.features
+                else FLEET_LINK_TIMINGS
+            ),
         )
         self._supervisor = RunSupervisor(
             timing=settings.timing,
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_replica_manager.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_replica_manager.py
@@ -4,10 +4,12 @@
 
 import curio
 import structlog
+from hawthornbarrow.cells import LoadFeature
 from hawthornbarrow.ledger import (
     FileStorage,
     LedgerStorageError,
     LinkReplicaTransport,
+    RaftSettings,
     ReplicatedLedger,
     holds_ledger,
     load_identity,
@@ -179,6 +181,10 @@
             transport=transport,
             events=self._events,
             generator=self._generator,
+            settings=RaftSettings(
+                has_restart_elections=LoadFeature.FAST_RESTART
+                in self._settings.features
+            ),
             inactive_since_s=self._inactive_since_s,
         )
         self._transport = transport
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_messages.py
@@ -72,12 +72,14 @@
         is_prevote: Whether it only asks if it would get the vote.
         is_transfer: Whether the leader gave up its lease to transfer leadership to
             the candidate.
+        is_unanimous: Whether the candidate leads only if all voters vote for it.
     """
 
     last_index: int
     last_term: int
     is_prevote: bool
     is_transfer: bool = False
+    is_unanimous: bool = False
 
 
 class VoteReply(_ReplicaMessage, kw_only=True):
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
@@ -84,6 +84,10 @@
         # acknowledged a leader's lease just before its restart, so it grants no vote
         # until that lease has expired.
         self._leader_heard_at_s = inactive_since_s if stored.hard.term else -math.inf
+        self._has_known_leader = False
+        self._is_unanimous = False
+        self._restart_poll_due_at_s = inactive_since_s
+        self._restart_polls_until_s = inactive_since_s + settings.election_min_s
         self._election_due_at_s = 0.0
         self._votes: set[str] = set()
         self._is_prevote = False
@@ -203,6 +207,8 @@
         """Advances time-dependent state to ``now_s``."""
         if self._replication is not None:
             self._tick_leader(self._replication, now_s)
+        elif self._is_restart_poll_due(now_s):
+            self._start_election(now_s, is_prevote=True, is_unanimous=True)
         elif now_s >= self._election_due_at_s:
             self._start_election(now_s, is_prevote=True)
 
@@ -355,7 +361,8 @@
             return True
         if message.term > self.term:
             is_vote = isinstance(message, RequestVote)
-            if is_vote and not message.is_transfer and self._has_leader(now_s):
+            is_bound = is_vote and not message.is_transfer
+            if is_bound and not self._may_vote(message, now_s):
                 return False
             is_from_leader = isinstance(message, AppendEntries | InstallSnapshot)
             self._become_follower(message.term, now_s, reset_timer=is_from_leader)
@@ -387,14 +394,38 @@
             return True
         return now_s - self._leader_heard_at_s < self._settings.election_min_s
 
+    def _may_vote(self, request: RequestVote, now_s: float) -> bool:
+        """Returns whether no lease of a leader forbids a vote or pre-vote.
+
+        A candidate that all voters have to vote for needs no lease to expire: the
+        leader would be among them, and none of them leads in an earlier term
+        afterwards. To leave a live leader alone, only voters that have known none
+        since their start take part.
+        """
+        if not self._has_leader(now_s):
+            return True
+        return request.is_unanimous and not self._has_known_leader
+
+    def _is_restart_poll_due(self, now_s: float) -> bool:
+        """Returns whether to ask all voters for a unanimous vote now.
+
+        Only the first of them does, so that restarted voters do not compete.
+        """
+        if not self._settings.has_restart_elections or self._has_known_leader:
+            return False
+        if not self._restart_poll_due_at_s <= now_s < self._restart_polls_until_s:
+            return False
+        return self._replica == min(self._log.members.voters, default="")
+
     def _start_election(
-        self, now_s: float, *, is_prevote: bool, is_transfer: bool = False
+        self,
+        now_s: float,
+        *,
+        is_prevote: bool,
+        is_transfer: bool = False,
+        is_unanimous: bool = False,
     ) -> None:
-        settings = self._settings
-        retry_range_s = (settings.retry_min_s, settings.retry_max_s)
-        if is_prevote:
-            retry_range_s = (settings.prevote_min_s, settings.prevote_max_s)
-        self._election_due_at_s = now_s + self._generator.uniform(*retry_range_s)
+        self._schedule_retry(now_s, is_prevote=is_prevote, is_unanimous=is_unanimous)
         members = self._log.members
         if self._replica not in members.voters:
             return
@@ -410,6 +441,7 @@
         self._role = Role.CANDIDATE
         self._leader = None
         self._is_prevote = is_prevote
+        self._is_unanimous = is_unanimous
         self._votes = {self._replica}
         term = self.term + 1
         if not is_prevote:
@@ -420,12 +452,28 @@
             last_term=self._log.last_term,
             is_prevote=is_prevote,
             is_transfer=is_transfer,
+            is_unanimous=is_unanimous,
         )
         for voter in members.voters:
             if voter != self._replica:
                 self._after_sync.append((voter, request))
         self._count_votes(now_s)
 
+    def _schedule_retry(
+        self, now_s: float, *, is_prevote: bool, is_unanimous: bool
+    ) -> None:
+        """Sets when the election that begins now is followed by another."""
+        settings = self._settings
+        if is_unanimous and is_prevote:
+            self._restart_poll_due_at_s = now_s + settings.restart_poll_s
+            return
+        retry_range_s = (settings.retry_min_s, settings.retry_max_s)
+        if is_prevote:
+            retry_range_s = (settings.prevote_min_s, settings.prevote_max_s)
+        due_at_s = now_s + self._generator.uniform(*retry_range_s)
+        self._election_due_at_s = due_at_s
+        self._restart_poll_due_at_s = due_at_s
+
     def _on_request_vote(self, sender: str, message: RequestVote, now_s: float) -> None:
         is_log_up_to_date = (message.last_term, message.last_index) >= (
             self._log.last_term,
@@ -435,7 +483,7 @@
             granted = (
                 is_log_up_to_date
                 and message.term > self.term
-                and not self._has_leader(now_s)
+                and self._may_vote(message, now_s)
             )
             term = message.term if granted else self.term
         else:
@@ -467,16 +515,19 @@
 
     def _count_votes(self, now_s: float) -> None:
         members = self._log.members
-        if len(self._votes.intersection(members.voters)) < members.quorum:
+        needed = len(members.voters) if self._is_unanimous else members.quorum
+        if len(self._votes.intersection(members.voters)) < needed:
             return
         if self._is_prevote:
-            self._start_election(now_s, is_prevote=False)
+            is_unanimous = self._is_unanimous
+            self._start_election(now_s, is_prevote=False, is_unanimous=is_unanimous)
         else:
             self._become_leader(now_s)
 
     def _become_leader(self, now_s: float) -> None:
         _log.info("election_won", replica=self._replica, term=self.term)
         self._role = Role.LEADER
+        self._has_known_leader = True
         self._has_given_up_lease = False
         self._leader = self._replica
         self._replication = Replication(
@@ -567,6 +618,7 @@
     def _follow(self, leader: str, now_s: float) -> None:
         self._role = Role.FOLLOWER
         self._leader = leader
+        self._has_known_leader = True
         self._leader_heard_at_s = now_s
         self._reset_election_timer(now_s)
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_ready.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_ready.py
@@ -31,6 +31,9 @@
         retry_min_s: Minimum time after which a candidate without a majority starts
             another election; longer than two syncs and a round trip.
         retry_max_s: Maximum of that time.
+        has_restart_elections: Whether voters that have all restarted elect a leader
+            without waiting for the lease of the former one.
+        restart_poll_s: Interval at which a restarted voter asks the others for that.
     """
 
     heartbeat_s: float = 0.1
@@ -40,6 +43,8 @@
     prevote_max_s: float = 0.2
     retry_min_s: float = 0.15
     retry_max_s: float = 0.45
+    has_restart_elections: bool = False
+    restart_poll_s: float = 0.05
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/_cluster.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/_cluster.py
@@ -73,7 +73,7 @@
         self.raft = RaftReplica(
             replica=name,
             stored=stored,
-            settings=RaftSettings(),
+            settings=RaftSettings(has_restart_elections=bool(seed % 2)),
             generator=random.Random(seed),
             inactive_since_s=now_s,
         )
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_lease.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_lease.py
@@ -19,8 +19,9 @@
 class Replicas:
     """Three replicas whose messages arrive at once, unless a replica is isolated."""
 
-    def __init__(self):
+    def __init__(self, settings=None):
         self.now_s = 0.0
+        self.settings = settings or RaftSettings()
         self.isolated = set()
         self.storages = {name: MemoryStorage(Members(voters=NAMES)) for name in NAMES}
         self.rafts = {}
@@ -31,7 +32,7 @@
         self.rafts[name] = RaftReplica(
             replica=name,
             stored=self.storages[name].load(),
-            settings=RaftSettings(),
+            settings=self.settings,
             generator=random.Random(seed),
             inactive_since_s=self.now_s - inactive_s,
         )
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/__init__.py
@@ -36,6 +36,7 @@
     UsageReport,
 )
 from hawthornbarrow.links._port import (
+    FAST_START_LINK_TIMINGS,
     FLEET_LINK_TIMINGS,
     LinkCounters,
     LinkPort,
@@ -51,6 +52,7 @@
 )
 
 __all__ = [
+    "FAST_START_LINK_TIMINGS",
     "FLEET_LINK_TIMINGS",
     "Dialer",
     "PROTOCOL_VERSION",
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
@@ -26,6 +26,7 @@
 _MIN_WAIT_S = 0.01
 _MIN_REDIAL_DELAY_S = 0.05
 _MAX_REDIAL_DELAY_S = 0.4
+_STARTUP_S = 3.0  # within which the peers of a restarted deployment are back
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -40,12 +41,16 @@
             it is sent.
         idle_interval_s: Longest time without sending anything on a link that carries
             no messages, None for the same as on others.
+        startup_redial_s: Limit on a connection attempt and on the delay after it while
+            the process starts, None for the same as later. Peers that start at the
+            same time are then linked soon after they listen.
     """
 
     heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S
     silence_timeout_s: float = SILENCE_TIMEOUT_S
     poll_interval_s: float = 0.1
     idle_interval_s: float | None = None
+    startup_redial_s: float | None = None
 
 
 # A fleet must detect a lost peer before the leases expire, so the heartbeat interval
@@ -57,6 +62,7 @@
     poll_interval_s=2.0,
     idle_interval_s=2.0,
 )
+FAST_START_LINK_TIMINGS = dataclasses.replace(FLEET_LINK_TIMINGS, startup_redial_s=0.1)
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -113,6 +119,7 @@
     ) -> None:
         """Initializes a port without links."""
         self._timings = timings or LinkTimings()
+        self._created_at_s = steady_s()
         self._peers_by_address: dict[str, str] = {}
         self._process = process
         self._role = role
@@ -239,11 +246,18 @@
                 peer = await self._dial_once(host, port, peer)
                 delay_s = _MIN_REDIAL_DELAY_S
             except (OSError, LinkError, curio.TaskTimeout):
-                delay_s = min(delay_s * 2, _MAX_REDIAL_DELAY_S)
+                delay_s = min(delay_s * 2, self._redial_limit_s(_MAX_REDIAL_DELAY_S))
             await curio.sleep(delay_s * self._random.uniform(0.5, 1.0))
 
+    def _redial_limit_s(self, limit_s: float) -> float:
+        """Returns a limit of connection attempts, reduced while the process starts."""
+        startup_s = self._timings.startup_redial_s
+        if startup_s is None or steady_s() - self._created_at_s > _STARTUP_S:
+            return limit_s
+        return min(limit_s, startup_s)
+
     async def _dial_once(self, host: str, port: int, peer: str | None) -> str | None:
-        async with curio.timeout_after(_CONNECT_TIMEOUT_S):
+        async with curio.timeout_after(self._redial_limit_s(_CONNECT_TIMEOUT_S)):
             sock = await curio.open_connection(host, port)
         stream = BlockStream(sock=sock)
         try:
