Send agents the directory at once while an entry starts

Change: with fast-restart an entry sends changes of the directory to its agents every 0.1 s in its first three seconds.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -100,6 +100,7 @@
 _EXIT_MARGIN_S = 0.6
 _FINAL_FLUSH_S = 0.2
 STARTUP_WAIT_S = 1.0  # two election timeouts; without a leader by then, none is near
+STARTUP_S = 3.0  # within which the other processes of a restarted deployment are back
 MAX_FORWARDED_COUNT = 500  # messages that a peer has not acknowledged
 MIN_DRAIN_S = 2.6  # after the request to stop; a balancer may take this long to notice
 DRAIN_ACCEPT_S = 2.4  # after the request to stop; callers may still arrive until then
@@ -533,6 +534,8 @@
                 self._caller_jobs.tick(now_s)
                 await self._gate.drop_abandoned()
                 await self._send_directory(ENTRY_ROLE)
+                if self._is_starting(now_s):
+                    await self._send_directory(AGENT_ROLE)
             if now_s - self._maintained_at_s >= _MAINTENANCE_INTERVAL_S:
                 self._maintained_at_s = now_s
                 await self._run_maintenance(now_s)
@@ -548,6 +551,14 @@
         has_callers = self.job_count or self._gate.count
         return not (self.has_replica or self.is_dispatching or has_callers)
 
+    def _is_starting(self, now_s: float) -> bool:
+        """Returns whether agents, which may know seeds only, are informed at once.
+
+        Later that happens in maintenance, as their links to the dispatcher exist.
+        """
+        is_enabled = LoadFeature.FAST_RESTART in self._settings.features
+        return is_enabled and now_s - self._created_at_s < STARTUP_S
+
     @property
     def _may_claim(self) -> bool:
         return self._table is not None and not self._is_stopping
