Keep the logs of a deployment that does not become ready, and end it

Cause: the listed test of processes failed with 'the deployment did not become ready' and left neither logs nor an end of its processes, as Python does not call __exit__ when __enter__ raises. Change: the harness closes such a deployment like any failed one.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_deployment.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_deployment.py
@@ -75,7 +75,11 @@
         for name in self.agent_names:
             self.start_agent(name)
             self.start_upstream(name)
-        self.wait_until_ready()
+        try:
+            self.wait_until_ready()
+        except TimeoutError as error:
+            self.__exit__(type(error))
+            raise
         return self
 
     def __exit__(self, error_type, *_):
