Let a candidate leave the election to a rival whose name sorts first

Change: with fast-takeover a candidate that has granted a pre-vote to another one whose name sorts first waits 0.05 s before it asks for votes. Test: two voters with the same timeouts, 20 seeds, elect within one timeout; without the wait they split the vote.

--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
@@ -86,6 +86,7 @@
         self._leader_heard_at_s = inactive_since_s if stored.hard.term else -math.inf
         self._has_known_leader = False
         self._is_unanimous = False
+        self._rival_seen_at_s = -math.inf
         self._restart_poll_due_at_s = inactive_since_s
         self._restart_polls_until_s = inactive_since_s + settings.election_min_s
         self._election_due_at_s = 0.0
@@ -488,6 +489,8 @@
                 and self._may_vote(message, now_s)
             )
             term = message.term if granted else self.term
+            if granted and sender < self._replica:
+                self._rival_seen_at_s = now_s
         else:
             granted = is_log_up_to_date and self._hard_state.vote in ("", sender)
             term = self.term
@@ -521,6 +524,8 @@
         if len(self._votes.intersection(members.voters)) < needed:
             return
         if self._is_prevote:
+            if now_s - self._rival_seen_at_s < self._settings.rival_deferral_s:
+                return
             is_unanimous = self._is_unanimous
             self._start_election(now_s, is_prevote=False, is_unanimous=is_unanimous)
         else:
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_ready.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_ready.py
@@ -34,6 +34,9 @@
         has_restart_elections: Whether voters that have all restarted elect a leader
             without waiting for the lease of the former one.
         restart_poll_s: Interval at which a restarted voter asks the others for that.
+        rival_deferral_s: Time for which a candidate leaves the election to another
+            one whose name sorts first and for which it would vote, so that they do
+            not split the vote.
     """
 
     heartbeat_s: float = 0.1
@@ -45,10 +48,11 @@
     retry_max_s: float = 0.45
     has_restart_elections: bool = False
     restart_poll_s: float = 0.05
+    rival_deferral_s: float = 0.0
 
 
 FAST_TAKEOVER_SETTINGS = RaftSettings(
-    heartbeat_s=0.06, election_min_s=0.25, election_max_s=0.5
+    heartbeat_s=0.06, election_min_s=0.25, election_max_s=0.5, rival_deferral_s=0.05
 )
 
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_lease.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_lease.py
@@ -104,6 +104,21 @@
                 replicas.run(0.01)
             self.assertLess(old.lease_until_s(replicas.now_s), replicas.now_s)
 
+    def test_candidates_at_the_same_time_do_not_split_the_vote(self):
+        settings = FAST_TAKEOVER_SETTINGS
+        for seed in range(20):
+            replicas = Replicas(settings)
+            replicas.run(1.0)
+            old = replicas.leader()
+            followers = [name for name in NAMES if name != old.replica]
+            for name in followers:
+                # The same seed draws the same election timeouts.
+                replicas.start(name, seed=seed)
+            replicas.run(0.5)
+            replicas.isolated.add(old.replica)
+            replicas.run(settings.election_max_s + settings.rival_deferral_s)
+            self.assertTrue(replicas.has_leader(followers), f"seed {seed}")
+
     def test_restarted_voter_grants_no_vote_while_the_lease_may_be_valid(self):
         replicas = Replicas()
         replicas.run(2.0)
