--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -43,6 +43,7 @@
 from hawthornbarrow.clock import seconds_since, steady_s
 from hawthornbarrow.ledger import Applied, LedgerFailed
 from hawthornbarrow.links import (
+    FAST_START_LINK_TIMINGS,
     FLEET_LINK_TIMINGS,
     Dialer,
     LinkPort,
@@ -62,6 +63,10 @@
 
 from hawthornbarrow_entry.fleet._caller_jobs import CallerJobs
 from hawthornbarrow_entry.fleet._caller_outcome import CallerOutcome, Waiter
+from hawthornbarrow_entry.fleet._dispatcher_link import (
+    RELAYED_REPLIES,
+    DispatcherLink,
+)
 from hawthornbarrow_entry.fleet._dispatcher_role import DispatcherRole
 from hawthornbarrow_entry.fleet._entry_configuration import (
     READ_TIMEOUT_S,
@@ -91,10 +96,11 @@
 _MAINTENANCE_INTERVAL_S = 0.5
 _PROPOSAL_TIMEOUT_S = 0.9
 _JOB_STATE_TIMEOUT_S = 0.8
-_ESTIMATE_SAFETY_FACTOR = 2.5  # on a caller's estimate, which is often inaccurate
+_ESTIMATE_SAFETY_FACTOR = 1.5  # on a caller's estimate, which is often inaccurate
 _EXIT_MARGIN_S = 0.6
 _FINAL_FLUSH_S = 0.2
 STARTUP_WAIT_S = 1.0  # two election timeouts; without a leader by then, none is near
+STARTUP_S = 3.0  # within which the other processes of a restarted deployment are back
 MAX_FORWARDED_COUNT = 500  # messages that a peer has not acknowledged
 MIN_DRAIN_S = 2.6  # after the request to stop; a balancer may take this long to notice
 DRAIN_ACCEPT_S = 2.4  # after the request to stop; callers may still arrive until then
@@ -125,7 +131,11 @@
             incarnation=incarnation,
             cluster_key=settings.cluster_key,
             mailbox=self._mailbox,
-            timings=FLEET_LINK_TIMINGS,
+            timings=(
+                FAST_START_LINK_TIMINGS
+                if LoadFeature.FAST_RESTART in settings.features
+                else FLEET_LINK_TIMINGS
+            ),
         )
         self._replica = ReplicaManager(
             settings=settings,
@@ -139,6 +149,7 @@
             data_centre=settings.data_centre,
             replica=self._replica.identity,
             is_relay=True,
+            relays_entries=True,
         )
         self._membership = Membership(own=own, now_s=steady_s())
         self._caller_jobs = CallerJobs(
@@ -157,6 +168,13 @@
             configuration_format=configuration_format
         )
         self._created_at_s = steady_s()
+        self._dispatcher_link = DispatcherLink(
+            entry=settings.name,
+            port=self._port,
+            timing=settings.timing,
+            is_enabled=LoadFeature.ENTRY_RELAYS in settings.features,
+            now_s=self._created_at_s,
+        )
         self._waits_in_gaps = LoadFeature.GAP_WAITING in settings.features
         waits = GapWaits(
             is_enabled=self._waits_in_gaps,
@@ -516,10 +534,13 @@
                 self._caller_jobs.tick(now_s)
                 await self._gate.drop_abandoned()
                 await self._send_directory(ENTRY_ROLE)
+                if self._is_starting(now_s):
+                    await self._send_directory(AGENT_ROLE)
             if now_s - self._maintained_at_s >= _MAINTENANCE_INTERVAL_S:
                 self._maintained_at_s = now_s
                 await self._run_maintenance(now_s)
             await self._ask_entries_if_silent(now_s)
+            self._dispatcher_link.probe_if_due(self._entry_relays(), now_s)
             if self._gate.count and self._is_serving(now_s):
                 await self._gate.release(now_s)
             await self._flush()
@@ -530,6 +551,14 @@
         has_callers = self.job_count or self._gate.count
         return not (self.has_replica or self.is_dispatching or has_callers)
 
+    def _is_starting(self, now_s: float) -> bool:
+        """Returns whether agents, which may know seeds only, are informed at once.
+
+        Later that happens in maintenance, as their links to the dispatcher exist.
+        """
+        is_enabled = LoadFeature.FAST_RESTART in self._settings.features
+        return is_enabled and now_s - self._created_at_s < STARTUP_S
+
     @property
     def _may_claim(self) -> bool:
         return self._table is not None and not self._is_stopping
@@ -625,7 +654,11 @@
     def _on_peer_down(self, event: PeerDown, now_s: float) -> None:
         role = self._roles.get(event.peer, "")
         _log.warning("peer_down", peer=event.peer, role=role)
-        self._caller_jobs.on_link_down(event.peer)
+        if event.peer == self._caller_jobs.dispatcher and self._dispatcher_link.relay:
+            # Its jobs were submitted again through the relay.
+            self._port.drop_unacknowledged(event.peer)
+        else:
+            self._caller_jobs.on_link_down(event.peer)
         if role == ENTRY_ROLE:
             self._membership.on_link_change(event.peer, False, now_s)
             self._dispatcher_role.on_entry_down(event.peer, now_s)
@@ -662,17 +695,47 @@
     async def _on_relayed(
         self, peer: str, relayed: RelayedMessage, now_s: float
     ) -> None:
-        """Takes a forwarded message, or forwards one between agent and dispatcher."""
+        """Takes a forwarded message, or forwards one to or from the dispatcher."""
         if relayed.target == self._settings.name:
-            await self._dispatcher_role.on_relayed(peer, relayed, now_s)
+            if isinstance(relayed.message, RELAYED_REPLIES):
+                await self._on_relayed_reply(peer, relayed, now_s)
+                return
+            is_entry = relayed.source in self._membership.members
+            await self._dispatcher_role.on_relayed(
+                peer, relayed, now_s, is_entry=is_entry
+            )
             return
         target = relayed.target
-        if not target and self._caller_jobs.hears_dispatcher(now_s):
+        hears_directly = not self._dispatcher_link.relay
+        if not target and hears_directly and self._caller_jobs.hears_dispatcher(now_s):
             target = self._caller_jobs.dispatcher
         if target == self._settings.name or not self._may_forward(target):
             return
         await self._send(target, msgspec.structs.replace(relayed, target=target))
 
+    async def _on_relayed_reply(
+        self, relay: str, relayed: RelayedMessage, now_s: float
+    ) -> None:
+        """Takes a message that the dispatcher has sent through a relay."""
+        dispatcher = self._membership.members.get(relayed.source)
+        if dispatcher is None or not dispatcher.relays_entries:
+            return
+        if isinstance(relayed.message, DispatcherHeartbeat):
+            await self._on_heartbeat(
+                relayed.source, relayed.message, now_s, relay=relay
+            )
+        else:
+            await self._on_message(relayed.source, relayed.message, now_s)
+
+    def _entry_relays(self) -> list[str]:
+        """Returns the linked entries that may forward messages to the dispatcher."""
+        return [
+            member.name
+            for member in self._membership.alive
+            if member.relays_entries
+            and member.name not in (self._settings.name, self._caller_jobs.dispatcher)
+        ]
+
     def _may_forward(self, target: str) -> bool:
         """Returns whether a message can be forwarded at once to a process.
 
@@ -684,7 +747,12 @@
         return self._port.is_up(target) and understands and has_room
 
     async def _on_heartbeat(
-        self, peer: str, heartbeat: DispatcherHeartbeat, now_s: float
+        self,
+        peer: str,
+        heartbeat: DispatcherHeartbeat,
+        now_s: float,
+        *,
+        relay: str = "",
     ) -> None:
         self._dispatcher_role.on_heartbeat(peer, heartbeat, now_s)
         information = self._evacuation.on_heartbeat(heartbeat, now_s)
@@ -693,7 +761,12 @@
         if heartbeat.term < self._caller_jobs.term:
             await self._send(peer, Superseded(term=self._caller_jobs.term))
             return
+        has_new_path = self._dispatcher_link.on_heartbeat(relay, heartbeat, now_s)
+        if not relay and LoadFeature.ENTRY_RELAYS in self._settings.features:
+            self._port.acknowledge(peer)
         self._caller_jobs.on_heartbeat(peer, heartbeat, now_s)
+        if has_new_path:
+            self._caller_jobs.on_path_changed(now_s)
         if self._caller_jobs.hears_dispatcher(now_s):
             self._reachable.on_dispatcher_heard()
         await self._request_configuration_if_newer(now_s)
@@ -767,6 +840,8 @@
         """Sends a message; one to this entry itself goes through its own mailbox."""
         if receiver == self._settings.name:
             await self._mailbox.post(MessageReceived(peer=receiver, message=message))
+        elif receiver and receiver == self._caller_jobs.dispatcher:
+            self._dispatcher_link.send(receiver, message, steady_s())
         elif receiver:
             self._port.send(receiver, message)
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_lease.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_lease.py
@@ -4,6 +4,7 @@
 import unittest
 
 from hawthornbarrow.ledger import (
+    FAST_TAKEOVER_SETTINGS,
     LedgerState,
     Members,
     PutConfiguration,
@@ -19,8 +20,9 @@
 class Replicas:
     """Three replicas whose messages arrive at once, unless a replica is isolated."""
 
-    def __init__(self):
+    def __init__(self, settings=None):
         self.now_s = 0.0
+        self.settings = settings or RaftSettings()
         self.isolated = set()
         self.storages = {name: MemoryStorage(Members(voters=NAMES)) for name in NAMES}
         self.rafts = {}
@@ -31,7 +33,7 @@
         self.rafts[name] = RaftReplica(
             replica=name,
             stored=self.storages[name].load(),
-            settings=RaftSettings(),
+            settings=self.settings,
             generator=random.Random(seed),
             inactive_since_s=self.now_s - inactive_s,
         )
@@ -86,6 +88,37 @@
                     break
             self.assertLess(old.lease_until_s(replicas.now_s), replicas.now_s)
 
+    def test_lease_ends_before_voters_with_shorter_timeouts_elect_another(self):
+        for seed in range(20):
+            replicas = Replicas()
+            replicas.run(2.0)
+            old = replicas.leader()
+            replicas.settings = FAST_TAKEOVER_SETTINGS
+            followers = [name for name in NAMES if name != old.replica]
+            for name in followers:
+                replicas.start(name, seed=seed)
+                replicas.run(0.6)
+            self.assertIs(old, replicas.leader())
+            replicas.isolated.add(old.replica)
+            while not replicas.has_leader(followers):
+                replicas.run(0.01)
+            self.assertLess(old.lease_until_s(replicas.now_s), replicas.now_s)
+
+    def test_candidates_at_the_same_time_do_not_split_the_vote(self):
+        settings = FAST_TAKEOVER_SETTINGS
+        for seed in range(20):
+            replicas = Replicas(settings)
+            replicas.run(1.0)
+            old = replicas.leader()
+            followers = [name for name in NAMES if name != old.replica]
+            for name in followers:
+                # The same seed draws the same election timeouts.
+                replicas.start(name, seed=seed)
+            replicas.run(0.5)
+            replicas.isolated.add(old.replica)
+            replicas.run(settings.election_max_s + settings.rival_deferral_s)
+            self.assertTrue(replicas.has_leader(followers), f"seed {seed}")
+
     def test_restarted_voter_grants_no_vote_while_the_lease_may_be_valid(self):
         replicas = Replicas()
         replicas.run(2.0)
