--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_link.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_link.py
@@ -91,16 +91,19 @@
         else:
             self._port.send(dispatcher, message)
 
-    def probe_if_due(self, relays: collections.abc.Iterable[str], now_s: float) -> None:
-        """Asks all relays for the dispatcher while it does not hear this entry.
+    def is_probe_due(self, now_s: float) -> bool:
+        """Returns whether to ask the relays now, as the dispatcher hears nothing."""
+        return self._is_enabled and self._term > 0 and self._path.is_probe_due(now_s)
+
+    def probe(self, relays: collections.abc.Iterable[str], now_s: float) -> None:
+        """Asks relays for the dispatcher.
 
         Args:
             relays: Linked entries that forward messages of entries.
             now_s: Current time.
         """
-        if self._is_enabled and self._term and self._path.is_probe_due(now_s):
-            for relay in relays:
-                self._send_relayed(relay, None, now_s)
+        for relay in relays:
+            self._send_relayed(relay, None, now_s)
 
     def _send_relayed(
         self, relay: str, message: CellMessage | None, now_s: float
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -540,7 +540,8 @@
                 self._maintained_at_s = now_s
                 await self._run_maintenance(now_s)
             await self._ask_entries_if_silent(now_s)
-            self._dispatcher_link.probe_if_due(self._entry_relays(), now_s)
+            if self._dispatcher_link.is_probe_due(now_s):
+                self._dispatcher_link.probe(self._entry_relays(), now_s)
             if self._gate.count and self._is_serving(now_s):
                 await self._gate.release(now_s)
             await self._flush()
