Take the service of late jobs out again

After a restart of all VMs the jobs that it keeps are those of callers who submit again after 1.3 s; an entry does not know the age of the first submission, and 51 of them were completed too late to be of use. Change: reverts. Jobs that cannot start in time are refused at once again.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_admission.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_admission.py
@@ -45,26 +45,6 @@
     deviation: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class SpareCapacity:
-    """Capacity that jobs can count on that have missed their objective.
-
-    Other jobs go before them, so only what the demand leaves is theirs.
-
-    Attributes:
-        rate_cores: Core-seconds per second that the demand leaves, not positive where
-            it leaves nothing.
-        backlog_core_s: Expected work of all waiting jobs.
-    """
-
-    rate_cores: float
-    backlog_core_s: float
-
-    def wait_s(self, ahead_core_s: float) -> float:
-        """Returns the time until work ahead of a late job is completed."""
-        return ahead_core_s / self.rate_cores if self.rate_cores > 0 else math.inf
-
-
 class Admission:
     """Refuses a job on arrival when the work ahead of it takes too long.
 
@@ -94,7 +74,6 @@
         *,
         start_delay_s: float = 0.0,
         outlook: Outlook | None = None,
-        spare: SpareCapacity | None = None,
     ) -> AdmissionDecision:
         """Decides whether a job is admitted.
 
@@ -105,8 +84,6 @@
             now_s: Current time.
             start_delay_s: Time until new jobs may start.
             outlook: What is predicted, or None to use the present capacity.
-            spare: Capacity for late jobs, or None to admit those only that start at
-                once.
         """
         rate_cores = self.rate_cores(capacity)
         wait_s = start_delay_s
@@ -120,11 +97,8 @@
         # A job that is late when it arrives, as it waited for a dispatcher, takes
         # nothing from others while there is free capacity.
         starts_at_once = wait_s <= 0 and now_s <= self._late_by_s(job)
-        is_useful = spare is not None and self._is_useful(
-            job, now_s + start_delay_s, spare, spare.backlog_core_s
-        )
         return AdmissionDecision(
-            is_admitted=wait_s <= slack_s or starts_at_once or is_useful,
+            is_admitted=wait_s <= slack_s or starts_at_once,
             predicted_wait_s=wait_s,
             slack_s=slack_s,
             retry_after_s=self.retry_after_s(wait_s),
@@ -138,20 +112,15 @@
         *,
         start_delay_s: collections.abc.Callable[[JobRecord], float],
         outlook: Outlook | None = None,
-        spare: SpareCapacity | None = None,
     ) -> list[JobRecord]:
         """Returns jobs that have not begun and cannot start by their ``refuse_by_s``.
 
-        With spare capacity, a job may start as late as its result is of use.
-
         Args:
             waiting: Jobs that wait for capacity, in the order in which they get it.
             capacity: Capacity of the workers that may run them.
             now_s: Current time.
             start_delay_s: Returns the time until a job may start.
             outlook: What is predicted, or None to use the present capacity.
-            spare: Capacity for late jobs, or None to keep those only that start at
-                once.
         """
         rate_cores = outlook.rate_cores if outlook else self.rate_cores(capacity)
         ahead_core_s = 0.0
@@ -159,29 +128,12 @@
         for job in waiting:
             wait_s = max(start_delay_s(job), ahead_core_s / rate_cores)
             late_by_s = self._late_by_s(job) if wait_s <= 0 else job.refuse_by_s
-            is_infeasible = not job.has_begun and now_s + wait_s > late_by_s
-            if is_infeasible and spare is not None:
-                starts_from_s = now_s + start_delay_s(job)
-                is_infeasible = not self._is_useful(
-                    job, starts_from_s, spare, ahead_core_s
-                )
-            if is_infeasible:
+            if not job.has_begun and now_s + wait_s > late_by_s:
                 infeasible.append(job)
             else:
                 ahead_core_s += self._work_core_s(job)
         return infeasible
 
-    def _is_useful(
-        self,
-        job: JobRecord,
-        starts_from_s: float,
-        spare: SpareCapacity,
-        ahead_core_s: float,
-    ) -> bool:
-        """Returns whether a job can start on spare capacity while it is of use."""
-        wait_s = spare.wait_s(ahead_core_s)
-        return starts_from_s + wait_s <= job.useful_start_by_s
-
     def _late_by_s(self, job: JobRecord) -> float:
         """Returns the latest time at which a job may start on free capacity."""
         if not self._admits_useful_late_jobs:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_contention_control.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_contention_control.py
@@ -4,14 +4,8 @@
 import collections.abc
 import itertools
 
-from hawthornbarrow.cells._admission import (
-    Admission,
-    AdmissionDecision,
-    Outlook,
-    SpareCapacity,
-)
+from hawthornbarrow.cells._admission import Admission, AdmissionDecision, Outlook
 from hawthornbarrow.cells._arrival_forecast import ArrivalForecast
-from hawthornbarrow.cells._demand_rate import DemandRate
 from hawthornbarrow.cells._job_record import JobRecord, Lane
 from hawthornbarrow.cells._load_features import LoadFeature
 from hawthornbarrow.cells._ordering import (
@@ -37,7 +31,7 @@
 
 
 class ContentionControl:
-    """Applies the enabled ones of shares, forecasts, late service and the return plan.
+    """Applies the enabled ones of shares, forecast, return plan and queue levels.
 
     It starts without history, as after a takeover, and decides as without the features
     until its history covers the sliding window.
@@ -85,7 +79,6 @@
             ReturnPlan() if LoadFeature.RETURN_PLAN in features else None
         )
         self._has_levels = LoadFeature.EARLY_REFUSAL in features
-        self._demand = DemandRate() if LoadFeature.LATE_SERVICE in features else None
         self._counts = counts
         self._waiting = WaitingJobs(order=TimelyPriorityOrder())
         self._table: QueueTable | None = None
@@ -133,8 +126,6 @@
                 jobs arrive together and say nothing about those that will arrive.
         """
         core_s = self._work_core_s(job)
-        if self._demand is not None:
-            self._demand.record(job.queue.service, core_s, job.arrived_at_s)
         if self._forecast is not None and not was_offered:
             self._forecast.record(job.queue.name, core_s, now_s)
         if self._return_plan is not None and self._return_plan.take(job.job):
@@ -180,7 +171,6 @@
             now_s,
             start_delay_s=start_delay_s,
             outlook=self._outlook(job, capacity, now_s),
-            spare=self._spare_capacity(job.queue.service, capacity, now_s),
         )
 
     def refuse(
@@ -239,12 +229,8 @@
         Under contention a job can count on the rate of its lane only.
         """
         if not waiting or not self._is_shared(waiting[0].queue.service):
-            spare = None
-            if waiting:
-                service = waiting[0].queue.service
-                spare = self._spare_capacity(service, capacity, now_s)
             return self._admission.find_infeasible(
-                waiting, capacity, now_s, start_delay_s=start_delay_s, spare=spare
+                waiting, capacity, now_s, start_delay_s=start_delay_s
             )
         lanes: dict[tuple[str, Lane], list[JobRecord]] = {}
         for job in waiting:
@@ -401,23 +387,6 @@
             )
         return self._overtaking[key]
 
-    def _spare_capacity(
-        self, service: str, capacity: CapacitySum, now_s: float
-    ) -> SpareCapacity | None:
-        """Returns the capacity for late jobs, or None where they are not served.
-
-        While queues compete for the workers, nothing is left for late jobs.
-        """
-        if self._demand is None or self._capacity.is_divided:
-            return None
-        if self._is_shared(service):
-            return None
-        demand_cores = self._demand.cores(service, now_s)
-        return SpareCapacity(
-            rate_cores=self._admission.rate_cores(capacity) - demand_cores,
-            backlog_core_s=self._waiting.total_core_s(service, self._run_times, now_s),
-        )
-
     def _free_rate_cores(
         self, service: str, capacity: CapacitySum, now_s: float
     ) -> float:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_load_features.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_load_features.py
@@ -22,7 +22,6 @@
     FAST_TAKEOVER = "fast-takeover"
     FAST_RESTART = "fast-restart"
     ENTRY_RELAYS = "entry-relays"
-    LATE_SERVICE = "late-service"
 
 
 NO_FEATURES: frozenset[LoadFeature] = frozenset()
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_waiting_jobs.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_waiting_jobs.py
@@ -19,27 +19,16 @@
     record: JobRecord
     sequence: int
     key: tuple | None = None
-    work: float = 0.0
-    is_in_time: bool = False
+    work: float | None = None
 
 
 @dataclasses.dataclass(kw_only=True)
-class _WorkSum:
-    """Waiting work of some jobs."""
+class _QueueWork:
+    """Waiting work of the jobs of a queue's lane that can still start in time."""
 
     job_count: int = 0
     core_s: float = 0.0
 
-    def add(self, core_s: float) -> None:
-        """Adds the work of a job."""
-        self.job_count += 1
-        self.core_s += core_s
-
-    def remove(self, core_s: float) -> None:
-        """Removes the work of a job, and what rounding has left after the last one."""
-        self.job_count -= 1
-        self.core_s = self.core_s - core_s if self.job_count else 0.0
-
 
 class WaitingJobs:
     """Keeps jobs sorted, and sums their work, as they change.
@@ -59,10 +48,7 @@
         self._sorted: list[tuple[tuple, int, JobRecord]] = []
         self._touched: set[str] = set()
         self._late_from: list[tuple[float, int, str]] = []
-        # Work of the jobs of a queue's lane that can still start in time.
-        self._work: dict[tuple[str, int, Lane], _WorkSum] = {}
-        # Work of all jobs by service and queue.
-        self._total_work: dict[tuple[str, str], _WorkSum] = {}
+        self._work: dict[tuple[str, int, Lane], _QueueWork] = {}
         self._sequence = itertools.count()
 
     def __len__(self) -> int:
@@ -150,15 +136,6 @@
             core_s[queue] = core_s.get(queue, 0.0) + expected
         return core_s
 
-    def total_core_s(self, service: str, run_times: RunTimes, now_s: float) -> float:
-        """Returns the expected work of all jobs of a service, late ones too."""
-        self._update(now_s)
-        return sum(
-            run_times.expected_s(queue, work.core_s)
-            for (of_service, queue), work in self._total_work.items()
-            if of_service == service
-        )
-
     def _update(self, now_s: float) -> None:
         while self._late_from and self._late_from[0][0] < now_s:
             _, sequence, job = heapq.heappop(self._late_from)
@@ -175,37 +152,34 @@
         record = place.record
         place.key = self._order.key(record, now_s)
         bisect.insort(self._sorted, (place.key, place.sequence, record))
+        if record.start_by_s < now_s:
+            return
         place.work = record.remaining_work
-        self._total_work.setdefault(_total_key(record), _WorkSum()).add(place.work)
-        place.is_in_time = record.start_by_s >= now_s
-        if place.is_in_time:
-            self._work.setdefault(_work_key(record), _WorkSum()).add(place.work)
+        work = self._work.setdefault(_work_key(record), _QueueWork())
+        work.job_count += 1
+        work.core_s += place.work
 
     def _take_out(self, place: _Place) -> None:
-        if place.key is None:
+        if place.key is not None:
+            position = bisect.bisect_left(self._sorted, (place.key, place.sequence))
+            del self._sorted[position]
+            place.key = None
+        if place.work is None:
             return
-        position = bisect.bisect_left(self._sorted, (place.key, place.sequence))
-        del self._sorted[position]
-        place.key = None
-        _remove_work(self._total_work, _total_key(place.record), place.work)
-        if place.is_in_time:
-            _remove_work(self._work, _work_key(place.record), place.work)
-
-
-def _remove_work(sums: dict[tuple, _WorkSum], key: tuple, core_s: float) -> None:
-    sums[key].remove(core_s)
-    if not sums[key].job_count:
-        del sums[key]
+        key = _work_key(place.record)
+        work = self._work[key]
+        work.job_count -= 1
+        work.core_s -= place.work
+        place.work = None
+        if not work.job_count:
+            # Also removes what rounding has left.
+            del self._work[key]
 
 
 def _work_key(record: JobRecord) -> tuple[str, int, Lane]:
     return record.queue.name, record.queue.priority, record.lane
 
 
-def _total_key(record: JobRecord) -> tuple[str, str]:
-    return record.queue.service, record.queue.name
-
-
 def plain_work_ahead_core_s(
     waiting: collections.abc.Iterable[JobRecord],
     priority: int,
