--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 SOAK_SEEDS ?= 3-4
 SOAK_SECONDS ?= 8
 SOAK_PATIENCE ?= 180
+SOAK_FEATURES ?= upstream-directory,gap-waiting,run-time-tails,shares,return-plan,fast-restart,entry-relays,fast-takeover
 
 .PHONY: demo soak test lint format bench fuzz fault-matrix path cost scenarios install
 
@@ -26,7 +27,7 @@
 	$(BIN)/python tools/run_tests.py $(PACKAGES) platform
 
 soak: install
-	$(BIN)/python -m tools.soak --seeds $(SOAK_SEEDS) --seconds $(SOAK_SECONDS) \
+	HAWTHORNBARROW_FEATURES=$(SOAK_FEATURES) $(BIN)/python -m tools.soak --seeds $(SOAK_SEEDS) --seconds $(SOAK_SECONDS) \
 		--patience $(SOAK_PATIENCE)
 
 lint: install
