--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -84,6 +84,7 @@
     Readiness,
     ServingState,
 )
+from hawthornbarrow_entry.fleet._relay_forwarding import RelayForwarding
 from hawthornbarrow_entry.fleet._replica_manager import ReplicaManager
 from hawthornbarrow_entry.fleet._request_gate import RequestGate
 from hawthornbarrow_entry.fleet._settings import FleetEntrySettings
@@ -101,7 +102,6 @@
 _FINAL_FLUSH_S = 0.2
 STARTUP_WAIT_S = 1.0  # two election timeouts; without a leader by then, none is near
 STARTUP_S = 3.0  # within which the other processes of a restarted deployment are back
-MAX_FORWARDED_COUNT = 500  # messages that a peer has not acknowledged
 MIN_DRAIN_S = 2.6  # after the request to stop; a balancer may take this long to notice
 DRAIN_ACCEPT_S = 2.4  # after the request to stop; callers may still arrive until then
 
@@ -164,17 +164,24 @@
             evacuation=self._evacuation,
             now_s=steady_s(),
         )
-        self._configuration = EntryConfiguration(
-            configuration_format=configuration_format
-        )
-        self._created_at_s = steady_s()
         self._dispatcher_link = DispatcherLink(
             entry=settings.name,
             port=self._port,
             timing=settings.timing,
             is_enabled=LoadFeature.ENTRY_RELAYS in settings.features,
-            now_s=self._created_at_s,
+            now_s=steady_s(),
         )
+        self._forwarding = RelayForwarding(
+            entry=settings.name,
+            port=self._port,
+            membership=self._membership,
+            caller_jobs=self._caller_jobs,
+            dispatcher_link=self._dispatcher_link,
+        )
+        self._configuration = EntryConfiguration(
+            configuration_format=configuration_format
+        )
+        self._created_at_s = steady_s()
         self._waits_in_gaps = LoadFeature.GAP_WAITING in settings.features
         waits = GapWaits(
             is_enabled=self._waits_in_gaps,
@@ -541,7 +548,7 @@
                 await self._run_maintenance(now_s)
             await self._ask_entries_if_silent(now_s)
             if self._dispatcher_link.is_probe_due(now_s):
-                self._dispatcher_link.probe(self._entry_relays(), now_s)
+                self._dispatcher_link.probe(self._forwarding.relays(), now_s)
             if self._gate.count and self._is_serving(now_s):
                 await self._gate.release(now_s)
             await self._flush()
@@ -706,20 +713,15 @@
                 peer, relayed, now_s, is_entry=is_entry
             )
             return
-        target = relayed.target
-        hears_directly = not self._dispatcher_link.relay
-        if not target and hears_directly and self._caller_jobs.hears_dispatcher(now_s):
-            target = self._caller_jobs.dispatcher
-        if target == self._settings.name or not self._may_forward(target):
-            return
-        await self._send(target, msgspec.structs.replace(relayed, target=target))
+        target = self._forwarding.target_of(relayed, now_s)
+        if target:
+            await self._send(target, msgspec.structs.replace(relayed, target=target))
 
     async def _on_relayed_reply(
         self, relay: str, relayed: RelayedMessage, now_s: float
     ) -> None:
         """Takes a message that the dispatcher has sent through a relay."""
-        dispatcher = self._membership.members.get(relayed.source)
-        if dispatcher is None or not dispatcher.relays_entries:
+        if not self._forwarding.is_relayed_dispatcher(relayed.source):
             return
         if isinstance(relayed.message, DispatcherHeartbeat):
             await self._on_heartbeat(
@@ -728,25 +730,6 @@
         else:
             await self._on_message(relayed.source, relayed.message, now_s)
 
-    def _entry_relays(self) -> list[str]:
-        """Returns the linked entries that may forward messages to the dispatcher."""
-        return [
-            member.name
-            for member in self._membership.alive
-            if member.relays_entries
-            and member.name not in (self._settings.name, self._caller_jobs.dispatcher)
-        ]
-
-    def _may_forward(self, target: str) -> bool:
-        """Returns whether a message can be forwarded at once to a process.
-
-        A message that waits for a link would only arrive when it is out of date.
-        """
-        member = self._membership.members.get(target)
-        understands = member is None or member.is_relay
-        has_room = self._port.unacknowledged_count(target) < MAX_FORWARDED_COUNT
-        return self._port.is_up(target) and understands and has_room
-
     async def _on_heartbeat(
         self,
         peer: str,
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_entry_relays.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_entry_relays.py
@@ -3,13 +3,16 @@
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 import curio
 from hawthornbarrow.cells import (
     DispatcherHeartbeat,
+    FleetMember,
     JobAnswer,
     JobState,
     LoadFeature,
+    RelayedMessage,
     SubmitJob,
 )
 from hawthornbarrow.clock import steady_s
@@ -17,8 +20,14 @@
 from hawthornbarrow.observability import EventGuard
 
 from hawthornbarrow_entry.fleet import CallerJobs, OutcomeKind
+from hawthornbarrow_entry.fleet._dispatcher_link import DispatcherLink
+from hawthornbarrow_entry.fleet._membership import Membership
+from hawthornbarrow_entry.fleet._relay_forwarding import (
+    MAX_FORWARDED_COUNT,
+    RelayForwarding,
+)
 from hawthornbarrow_entry.fleet.tests.test_caller_jobs import JOB, waiter
-from hawthornbarrow_entry.fleet.tests.test_process import Fleet, document
+from hawthornbarrow_entry.fleet.tests.test_process import TIMING, Fleet, document
 
 FEATURES = frozenset({LoadFeature.GAP_WAITING, LoadFeature.ENTRY_RELAYS})
 SERVED_WITHIN_S = 2.0  # three heartbeats until the cut is noticed, a relay, the runs
@@ -142,5 +151,50 @@
         self.assertEqual(OutcomeKind.UNKNOWN, self.caller.outcome.kind)
 
 
+class ForwardingTest(unittest.TestCase):
+    """Plays messages of a process that is cut off, at an entry that may relay them."""
+
+    def setUp(self):
+        self.port = mock.Mock()
+        self.port.is_up.return_value = True
+        self.port.unacknowledged_count.return_value = 0
+        own = FleetMember(name="r", address="r:1", data_centre="d", replica="")
+        caller_jobs = CallerJobs(features=FEATURES)
+        self.link = DispatcherLink(
+            entry="r", port=self.port, timing=TIMING, is_enabled=True, now_s=10.0
+        )
+        self.forwarding = RelayForwarding(
+            entry="r",
+            port=self.port,
+            membership=Membership(own=own, now_s=10.0),
+            caller_jobs=caller_jobs,
+            dispatcher_link=self.link,
+        )
+        self.heartbeat = DispatcherHeartbeat(term=1, heard_at_s=10.0, version=1)
+        caller_jobs.on_heartbeat("d", self.heartbeat, 10.0)
+
+    def target(self, now_s=10.0, target=""):
+        probe = RelayedMessage(source="e", target=target, sent_at_s=now_s)
+        return self.forwarding.target_of(probe, now_s)
+
+    def test_message_for_the_dispatcher_goes_to_the_one_that_is_heard(self):
+        self.assertEqual("d", self.target())
+        self.assertEqual("", self.target(now_s=10.5))
+
+    def test_entry_that_uses_a_relay_itself_forwards_nothing_to_the_dispatcher(self):
+        self.link.on_heartbeat("other", self.heartbeat, 10.0)
+        self.assertEqual("", self.target())
+
+    def test_answers_go_to_the_process_that_they_are_for(self):
+        self.assertEqual("e", self.target(target="e"))
+
+    def test_nothing_is_queued_behind_what_a_peer_has_not_received(self):
+        self.port.unacknowledged_count.return_value = MAX_FORWARDED_COUNT
+        self.assertEqual("", self.target())
+        self.port.unacknowledged_count.return_value = 0
+        self.port.is_up.return_value = False
+        self.assertEqual("", self.target())
+
+
 if __name__ == "__main__":
     unittest.main()
