Retire agents that had no upstream before they left sooner

An agent that has just restarted does not know of runs of its predecessor, and is retired as before.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_agent_registry.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_agent_registry.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import math
 
 import structlog
 from hawthornbarrow.cells import (
@@ -48,10 +49,14 @@
         self._retire_after_s = (
             max(TRACE_RETENTION_S, timing.lost_after_s) + RETIREMENT_MARGIN_S
         )
+        self._lost_after_s = timing.lost_after_s
+        self._retires_idle = LoadFeature.FAST_RESTART in features
         self._attach_requests: dict[str, tuple[AttachWorker, float]] = {}
         self._registering: set[str] = set()
         self._retiring: set[str] = set()
         self._absent_since_s: dict[str, float] = {}
+        # Since when agents have told that they have neither an upstream nor runs.
+        self._idle_since_s: dict[str, float] = {}
         self._directory = WorkerDirectory(
             is_enabled=LoadFeature.UPSTREAM_DIRECTORY in features
         )
@@ -68,6 +73,19 @@
         self._attach_requests[agent] = (message, now_s)
         self._directory.on_worker(agent, message.worker, is_leaving=message.is_leaving)
         self._absent_since_s.pop(agent, None)
+        if self._has_no_runs(message):
+            self._idle_since_s.setdefault(agent, now_s)
+        else:
+            self._idle_since_s.pop(agent, None)
+
+    def _has_no_runs(self, message: AttachWorker) -> bool:
+        """Returns whether no run is left at an agent that asks to attach.
+
+        An agent that has just restarted does not know the runs of its predecessor
+        before their leases have expired.
+        """
+        knows_runs = self._lost_after_s <= message.recorded_s < math.inf
+        return knows_runs and message.worker is None and not message.running
 
     def on_report(self, agent: str, worker: WorkerRecord, *, is_leaving: bool) -> None:
         """Records the worker of an attached agent, unless it waits to attach anew."""
@@ -142,15 +160,32 @@
         """
         retirements = []
         for agent, record in agents.items():
+            if agent in attached:
+                self._idle_since_s.pop(agent, None)
             if agent in attached or agent in self._attach_requests:
                 self._absent_since_s.pop(agent, None)
                 continue
             since_s = self._absent_since_s.setdefault(agent, now_s)
             absent_s = now_s - since_s
-            if absent_s > self._retire_after_s and agent not in self._retiring:
+            if agent not in self._retiring and self._may_retire(agent, absent_s, now_s):
                 self._retiring.add(agent)
+                self._idle_since_s.pop(agent, None)
                 retirements.append(
                     RetireAgent(name=agent, incarnation=record.incarnation)
                 )
                 _log.info("agent_struck", agent=agent, absent_s=round(absent_s, 1))
         return retirements
+
+    def _may_retire(self, agent: str, absent_s: float, now_s: float) -> bool:
+        """Returns whether neither runs nor traces of an absent agent matter any more.
+
+        The time for which traces matter counts from its last run. That is known of an
+        agent that had no upstream before it left, as after a scale-in.
+        """
+        if absent_s > self._retire_after_s:
+            return True
+        if not self._retires_idle:
+            return False
+        idle_s = now_s - self._idle_since_s.get(agent, math.inf)
+        is_gone = absent_s > self._lost_after_s + RETIREMENT_MARGIN_S
+        return is_gone and idle_s > self._retire_after_s
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_agent_registry.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_agent_registry.py
@@ -14,7 +14,10 @@
 )
 from hawthornbarrow.ledger import AgentRecord, RegisterAgent, RetireAgent
 
-from hawthornbarrow_entry.fleet._agent_registry import AgentRegistry
+from hawthornbarrow_entry.fleet._agent_registry import (
+    RETIREMENT_MARGIN_S,
+    AgentRegistry,
+)
 
 TIMING = RunLeaseTiming(run_lease_s=1.0, stop_s=0.05)
 
@@ -77,6 +80,44 @@
         attachable = self.registry.take_attachable({"a": record("a")}, 1.0)
         self.assertEqual(attachable, [])
 
+    def idle_then_absent(self, *, recorded_s, features, ended_after_s=3.0):
+        """Returns when an agent is retired that had no upstream before it left."""
+        registry = AgentRegistry(timing=TIMING, features=features)
+        request = msgspec.structs.replace(
+            attach_request(), worker=None, recorded_s=recorded_s
+        )
+        agents = {"a": record("a")}
+        for tenth in range(100):
+            now_s = tenth / 10
+            if now_s <= ended_after_s:
+                registry.on_attach_request("a", request, now_s)
+                registry.take_attachable(agents, now_s)
+            if registry.take_retirements(agents, (), now_s):
+                return now_s
+        return None
+
+    def test_agent_that_had_no_upstream_before_it_left_delays_no_takeover(self):
+        features = frozenset({LoadFeature.FAST_RESTART})
+        retired_s = self.idle_then_absent(recorded_s=60.0, features=features)
+        gone_s = 3.0 + TIMING.lost_after_s + RETIREMENT_MARGIN_S
+        self.assertAlmostEqual(gone_s, retired_s, delta=0.2)
+        retired_s = self.idle_then_absent(recorded_s=60.0, features=frozenset())
+        usual_s = 3.0 + TRACE_RETENTION_S + RETIREMENT_MARGIN_S
+        self.assertAlmostEqual(usual_s, retired_s, delta=0.2)
+
+    def test_traces_of_runs_before_the_loss_of_the_upstream_are_kept(self):
+        features = frozenset({LoadFeature.FAST_RESTART})
+        retired_s = self.idle_then_absent(
+            recorded_s=60.0, features=features, ended_after_s=0.5
+        )
+        self.assertGreater(retired_s, TRACE_RETENTION_S + RETIREMENT_MARGIN_S)
+
+    def test_agent_that_has_just_restarted_is_retired_as_usual(self):
+        features = frozenset({LoadFeature.FAST_RESTART})
+        retired_s = self.idle_then_absent(recorded_s=0.5, features=features)
+        usual_s = 3.0 + TRACE_RETENTION_S + RETIREMENT_MARGIN_S
+        self.assertAlmostEqual(usual_s, retired_s, delta=0.2)
+
     def test_absent_agent_is_retired_after_trace_retention(self):
         agents = {"a": record("a"), "b": record("b")}
         self.assertEqual(self.retirements(agents, {"b"}, seconds=TRACE_RETENTION_S), [])
