--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -177,8 +177,7 @@
             self._relayed_entries.add(source)
         else:
             self.on_frame(source, now_s)
-        authority = self._current_authority(now_s, self._table)
-        if is_new and authority is not None:
+        if is_new and self._current_authority(now_s, self._table) is not None:
             await self._send_relayed_heartbeat(self._dispatcher, source, now_s)
         if is_entry:
             await self._on_relayed_entry_message(source, relayed.message, now_s)
@@ -191,6 +190,7 @@
     async def _on_relayed_entry_message(
         self, entry: str, message: CellMessage | None, now_s: float
     ) -> None:
+        """Processes a message of an entry, which gets its answers through its relay."""
         if message is None:
             return
         self._entry_watch.on_relayed_entry(now_s)
