--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -27,6 +27,7 @@
         "hawthornbarrow.links.tests.test_port",
         "hawthornbarrow.links.tests.test_session",
         "hawthornbarrow.shutdown.tests.test_signals",
+        "hawthornbarrow_entry.fleet.tests.test_entry_relays",
         "hawthornbarrow_entry.fleet.tests.test_evacuation",
         "hawthornbarrow_entry.fleet.tests.test_process",
         "hawthornbarrow_entry.tests.test_fleet_fuzz",
