--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -292,7 +292,9 @@
         answer = await call(machine.ready, "GET", "/api/readyz", timeout_s=0.8)
         return answer is not None and answer.status == 200
 
-    async def put_configuration(self, document: dict, timeout_s: float = 15.0) -> None:
+    async def put_configuration(
+        self, document: dict, timeout_s: float = 15.0, *, interval_s: float = 0.3
+    ) -> None:
         """Sends a configuration to the entries in turn until it is acknowledged."""
         until_s = self._record.now_s + timeout_s
         for n in range(10_000):
@@ -311,7 +313,7 @@
                 return
             if self._record.now_s > until_s:
                 raise CannotRunError("the configuration was not acknowledged")
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(interval_s)
 
     async def dispatcher(self) -> Machine | None:
         """Returns the entry whose metrics say that it dispatches, or None."""
