--- a/review/standins/scenario.py
+++ b/review/standins/scenario.py
@@ -4,6 +4,7 @@
 import collections.abc
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import traceback
@@ -36,6 +37,9 @@
     record.write("scenario", trouble=has_trouble())
 
     async def run_in_time() -> list[str]:
+        # So that the processes of the scenario end with it.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             keep = os.environ.get("KEEP_LOGS")
             path = pathlib.Path(keep or temporary)
@@ -49,7 +53,7 @@
         record.write("cannot_run", reason=str(error))
         print(f"cannot run: {error}")
         sys.exit(CANNOT_RUN)
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write("cannot_run", reason=repr(error))
         traceback.print_exc()
         sys.exit(CANNOT_RUN)
