--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -11,7 +11,7 @@
 from standins.record import Record
 
 HOST = "front.example"
-PREFIX = "/work/"
+PREFIX = "/desk/"
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -373,7 +373,7 @@
             {
                 "name": "r-1",
                 "host": "front.example",
-                "pathPrefix": "/work/",
+                "pathPrefix": "/desk/",
                 "kind": "non_idempotent",
                 "timeoutMs": timeout_ms,
                 "targetDurationMs": 60,
