Ask an announced upstream before it replaces the current one

A liveness report of a crashed upstream arrived 5 s late, after its successor had registered and got tasks. The agent took the unknown id for a new incarnation, reported the runs of the living one as lost, and counted the living one as replaced, so that it got no task again.

Cause, from the agent's log: three run_ended with "the upstream is another incarnation" 0.2 ms after the announcement and before any call; the call that follows is answered with 421. The order in which announcements arrive says nothing about the order of starts.

Change: an announcement of another id is kept (AnnouncedUpstreams) until calls decide. While the current upstream answers to its id, older announcements are late. The announced one becomes the current one with its first listing. The list of replaced incarnations, which could not be corrected, is gone; only the order of starts under one id remains.

The same cause on related paths, mended with it: a restarted agent reported that it has no runs after a late announcement, before the leases of its predecessor had expired; one refused connection excluded an upstream for good; fences of starts were removed; a withdrawal lost its incarnation.

The simulated upstream now refuses calls for a former incarnation, as the protocol says. test_upstream_that_refused_a_connection_once_is_used_again lists before it looks at the upstream, and checks a start besides: an announcement alone no longer sets it.

--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -234,12 +234,11 @@
         Returns:
             Whether it is not an announcement of a former incarnation.
         """
-        if not self._supervisor.announce(
-            worker, is_leaving, steady_s(), remaining_s=remaining_s
-        ):
-            return False
-        self._client.set_address(address)
-        return True
+        may_run = self._supervisor.announce(
+            worker, is_leaving, steady_s(), remaining_s=remaining_s, address=address
+        )
+        self._update_address()
+        return may_run
 
     def withdraw(self, upstream: str) -> None:
         """Processes the departure of the upstream, given by its incarnation."""
@@ -326,6 +325,7 @@
                 await self._on_message(item.peer, item.message, now_s)
             case _RunsListed():
                 self._supervisor.on_listing(item.listing, now_s)
+                self._update_address()
             case _UpstreamGone():
                 self._supervisor.on_upstream_gone(item.upstream, now_s)
             case _StartAnswered():
@@ -419,6 +419,7 @@
         worker = self._supervisor.listed_worker
         if worker is None:
             return False
+        self._update_address()
         lease_until_s = self._supervisor.lease_until_s
         if may_renew:
             self._supervisor.record_renewal(lease_until_s)
@@ -442,6 +443,11 @@
         await self._mailbox.post(_RunsListed(listing=listing))
         return True
 
+    def _update_address(self) -> None:
+        """Makes the next calls at the address of the upstream that is to answer."""
+        if self._supervisor.address:
+            self._client.set_address(self._supervisor.address)
+
     async def _make_calls(self) -> None:
         async with curio.TaskGroup(wait=None) as group:
             while True:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -80,6 +80,7 @@
         Step,
         TaskKey,
         WorkerRecord,
+        incarnation_key,
     )
     from hawthornbarrow.cells._relay_routes import RelayRoutes
     from hawthornbarrow.cells._resubmission import (
@@ -188,6 +189,7 @@
     "decode_worker",
     "encode_worker",
     "first_term",
+    "incarnation_key",
     "is_standby_term",
     "ledger_term_of",
     "parse_features",
@@ -263,6 +265,7 @@
         "Step": "_parts",
         "TaskKey": "_parts",
         "WorkerRecord": "_parts",
+        "incarnation_key": "_parts",
         "RelayRoutes": "_relay_routes",
         "EntryWatch": "_resubmission",
         "LOST_ENTRY_WINDOW_S": "_resubmission",
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_announcement_order.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_announcement_order.py
@@ -32,7 +32,7 @@
                 announcement is taken for one of the newest incarnation.
             sequence: Its sequence number, which rises with each announcement.
         """
-        newest_born_ms = self._newest_born_ms.get(upstream, 0)
+        newest_born_ms = self.newest_born_ms(upstream)
         born_ms = born_ms or newest_born_ms
         if born_ms < newest_born_ms:
             return False
@@ -48,13 +48,17 @@
             self._overtaken_left[key] = overtaken_left - 1
         return overtaken_left == 0
 
+    def newest_born_ms(self, upstream: str) -> int:
+        """Returns when the newest incarnation of an id started, zero if unknown."""
+        return self._newest_born_ms.get(upstream, 0)
+
     def withdraw(self, upstream: str) -> int:
         """Records the withdrawal of an upstream.
 
         Returns:
             When its newest incarnation started, zero if unknown.
         """
-        key = upstream, self._newest_born_ms.get(upstream, 0)
+        key = upstream, self.newest_born_ms(upstream)
         if key in self._sequences:
             self._overtaken_left[key] = MAX_OVERTAKEN
         return key[1]
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_parts.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_parts.py
@@ -151,6 +151,16 @@
         return cls(job=parts[0], occurrence=occurrence, step=step, index=index)
 
 
+def incarnation_key(upstream: str, born_ms: int) -> str:
+    """Returns the key of an incarnation, which differs between starts of one id.
+
+    Args:
+        upstream: Id of the upstream.
+        born_ms: When the incarnation started, zero if it does not say.
+    """
+    return f"{upstream}@{born_ms}" if born_ms else upstream
+
+
 class WorkerRecord(_Part, kw_only=True):
     """One incarnation of a worker's upstream, as it announced itself.
 
@@ -175,7 +185,7 @@
     @property
     def incarnation(self) -> str:
         """Key of the incarnation, which differs between starts under the same id."""
-        return f"{self.upstream}@{self.born_ms}" if self.born_ms else self.upstream
+        return incarnation_key(self.upstream, self.born_ms)
 
 
 class QueueLevel(_Part, kw_only=True):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
@@ -11,6 +11,10 @@
 import msgspec
 import structlog
 
+from hawthornbarrow.cells._announced_upstreams import (
+    AnnouncedUpstream,
+    AnnouncedUpstreams,
+)
 from hawthornbarrow.cells._announcement_order import OwnService
 from hawthornbarrow.cells._dispatcher_path import DispatcherPath
 from hawthornbarrow.cells._dispatcher_tracker import DispatcherTracker
@@ -99,6 +103,7 @@
         self._inherited_runs_until_s = now_s + timing.lost_after_s
         self._has_had_upstream = False
         self._worker: WorkerRecord | None = None
+        self._address = ""
         # Whether the attributes of the current incarnation are known.
         self._is_described = False
         self._has_announced_itself = False
@@ -124,6 +129,7 @@
         self._calls: list[StartCall | StopCall] = []
         self._unknown_stopped_at_s: dict[tuple[str, int], float] = {}
         self._lost_runs = LostRuns()
+        self._announced = AnnouncedUpstreams()
         self._former_upstreams = FormerUpstreams()
         self._fences = StartFences(
             timing=timing, retry_interval_s=STOP_RETRY_INTERVAL_S
@@ -168,9 +174,21 @@
     def listed_worker(self) -> WorkerRecord | None:
         """The worker whose upstream is to list its runs, None when there is none.
 
-        Without an upstream, that is the one that the directory lists.
+        Without an upstream, that is the one that announced itself last, or else the one
+        that the directory lists.
         """
-        return self._worker or self._known_upstream.worker
+        if self._worker is not None:
+            return self._worker
+        announced = self._announced.newest
+        return announced.worker if announced else self._known_upstream.worker
+
+    @property
+    def address(self) -> str:
+        """Address that the listed worker announced, empty if it is not known."""
+        if self._worker is not None:
+            return self._address
+        announced = self._announced.newest
+        return announced.address if announced else ""
 
     @property
     def is_attached(self) -> bool:
@@ -206,14 +224,14 @@
         if not self.term:
             return False
         if self._worker is None:
-            return self._known_upstream.worker is not None
+            return self.listed_worker is not None
         return not self._has_no_unknown_runs or self._contact.is_silent(now_s)
 
     @property
     def awaits_clean_listing(self) -> bool:
         """Whether the attach request waits only for a listing without unknown runs."""
         if self._worker is None:
-            return self._known_upstream.worker is not None
+            return self.listed_worker is not None
         return not self._has_no_unknown_runs and self._tracker.dispatcher != ""
 
     def may_renew(self, now_s: float) -> bool:
@@ -253,19 +271,24 @@
         now_s: float,
         *,
         remaining_s: float | None = None,
+        address: str = "",
     ) -> bool:
         """Processes an announcement of an upstream.
 
+        An upstream with another id than the current one replaces it once a listing
+        shows that it is running. Of the current id, a later start proves a restart.
+
         Args:
             worker: The upstream. A record that does not say when its incarnation
                 started describes the current one of its id.
             is_leaving: Whether it accepts no new tasks.
             now_s: Current time.
             remaining_s: Minimum time until a leaving upstream ends, None if unknown.
+            address: Its IP address and port, empty if the calls need none.
 
         Returns:
-            Whether it is the current incarnation, or a new one. An announcement of a
-            former one was delayed.
+            Whether it may be running. An announcement of an incarnation that is known
+            to have been replaced was delayed.
         """
         current = self._worker
         if current is not None and worker.upstream == current.upstream:
@@ -280,7 +303,10 @@
                 current=self.upstream,
             )
             return False
-        is_other = current is None or worker.incarnation != current.incarnation
+        if current is None or worker.upstream != current.upstream:
+            self._add_announced(worker, is_leaving, now_s, remaining_s, address)
+            return True
+        is_other = worker.incarnation != current.incarnation
         if is_other or worker.service != current.service:
             self._replace_upstream(worker, now_s)
         elif not self._is_described or not _has_same_attributes(worker, current):
@@ -288,10 +314,54 @@
         elif worker.capacity != current.capacity:
             self._set_capacity(worker)
         self._has_announced_itself = True
+        self._address = address
         if is_leaving:
             self._on_leaving(remaining_s, now_s)
         return True
 
+    def _add_announced(
+        self,
+        worker: WorkerRecord,
+        is_leaving: bool,
+        now_s: float,
+        remaining_s: float | None,
+        address: str,
+    ) -> None:
+        """Keeps an announcement until a listing shows whether its sender is running."""
+        announced = AnnouncedUpstream(
+            worker=worker,
+            address=address,
+            is_leaving=is_leaving,
+            leaving_until_s=None if remaining_s is None else now_s + remaining_s,
+            announced_at_s=now_s,
+        )
+        if self._announced.add(announced):
+            _log.info(
+                "announcement_unconfirmed",
+                upstream=worker.incarnation,
+                current=self.upstream,
+                held=len(self._runs),
+            )
+
+    def _on_confirmed(self, announced: AnnouncedUpstream, now_s: float) -> None:
+        """Makes an upstream the current one after its first listing."""
+        self._replace_upstream(announced.worker, now_s)
+        self._has_announced_itself = True
+        self._address = announced.address
+        if announced.is_leaving:
+            until_s = announced.leaving_until_s
+            remaining_s = None if until_s is None else max(0.0, until_s - now_s)
+            self._on_leaving(remaining_s, now_s)
+
+    def _remove_late_announcements(self, asked_at_s: float) -> None:
+        for announced in self._announced.remove_late(asked_at_s):
+            self._counts["late_announcement"] += 1
+            _log.info(
+                "late_announcement_ignored",
+                upstream=announced.worker.incarnation,
+                current=self.upstream,
+            )
+
     def _is_foreign(self, worker: WorkerRecord) -> bool:
         """Returns whether an announcement is of another service than this agent's."""
         if self._own_service.is_own(worker.service):
@@ -352,6 +422,7 @@
 
     def withdraw(self, upstream: str, now_s: float) -> None:
         """Processes the departure of an upstream, given by its incarnation."""
+        self._announced.remove(upstream)
         if self._worker is not None and self.upstream == upstream:
             _log.info("upstream_left", upstream=upstream, held=len(self._runs))
             self._end_all_as_lost("the upstream left", now_s)
@@ -369,6 +440,9 @@
             now_s: Current time.
         """
         self._known_upstream.on_gone(upstream)
+        if self._announced.remove(upstream):
+            self._counts["late_announcement"] += 1
+            _log.info("announcement_disproved", upstream=upstream)
         if self._worker is not None and self.upstream == upstream:
             self._fence_starts(now_s, only_open=True)
             youngest = max(
@@ -382,7 +456,6 @@
                 ran_s=round(now_s - youngest.ordered_at_s, 3) if youngest else 0.0,
             )
             self._end_after_crash("the upstream is gone", now_s)
-            self._former_upstreams.on_gone(upstream)
             self._worker = None
             self._end_session()
 
@@ -419,7 +492,7 @@
             self._end_after_crash("the upstream is another incarnation", now_s)
         self._fences.on_incarnation(worker.upstream)
         self._has_had_upstream = True
-        self._former_upstreams.on_announced(worker, self.upstream)
+        self._former_upstreams.add_newest(worker)
         self._lost_runs.take()
         self._worker = worker
         self._is_described = is_described
@@ -673,6 +746,7 @@
         """Reconciles the runs with a listing of the upstream."""
         if not self._is_of_current(listing, now_s):
             return
+        self._remove_late_announcements(listing.asked_at_s)
         is_newest = self._contact.on_listing(listing.asked_at_s, now_s)
         self._lost_runs.on_listing({run.task for run in listing.running})
         for ended in listing.ended:
@@ -691,9 +765,13 @@
     def _is_of_current(self, listing: Listing, now_s: float) -> bool:
         """Returns whether a listing is of the current incarnation.
 
-        It may be the first sign of it: of the upstream that the directory lists, or of
-        an upstream that has restarted under the same id.
+        It may be the first sign of it: of an upstream that announced itself or that the
+        directory lists, or of an upstream that has restarted under the same id.
         """
+        announced = self._announced.confirm(listing)
+        if announced is not None and announced.worker not in self._former_upstreams:
+            self._on_confirmed(announced, now_s)
+            return True
         if self._worker is None:
             known = self._known_upstream.confirm(listing)
             if known is None or known in self._former_upstreams:
@@ -809,6 +887,7 @@
         if self._runs and now_s > self._all_ended_at_s:
             self._expire_lease(now_s)
         self._check_upstream_silence(now_s)
+        self._give_up_unreachable(now_s)
         self._repeat_overdue_starts(now_s)
         if self._worker is not None:
             self._calls += self._fences.take_calls(self._worker, self.term, now_s)
@@ -860,6 +939,18 @@
             )
             self._end_session()
 
+    def _give_up_unreachable(self, now_s: float) -> None:
+        """Gives up an upstream that does not answer, if another one announced itself.
+
+        Its runs have ended by then. It is asked again when it announces itself.
+        """
+        if self._worker is None or self._runs or not self._announced:
+            return
+        if self._contact.is_unreachable(now_s):
+            _log.warning("upstream_unreachable", upstream=self.upstream)
+            self._worker = None
+            self._end_session()
+
     def _expire_lease(self, now_s: float) -> None:
         """Ends the session, since the upstream has ended runs that were not renewed."""
         self._counts["lease_lapsed"] += 1
@@ -910,7 +1001,7 @@
             return
         if self._worker is not None and not self._has_no_unknown_runs:
             return
-        if self._worker is None and self._fences.may_run(now_s):
+        if self._worker is None and (self._announced or self._fences.may_run(now_s)):
             return
         if not self._has_had_upstream and now_s < self._inherited_runs_until_s:
             return
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_upstream_contact.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_upstream_contact.py
@@ -59,6 +59,10 @@
         """Returns whether the upstream should get no new tasks."""
         return self._overdue_count >= MAX_OVERDUE_LISTINGS or self.is_silent(now_s)
 
+    def is_unreachable(self, now_s: float) -> bool:
+        """Returns whether it is silent although several listings were requested."""
+        return self._overdue_count >= MAX_OVERDUE_LISTINGS and self.is_silent(now_s)
+
     def on_response(self, response_s: float, now_s: float) -> None:
         """Records the response time of an answered call."""
         self._response_times.record(response_s)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell_simulation.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/_cell_simulation.py
@@ -246,6 +246,7 @@
         self.waiting_requests = {}
         self.requested_at_s = {}
         self.announced_at_s = {}
+        self.late_announcements = []
         self.first_start_s = math.inf
         self.generator = random.Random(seed)
         self.now_s = 100.0
@@ -311,10 +312,17 @@
             self.announce(name)
 
     def announce(self, name, *, is_leaving=False):
+        self.agents[name].announce(self.record_of(name), is_leaving, self.now_s)
+
+    def record_of(self, name):
         record = self.upstreams[name].record()
         data_centre = self.data_centres.get(name, "d")
-        record = msgspec.structs.replace(record, data_centre=data_centre)
-        self.agents[name].announce(record, is_leaving, self.now_s)
+        return msgspec.structs.replace(record, data_centre=data_centre)
+
+    def announce_late(self, name, delay_s):
+        """Holds an announcement of the current incarnation up on its way."""
+        at_s = self.now_s + delay_s
+        self.late_announcements.append((at_s, name, self.record_of(name)))
 
     def restart_all_processes(self, *, election_s=0.3):
         """Kills and restarts all entries and agents beside running upstreams.
@@ -342,6 +350,11 @@
         self.take_over()
 
     def step_announcements(self):
+        for item in list(self.late_announcements):
+            at_s, name, record = item
+            if self.now_s >= at_s:
+                self.late_announcements.remove(item)
+                self.agents[name].announce(record, False, self.now_s)
         for name, at_s in list(self.announced_at_s.items()):
             if self.now_s >= at_s:
                 del self.announced_at_s[name]
@@ -688,8 +701,7 @@
         if worker is None:
             return
         if worker.upstream != upstream.id:
-            if not agent.upstream:
-                agent.on_upstream_gone(worker.incarnation, self.now_s)
+            agent.on_upstream_gone(worker.incarnation, self.now_s)
             return
         may_renew = agent.may_renew(self.now_s)
         if not may_renew and not agent.may_poll(self.now_s):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_crash_reports.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_crash_reports.py
@@ -238,7 +238,10 @@
     def test_upstream_that_refused_a_connection_once_is_used_again(self):
         self.agent.on_upstream_gone("u1", self.now_s)
         self.announce("u1")
+        self.list_runs("u1")
         self.assertEqual("u1", self.agent.upstream)
+        self.attach()
+        self.start(1)
 
 
 class _EndedRunBefore(msgspec.Struct, array_like=True, kw_only=True):
