Drop log lines that a full disk refuses

BoundedWriter dropped lines only for a full or closed pipe; any other error of the write came out of the call that logged. It drops and counts lines for each of them now.

Processes of the users' platform log to pipes, so this was not seen there.

--- a/packages/hawthornbarrow/src/hawthornbarrow/observability/_logs.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/_logs.py
@@ -1,8 +1,8 @@
 """Structured logs: one line of key=value pairs per event, on standard output.
 
-Writing never blocks: lines that the pipe does not accept, and lines beyond the rate
-limit of MAX_LINES_PER_S, are dropped and counted. The next line that is written
-contains the number of dropped lines.
+Writing never blocks or fails: lines that the pipe or the file does not accept, and
+lines beyond the rate limit of MAX_LINES_PER_S, are dropped and counted. The next line
+that is written contains the number of dropped lines.
 """
 
 import logging
@@ -76,10 +76,13 @@
         return False
 
     def _write_available(self, data: bytes) -> bool:
-        """Writes what the pipe accepts; returns False if it accepts nothing."""
+        """Writes what the descriptor accepts; returns False if that is nothing.
+
+        A pipe may be full or closed, and the disk of a file may have no room.
+        """
         try:
             written = os.write(self._descriptor, data)
-        except (BlockingIOError, BrokenPipeError):
+        except OSError:
             return False
         self._unwritten = data[written:]
         return True
--- a/packages/hawthornbarrow/src/hawthornbarrow/observability/tests/test_logs.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/tests/test_logs.py
@@ -82,6 +82,15 @@
         lengths = {len(line) for line in text.splitlines()[:-1]}
         self.assertEqual({999}, lengths)
 
+    def test_lines_for_a_file_on_a_full_disk_are_dropped_and_counted(self):
+        """Guards against processes that end with the first line on a full disk."""
+        descriptor = os.open("/dev/full", os.O_WRONLY)
+        self.addCleanup(os.close, descriptor)
+        writer = BoundedWriter(descriptor=descriptor)
+        writer.write_line("x")
+        writer.write_line("x")
+        self.assertEqual(2, writer.dropped)
+
     def test_lines_beyond_the_budget_are_dropped(self):
         writer = BoundedWriter(
             descriptor=self.writer, lines_per_s=0.0, max_burst_lines=3
