Keep an entry running when its burn rates cannot be saved

An entry of the own interface saves the counts of its burn rates every 10 s after jobs have ended. On a full disk that raised OSError in the task that serves, and the process ended. Now the former file stays, the failure is logged (burn_rates_not_saved), and the next call tries again.

--- a/packages/hawthornbarrow/src/hawthornbarrow/observability/_burn.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/_burn.py
@@ -9,6 +9,7 @@
 import pathlib
 
 import msgspec
+import structlog
 
 from hawthornbarrow.configuration import Configuration, Objective
 
@@ -16,6 +17,8 @@
 _BUCKET_S = 60
 _RETAINED_BUCKET_COUNT = WINDOWS_S[-1] // _BUCKET_S
 
+_log = structlog.get_logger()
+
 
 class BurnRow(msgspec.Struct, frozen=True, kw_only=True):
     """Burn rates of one objective.
@@ -89,17 +92,27 @@
         ]
 
     def save(self, time_s: float) -> None:
-        """Writes changed counts to the file and syncs it to disk."""
+        """Writes changed counts to the file and syncs it to disk.
+
+        If that fails, the former file stays, and the next call tries again.
+        """
         if self._path is None or not self._has_unsaved_counts:
             return
         self._delete_expired_buckets(time_s)
-        temporary_path = self._path.with_name(self._path.name + ".new")
+        try:
+            self._write(self._path)
+        except OSError as error:
+            _log.warning("burn_rates_not_saved", reason=str(error))
+            return
+        self._has_unsaved_counts = False
+
+    def _write(self, path: pathlib.Path) -> None:
+        temporary_path = path.with_name(path.name + ".new")
         with open(temporary_path, "wb") as file:
             file.write(msgspec.json.encode(self._counts))
             file.flush()
             os.fsync(file.fileno())
-        os.replace(temporary_path, self._path)
-        self._has_unsaved_counts = False
+        os.replace(temporary_path, path)
 
     def _row(self, name: str, objective: Objective, time_s: float) -> BurnRow:
         jobs = {}
--- a/packages/hawthornbarrow/src/hawthornbarrow/observability/tests/test_burn.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/tests/test_burn.py
@@ -1,6 +1,8 @@
+import os
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 from hawthornbarrow.configuration import Configuration, Objective
 from hawthornbarrow.observability import (
@@ -51,6 +53,19 @@
             rows = BurnRateTracker(path=path).rows(CONFIGURATION, 10_000.0)
         self.assertEqual(rows[0].jobs[300], 5)
 
+    def test_counts_that_a_full_disk_refused_are_saved_later(self):
+        """Guards against processes that end when the counts cannot be saved."""
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / "burn.json"
+            tracker = BurnRateTracker(path=path)
+            record_jobs(tracker, 5, 2.0, 10_000.0)
+            with mock.patch.object(os, "fsync", side_effect=OSError(28, "no space")):
+                tracker.save(10_000.0)
+            self.assertFalse(path.exists())
+            tracker.save(10_000.0)
+            rows = BurnRateTracker(path=path).rows(CONFIGURATION, 10_000.0)
+        self.assertEqual(rows[0].jobs[300], 5)
+
     def test_burn_rates_are_rendered_as_text_and_plots(self):
         tracker = BurnRateTracker(path=None)
         record_jobs(tracker, 5, 2.0, 10_000.0)
