Open a replica again after its storage has failed, in both stacks

Operators of the own interface saw every change refused for good after the disks of two of three entries had been full for some seconds, while all processes ran: 503 "not committed within 10.0 s". Each replica stopped with its first failed write (ledger_stopped), and EntryProcess waited forever after that. The fleet had a loop of its own and held.

ReplicatedLedger now loads its storage again every 0.5 s and takes part again. It keeps its state, which has only committed commands, so that a configuration does not go back, and the proposals that wait; messages of other replicas are dropped meanwhile. The loop of the fleet is gone. In the storage, on the same path: the log is written anew after a failed operation, since entries whose sync failed are read back from memory as if they were stored; it is synced when it is loaded; descriptors of failed rewrites are closed.

test_replica_is_reopened_after_failed_write looked for another storage object; it now waits until the entry has no replica, then until it has one.

--- a/benchmarks/fault_matrix.py
+++ b/benchmarks/fault_matrix.py
@@ -305,6 +305,15 @@
     cluster.run(2.0)
 
 
+def _fill_disks(cluster: Cluster) -> None:
+    """Lets writes fail at each replica in turn, at the leader first."""
+    leader = _leader(cluster)
+    for name in sorted(cluster.nodes, key=lambda name: name != leader):
+        for keeps_term in (False, True):
+            cluster.fail_write(name, keeps_term=keeps_term)
+            cluster.run(0.5)
+
+
 def _crash_all(cluster: Cluster) -> None:
     for name in sorted(cluster.nodes):
         cluster.crash(name, before_sync=True)
@@ -370,6 +379,7 @@
 LEDGER_FAULTS: dict[str, ClusterAction] = {
     "leader crash": _crash_leader,
     "torn write": _crash_before_sync,
+    "full disks": _fill_disks,
     "all crash": _crash_all,
     "disk lost": _lose_disk,
     "cut": _isolate_leader,
@@ -400,8 +410,8 @@
 
 _NOT_APPLICABLE = (
     "full disk, torn write, slow disk and lost disk at fleet steps: entries and agents "
-    "store nothing on disk except the ledger, whose steps are run with these faults; a "
-    "full disk stops its replica for good, as a crash does (see also test_storage)",
+    "store nothing on disk except the ledger, whose steps are run with these faults "
+    "(see also test_full_disk)",
     "duplicated messages at fleet steps: links number messages and drop duplicates "
     "(see the fuzz test of links), so the cores never receive them",
 )
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
@@ -143,7 +143,7 @@
         link_host, link_port = _split_address(settings.link_listen)
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._serve)
-            await group.spawn(self._run_ledger)
+            await group.spawn(self._ledger.run)
             await group.spawn(self._port.listen, link_host, link_port)
             for name, address in settings.peers.items():
                 if name < settings.name:
@@ -179,11 +179,6 @@
             generator=generator,
         )
 
-    async def _run_ledger(self) -> None:
-        """Runs the replica; if it stops, keeps the process up to finish open jobs."""
-        await self._ledger.run()
-        await curio.sleep(float("inf"))
-
     async def _serve(self) -> None:
         while True:
             events = await self._mailbox.drain(timeout_s=self._core.next_due_s)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_replica_manager.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_replica_manager.py
@@ -9,7 +9,6 @@
 from hawthornbarrow.ledger import (
     FAST_TAKEOVER_SETTINGS,
     FileStorage,
-    LedgerStorageError,
     LinkReplicaTransport,
     RaftSettings,
     ReplicatedLedger,
@@ -28,7 +27,6 @@
 
 MEMBERSHIP_QUIET_S = 1.0  # without a change; all starting entries are known then
 BOOTSTRAP_TIMEOUT_S = 5.0  # after which fewer initial voters than required suffice
-REOPEN_INTERVAL_S = 1.0
 
 _log = structlog.get_logger()
 
@@ -70,9 +68,7 @@
         self._generator = generator
         self._ledger: ReplicatedLedger | None = None
         self._transport: LinkReplicaTransport | None = None
-        self._storage: FileStorage | None = None
         self._opened = curio.Event()
-        self._inactive_since_s = settings.started_at_s
         self._discovery_started_at_s = 0.0
         self._initial_voters: tuple[str, ...] = ()
         self._identity = ""
@@ -86,7 +82,9 @@
 
     @property
     def ledger(self) -> ReplicatedLedger | None:
-        """The replica, once it is open."""
+        """The replica, while it is open."""
+        if self._ledger is None or self._ledger.is_stopped:
+            return None
         return self._ledger
 
     async def run(self) -> None:
@@ -96,36 +94,16 @@
             await curio.Event().wait()
         elif not self._settings.is_first_start or holds_ledger(folder):
             await self._open()
-        while True:
-            await self._opened.wait()
-            assert self._ledger is not None
-            await self._ledger.run()
-            await self._reopen()
-
-    async def _reopen(self) -> None:
-        """Opens the replica again after its disk refused or failed a write.
-
-        Data that was not synced is dropped, as in a restart of the process.
-        """
-        self._ledger = None
-        self._transport = None
-        self._inactive_since_s = None
-        self._opened.clear()
-        if self._storage is not None:
-            self._storage.close()
-        while self._ledger is None:
-            await curio.sleep(REOPEN_INTERVAL_S)
-            try:
-                await self._open()
-            except (LedgerStorageError, OSError) as error:
-                _log.warning("replica_not_opened", reason=str(error))
+        await self._opened.wait()
+        assert self._ledger is not None
+        await self._ledger.run()
 
     async def deliver(self, payload: ReplicaPayload) -> None:
         """Delivers a message of another replica to this one.
 
         A replica that was never opened is opened as a learner first.
         """
-        if self._ledger is None and self._storage is None:
+        if self._ledger is None:
             await self._open_as_learner()
         if self._transport is not None:
             await self._transport.deliver(payload)
@@ -184,15 +162,14 @@
             return
         assert self._settings.data_dir is not None
         transport = LinkReplicaTransport(identity=self._identity, port=self._port)
-        self._storage = FileStorage(folder=self._settings.data_dir)
         self._ledger = ReplicatedLedger(
             identity=self._identity,
-            storage=self._storage,
+            storage=FileStorage(folder=self._settings.data_dir),
             transport=transport,
             events=self._events,
             generator=self._generator,
             settings=_raft_settings(self._settings.features),
-            inactive_since_s=self._inactive_since_s,
+            inactive_since_s=self._settings.started_at_s,
         )
         self._transport = transport
         _log.info("replica_opened", replica=self._identity)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
@@ -28,6 +28,7 @@
 )
 from hawthornbarrow.clock import steady_s
 from hawthornbarrow.ledger import LedgerStorageError
+from hawthornbarrow.ledger.tests._full_disks import FullDisks
 from hawthornbarrow.links import MessageReceived
 from hawthornbarrow.queues import ConfigurationFormat, Queue, QueueTable, Service
 from hawthornbarrow_agent.fleet import FleetAgent, FleetAgentSettings, UpstreamClient
@@ -48,6 +49,8 @@
 TIMING = RunLeaseTiming(run_lease_s=1.0, stop_s=0.05)
 RUN_S = 0.05
 WAIT_TIMEOUT_S = 20.0
+FULL_DISK_S = 1.5
+ACKNOWLEDGEMENT_S = 2.0
 GAP_FEATURES = frozenset({LoadFeature.GAP_WAITING})
 
 
@@ -256,6 +259,33 @@
 
         self.run_scenario(scenario)
 
+    def test_changes_are_acknowledged_after_each_disk_was_full_in_turn(self):
+        """Guards against replicas that stop for good with their first failed write."""
+        disks = FullDisks()
+
+        async def scenario(fleet):
+            version = 1
+            for full in fleet.entries:
+                disks.folders.add((fleet.folder / f"e{full}").resolve())
+                until_s = steady_s() + FULL_DISK_S
+                while steady_s() < until_s:
+                    version += 1
+                    await fleet.propose((full + 1) % 3, version)
+                    await curio.sleep(0.1)
+                self.assertTrue(disks.failed_count)
+                disks.folders.clear()
+                disks.failed_count = 0
+            for index, entry in fleet.entries.items():
+                version += 1
+                async with curio.timeout_after(ACKNOWLEDGEMENT_S):
+                    await fleet.propose(index, version)
+                    await fleet.wait_until(lambda e=entry: e.has_replica)
+                document = await entry.read_configuration()
+                self.assertEqual(str(version).encode(), document)
+
+        with disks.active():
+            self.run_scenario(scenario)
+
     def test_another_entry_dispatches_after_dispatcher_is_lost(self):
         async def scenario(fleet):
             await fleet.submit(0, "before")
@@ -488,15 +518,14 @@
     def test_replica_is_reopened_after_failed_write(self):
         async def scenario(fleet):
             failing_index = fleet.dispatching_index()
-            storage = fleet.entries[failing_index]._replica._storage
+            failing_entry = fleet.entries[failing_index]
+            storage = failing_entry._replica.ledger._storage
             with mock.patch.object(
                 storage, "append", side_effect=LedgerStorageError("no space left")
             ):
                 other_index = next(i for i in fleet.entries if i != failing_index)
                 await fleet.propose(other_index, 9)
-                manager = fleet.entries[failing_index]._replica
-                await fleet.wait_until(lambda: manager._storage is not storage)
-            failing_entry = fleet.entries[failing_index]
+                await fleet.wait_until(lambda: not failing_entry.has_replica)
             await fleet.wait_until(lambda: failing_entry.has_replica)
             await fleet.wait_until(
                 lambda: failing_entry.states["configuration_version"] == 9
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_deployment.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_deployment.py
@@ -3,6 +3,7 @@
 import collections
 import os
 import pathlib
+import resource
 import secrets
 import shutil
 import signal
@@ -181,6 +182,13 @@
         process.send_signal(signal.SIGTERM)
         return process
 
+    def set_disk_full(self, name, is_full):
+        """Lets a process write no byte to its files, as on a disk without room."""
+        pid = self.processes[name].pid
+        _, hard = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+        soft = 0 if is_full else hard
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (soft, hard))
+
     # Requests
 
     async def request(
@@ -207,7 +215,13 @@
     def call(self, entry, method, path, body=b"", token=OPERATOR_TOKEN):
         return curio.run(self.request, entry, method, path, body, None, token)
 
-    def configure(self, expect_version=0, request="first"):
+    def configure(self, expect_version=0, request="first", entry=None):
+        body = self.configuration_body(expect_version, request)
+        return self.call(
+            entry or self.entry_names[0], "POST", "/v1/configuration", body
+        )
+
+    def configuration_body(self, expect_version, request):
         document = {
             "request": request,
             "expect_version": expect_version,
@@ -221,8 +235,7 @@
                 "objectives": {"all": {"response_s": 1.0}},
             },
         }
-        body = msgspec.json.encode(document)
-        return self.call(self.entry_names[0], "POST", "/v1/configuration", body)
+        return msgspec.json.encode(document)
 
     def wait_until_ready(self, timeout_s=20.0):
         until_s = time.monotonic() + timeout_s
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_ledger.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_ledger.py
@@ -29,7 +29,10 @@
 
 
 class LedgerFailed(msgspec.Struct, frozen=True, kw_only=True):
-    """The local replica stopped permanently, for the given reason."""
+    """The storage of the local replica failed, for the given reason.
+
+    The replica takes part again as soon as its storage can be opened.
+    """
 
     reason: str
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
@@ -57,6 +57,8 @@
         generator: Seeded random generator for election timeouts.
         inactive_since_s: Time since which this replica has not run. It may lie before
             the start of the process.
+        applied_index: Index up to which the state machine has applied the log. These
+            entries are committed, and the replica has stored them.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         settings: RaftSettings,
         generator: random.Random,
         inactive_since_s: float,
+        applied_index: int = 0,
     ) -> None:
         """Initializes the replica as a follower."""
         self._replica = replica
@@ -75,8 +78,8 @@
         self._hard_state = stored.hard
         self._snapshot = stored.snapshot
         self._log = RaftLog.from_stored(stored)
-        self._commit_index = stored.snapshot.index
-        self._delivered_index = stored.snapshot.index
+        self._commit_index = max(stored.snapshot.index, applied_index)
+        self._delivered_index = self._commit_index
         self._synced_index = self._log.last_index
         self._role = Role.FOLLOWER
         self._leader: str | None = None
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
@@ -33,7 +33,13 @@
 from hawthornbarrow.ledger._raft import RaftReplica
 from hawthornbarrow.ledger._ready import RaftSettings, Ready, Role
 from hawthornbarrow.ledger._state import EntryRecord, LedgerState
-from hawthornbarrow.ledger._storage import LedgerStorageError, Snapshot, Storage
+from hawthornbarrow.ledger._storage import (
+    CorruptLogError,
+    LedgerStorageError,
+    Snapshot,
+    Storage,
+    StoredState,
+)
 from hawthornbarrow.ledger._transport import ReplicaTransport
 from hawthornbarrow.links import Mailbox
 
@@ -42,6 +48,7 @@
 PROPOSAL_RETRY_INTERVAL_S = 0.5
 PROPOSAL_BATCH_INTERVAL_S = 0.05
 FORGET_INTERVAL_S = 60.0
+REOPEN_INTERVAL_S = 0.5
 SNAPSHOT_AFTER_ENTRIES = 5000
 SNAPSHOT_AFTER_BYTES = 8 * 1024 * 1024
 _TICK_INTERVAL_S = 0.04
@@ -122,6 +129,8 @@
         """
         self._identity = identity
         self._storage = storage
+        self._settings = settings or RaftSettings()
+        self._generator = generator
         self._transport = transport
         self._events = events
         self._inbox = Mailbox()
@@ -133,22 +142,27 @@
         self._forget_proposed_at_s = steady_s()
         self._expiry_proposed_at_s: dict[int, float] = {}
         self._stop_reason = ""
+        self._is_resigning = False
         self._applied_bytes = 0
         self._applied_commit_index = -1
         self._was_leading = False
         stored = storage.load()
-        self._raft = RaftReplica(
-            replica=identity,
-            stored=stored,
-            settings=settings or RaftSettings(),
-            generator=generator,
-            inactive_since_s=steady_s()
-            if inactive_since_s is None
-            else inactive_since_s,
+        self._raft = self._build_raft(
+            stored, steady_s() if inactive_since_s is None else inactive_since_s
         )
         if stored.snapshot.data:
             self._state.restore(stored.snapshot.data)
 
+    def _build_raft(self, stored: StoredState, inactive_since_s: float) -> RaftReplica:
+        return RaftReplica(
+            replica=self._identity,
+            stored=stored,
+            settings=self._settings,
+            generator=self._generator,
+            inactive_since_s=inactive_since_s,
+            applied_index=self._state.applied,
+        )
+
     @property
     def state(self) -> LedgerState:
         """The local state, as of the last applied command."""
@@ -174,6 +188,11 @@
             stopped=self._stop_reason,
         )
 
+    @property
+    def is_stopped(self) -> bool:
+        """Whether its storage has failed and is not open again."""
+        return bool(self._stop_reason)
+
     @property
     def term(self) -> int:
         """Current term of the replica."""
@@ -243,29 +262,96 @@
         await self._inbox.post(_LearnerRemovalRequest())
 
     async def run(self) -> None:
-        """Runs the replica until cancelled or until its storage fails."""
+        """Runs the replica until cancelled.
+
+        A replica whose storage fails stops, and starts again from what is stored, as
+        in a restart of its process. It keeps its state, which has only commands that
+        were committed, and the proposals that are not.
+        """
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._transport.receive_into, self._inbox)
             await group.spawn(self._run_replica)
 
     async def _run_replica(self) -> None:
-        try:
-            while True:
-                items = await self._inbox.drain(timeout_s=_TICK_INTERVAL_S)
-                now_s = steady_s()
-                for item in items:
-                    await self._on_inbox_item(item, now_s)
-                self._propose_batched(now_s)
-                self._raft.tick(now_s)
-                self._retry_proposals(now_s)
-                self._run_maintenance(now_s)
-                self._raft.flush(now_s)
-                await self._process_ready()
-                await self._report_leadership(steady_s())
-        except LedgerStorageError as error:
-            self._stop_reason = str(error)
-            _log.error("ledger_stopped", replica=self._identity, reason=str(error))
-            await self._events.post(LedgerFailed(reason=str(error)))
+        while True:
+            try:
+                await self._take_part()
+            except LedgerStorageError as error:
+                await self._stop_until_reopened(str(error))
+
+    async def _take_part(self) -> None:
+        """Takes part in the group until the storage fails."""
+        while True:
+            items = await self._inbox.drain(timeout_s=_TICK_INTERVAL_S)
+            now_s = steady_s()
+            for item in items:
+                await self._on_inbox_item(item, now_s)
+            self._propose_batched(now_s)
+            self._raft.tick(now_s)
+            self._retry_proposals(now_s)
+            self._run_maintenance(now_s)
+            self._raft.flush(now_s)
+            await self._process_ready()
+            await self._report_leadership(steady_s())
+
+    async def _stop_until_reopened(self, reason: str) -> None:
+        """Stops the replica until its storage can be opened again."""
+        self._stop_reason = reason
+        self._was_leading = False
+        stopped_at_s = steady_s()
+        _log.error("ledger_stopped", replica=self._identity, reason=reason)
+        await self._events.post(LedgerFailed(reason=reason))
+        while self._stop_reason:
+            await self._take_requests(until_s=steady_s() + REOPEN_INTERVAL_S)
+            try:
+                async with curio.disable_cancellation():
+                    stored = await curio.run_in_thread(self._storage.load)
+                await self._start_again(stored, stopped_at_s)
+            except LedgerStorageError as error:
+                _log.warning("replica_not_opened", reason=str(error))
+
+    async def _take_requests(self, *, until_s: float) -> None:
+        """Takes requests while the replica is stopped.
+
+        Proposals wait until it runs again. Messages of other replicas are dropped.
+        """
+        while (left_s := until_s - steady_s()) > 0:
+            for item in await self._inbox.drain(timeout_s=left_s):
+                if isinstance(item, _ProposalRequest):
+                    self._batched_proposals.append(item)
+                elif isinstance(item, _ResignationRequest):
+                    self._is_resigning = True
+
+    async def _start_again(self, stored: StoredState, stopped_at_s: float) -> None:
+        """Starts the replica from what is stored.
+
+        Raises:
+            CorruptLogError: Entries are missing that were stored and applied.
+        """
+        snapshot = stored.snapshot
+        last_index = max(snapshot.index, *(e.index for e in stored.entries[-1:]), 0)
+        if last_index < self._state.applied:
+            raise CorruptLogError(
+                f"the log ends at {last_index}, {self._state.applied} was applied"
+            )
+        if snapshot.index > self._state.applied and snapshot.data:
+            # It was stored before the storage failed, but not restored.
+            self._state.restore(snapshot.data)
+            await self._events.post(
+                Applied(index=0, command=None, outcome=None, number=0)
+            )
+        self._raft = self._build_raft(stored, stopped_at_s)
+        if self._is_resigning:
+            self._raft.resign(steady_s())
+        self._applied_commit_index = -1
+        self._stop_reason = ""
+        _log.info(
+            "replica_opened",
+            replica=self._identity,
+            stopped_s=round(steady_s() - stopped_at_s, 3),
+            applied=self._state.applied,
+            last=self._raft.log.last_index,
+        )
 
     async def _report_leadership(self, now_s: float) -> None:
         """Lets the entry begin to dispatch without waiting for its next tick."""
@@ -304,6 +390,7 @@
         elif isinstance(item, _ReplacementRequest):
             await self._try_replacement(item, now_s)
         elif isinstance(item, _ResignationRequest):
+            self._is_resigning = True
             self._raft.resign(now_s)
 
     async def _process_ready(self) -> None:
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_storage.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_storage.py
@@ -71,12 +71,13 @@
     """Durable storage of a replica.
 
     When a method returns, its effect is durable. After a LedgerStorageError the
-    storage must not be used again by this process.
+    storage must be loaded again before it is used: the operation may have been
+    carried out in part.
     """
 
     @abc.abstractmethod
     def load(self) -> StoredState:
-        """Returns what is stored."""
+        """Returns what is stored; it is durable when the method returns."""
 
     @abc.abstractmethod
     def save_hard_state(self, hard: HardState) -> None:
@@ -108,14 +109,33 @@
         self._log_descriptor = -1
         self._entries: list[LogEntry] = []
         self._snapshot_index = 0
+        self._has_failed = False
 
     def load(self) -> StoredState:
-        """Returns what is stored, after truncating a write that a crash interrupted.
+        """Returns what is stored, after truncating a write that was interrupted.
+
+        After a failed operation the log is written anew. Data that a sync has failed
+        to write may still be read from memory, and would count as durable.
 
         Raises:
             CorruptLogError: Data that was synced is damaged.
-            LedgerStorageError: The folder cannot be read.
+            LedgerStorageError: The folder cannot be read, or a file not be written.
         """
+        self.close()
+        try:
+            stored = self._load_files()
+            if self._has_failed:
+                self._rewrite()
+        except OSError as error:
+            self.close()
+            raise self._failure(error) from error
+        except CorruptLogError:
+            self.close()
+            raise
+        self._has_failed = False
+        return stored
+
+    def _load_files(self) -> StoredState:
         try:
             hard = self._load(_HARD_STATE_FILE, HardState, HardState())
             empty = Snapshot(index=0, term=0, members=Members(voters=()), data=b"")
@@ -124,8 +144,6 @@
             entries = self._load_log()
         except CorruptFileError as error:
             raise CorruptLogError(f"{error}; {_REPAIR_ADVICE}") from error
-        except OSError as error:
-            raise LedgerStorageError(str(error)) from error
         self._entries = [entry for entry in entries if entry.index > snapshot.index]
         self._check_contiguous()
         return StoredState(hard=hard, snapshot=snapshot, entries=list(self._entries))
@@ -137,7 +155,7 @@
                 self._folder / _HARD_STATE_FILE, msgspec.msgpack.encode(hard)
             )
         except OSError as error:
-            raise LedgerStorageError(f"term and vote: {error}") from error
+            raise self._failure(f"term and vote: {error}") from error
 
     def append(self, truncate_from: int, entries: list[LogEntry]) -> None:
         """Writes all entries with one sync."""
@@ -153,7 +171,7 @@
             _write_all(self._log_descriptor, _encode_record(entries))
             os.fdatasync(self._log_descriptor)
         except OSError as error:
-            raise LedgerStorageError(f"log: {error}") from error
+            raise self._failure(f"log: {error}") from error
 
     def save_snapshot(self, snapshot: Snapshot) -> None:
         """Stores a snapshot, then rewrites the log without the entries it covers."""
@@ -173,7 +191,7 @@
             self._snapshot_index = snapshot.index
             self._rewrite()
         except OSError as error:
-            raise LedgerStorageError(f"snapshot: {error}") from error
+            raise self._failure(f"snapshot: {error}") from error
 
     def close(self) -> None:
         """Closes the log file."""
@@ -181,6 +199,11 @@
             os.close(self._log_descriptor)
             self._log_descriptor = -1
 
+    def _failure(self, reason: object) -> LedgerStorageError:
+        """Returns the error of a failed operation, and records the failure."""
+        self._has_failed = True
+        return LedgerStorageError(str(reason))
+
     def _load(self, name: str, kind: type, default: object) -> object:
         path = self._folder / name
         if not path.exists():
@@ -201,6 +224,7 @@
                 break
             record_entries, offset = record
             entries += record_entries
+        os.fdatasync(self._log_descriptor)
         sync_folder(self._folder)
         return entries
 
@@ -229,11 +253,15 @@
         temporary_path = self._folder / (_LOG_FILE + ".new")
         flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND
         descriptor = os.open(temporary_path, flags, 0o600)
-        if self._entries:
-            _write_all(descriptor, _encode_record(self._entries))
-        os.fsync(descriptor)
-        os.replace(temporary_path, self._folder / _LOG_FILE)
-        sync_folder(self._folder)
+        try:
+            if self._entries:
+                _write_all(descriptor, _encode_record(self._entries))
+            os.fsync(descriptor)
+            os.replace(temporary_path, self._folder / _LOG_FILE)
+            sync_folder(self._folder)
+        except OSError:
+            os.close(descriptor)
+            raise
         self.close()
         self._log_descriptor = descriptor
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/_cluster.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/_cluster.py
@@ -65,17 +65,23 @@
 
     def __init__(self, name: str, storage: Storage, seed: int, now_s: float) -> None:
         self.name = name
+        self.seed = seed
         self.storage = storage
         self.state = LedgerState()
-        stored = storage.load()
-        if stored.snapshot.data:
-            self.state.restore(stored.snapshot.data)
+        snapshot = storage.load().snapshot
+        if snapshot.data:
+            self.state.restore(snapshot.data)
+        self.open(now_s)
+
+    def open(self, now_s: float) -> None:
+        """Starts the replica from its disk; it keeps the state that it has."""
         self.raft = RaftReplica(
-            replica=name,
-            stored=stored,
-            settings=RaftSettings(has_restart_elections=bool(seed % 2)),
-            generator=random.Random(seed),
+            replica=self.name,
+            stored=self.storage.load(),
+            settings=RaftSettings(has_restart_elections=bool(self.seed % 2)),
+            generator=random.Random(self.seed),
             inactive_since_s=now_s,
+            applied_index=self.state.applied,
         )
 
 
@@ -111,6 +117,24 @@
         if not before_sync:
             self._persist(node, node.raft.take_ready())
 
+    def fail_write(self, name: str, *, keeps_term: bool) -> None:
+        """Lets the next message to a replica cause a write that fails.
+
+        The replica starts again from its disk at once. With keeps_term, its term and
+        vote are stored before the write fails.
+        """
+        node = self.nodes[name]
+        for position, (sender, receiver, message) in enumerate(self.messages):
+            if receiver == name:
+                del self.messages[position]
+                node.raft.receive(sender, message, self.now_s)
+                break
+        ready = node.raft.take_ready()
+        self._send(node, ready.immediate)
+        if keeps_term and ready.hard_state is not None:
+            node.storage.save_hard_state(ready.hard_state)
+        node.open(self.now_s)
+
     def wipe(self, name: str) -> str:
         """Wipes a disk and restarts its replica; returns the replica's new identity."""
         self.nodes.pop(name, None)
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/_machine.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/_machine.py
@@ -80,6 +80,12 @@
         type(self).steps += 1
         self.cluster.crash(self.node(pick), before_sync=before_sync)
 
+    @precondition(lambda self: len(self.cluster.nodes) > 0)
+    @rule(pick=_PICK, keeps_term=st.booleans())
+    def fail_write(self, pick, keeps_term):
+        type(self).steps += 1
+        self.cluster.fail_write(self.node(pick), keeps_term=keeps_term)
+
     @rule()
     def restart_all(self):
         type(self).steps += 1
