Give callers that left an outcome, so that their connections close

CallerJobs dropped a caller that had left without an outcome, FleetEntry.submit waited for one forever, and the connection stayed open and counted as an active request.

A caller that left now gets the outcome "cancelled". The same holds where others still wait for the job. Requests that wait for a dispatcher, requests to the leader and the own interface end otherwise already.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
@@ -382,9 +382,7 @@
             if self._should_give_up(job, now_s):
                 self._give_up(job, now_s)
                 continue
-            job.waiters = [
-                waiter for waiter in job.waiters if not waiter.is_abandoned()
-            ]
+            self._release_abandoned(job)
             if not job.waiters:
                 self._remove(job)
                 _log.info(
@@ -403,6 +401,18 @@
                 )
                 self._finish(job, outcome, now_s)
 
+    def _release_abandoned(self, job: CallerJob) -> None:
+        """Ends the wait of the callers that left, so that their connections close."""
+        abandoned = [waiter for waiter in job.waiters if waiter.is_abandoned()]
+        if not abandoned:
+            return
+        for waiter in abandoned:
+            waiter.outcome = CallerOutcome(
+                kind=OutcomeKind.CANCELLED, reason="the caller left"
+            )
+            self._finished.append(waiter)
+        job.waiters = [waiter for waiter in job.waiters if waiter.outcome is None]
+
     def _should_give_up(self, job: CallerJob, now_s: float) -> bool:
         """Returns whether to stop waiting for a dispatcher to run or answer a job."""
         if not job.submission_count:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_caller_jobs.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_caller_jobs.py
@@ -126,6 +126,21 @@
         self.assertEqual(WithdrawJob(job="j"), messages[1])
         self.assertEqual(0, self.caller_jobs.job_count)
 
+    def test_each_caller_that_left_gets_an_outcome(self):
+        """Guards against connections that are kept for good for callers that left."""
+        left, stays = waiter(is_abandoned=lambda: True), waiter()
+        self.heartbeat(1, 10.0)
+        self.submit(left, 10.0)
+        self.submit(stays, 10.0)
+        self.caller_jobs.tick(10.1)
+        self.assertEqual([left], self.caller_jobs.take_finished())
+        self.assertIs(OutcomeKind.CANCELLED, left.outcome.kind)
+        self.assertEqual(1, self.caller_jobs.job_count)
+        stays.is_abandoned = lambda: True
+        self.caller_jobs.tick(10.2)
+        self.assertEqual([stays], self.caller_jobs.take_finished())
+        self.assertEqual(0, self.caller_jobs.job_count)
+
     def test_outcome_is_unknown_after_time_limit(self):
         caller = waiter(give_up_at_s=11.0)
         self.heartbeat(1, 10.0)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
@@ -1,5 +1,6 @@
 """Tests of three entries and two agents with real links, in one curio kernel."""
 
+import functools
 import math
 import pathlib
 import tempfile
@@ -27,6 +28,7 @@
     is_standby_term,
 )
 from hawthornbarrow.clock import steady_s
+from hawthornbarrow.http import HttpServer, Response
 from hawthornbarrow.ledger import LedgerStorageError
 from hawthornbarrow.ledger.tests._full_disks import FullDisks
 from hawthornbarrow.links import MessageReceived
@@ -50,6 +52,7 @@
 RUN_S = 0.05
 WAIT_TIMEOUT_S = 20.0
 FULL_DISK_S = 1.5
+LEFT_CALLER_COUNT = 500
 ACKNOWLEDGEMENT_S = 2.0
 GAP_FEATURES = frozenset({LoadFeature.GAP_WAITING})
 
@@ -259,6 +262,49 @@
 
         self.run_scenario(scenario)
 
+    def test_connections_of_callers_that_left_are_closed(self):
+        """Guards against an entry that keeps a connection for each of them."""
+
+        async def scenario(fleet):
+            entry = fleet.entries[0]
+            server = HttpServer(handler=functools.partial(self.submit_to, entry))
+            host = unused_host()
+            serving = await curio.spawn(server.serve, host, 0, daemon=True)
+            while not server.bound_port:
+                await curio.sleep(0.01)
+            for batch in range(LEFT_CALLER_COUNT // 50):
+                async with curio.TaskGroup() as group:
+                    for number in range(50):
+                        name = f"left-{batch}-{number}"
+                        address = (host, server.bound_port)
+                        await group.spawn(self.submit_and_leave, address, name)
+            await fleet.wait_until(lambda: not server.active_requests)
+            await fleet.wait_until(lambda: not server._open_connections)
+            self.assertEqual({}, entry._outcome_events)
+            self.assertEqual(0, entry.job_count)
+            await serving.cancel()
+
+        with mock.patch(f"{__name__}.RUN_S", 30.0):
+            self.run_scenario(scenario)
+
+    async def submit_to(self, entry, request):
+        await entry.submit(
+            document(request.path[1:]),
+            received_at_s=steady_s(),
+            timeout_s=60.0,
+            is_abandoned=request.is_abandoned,
+        )
+        return Response(status=200)
+
+    async def submit_and_leave(self, address, name):
+        sock = await curio.open_connection(*address)
+        async with sock:
+            await sock.sendall(
+                f"POST /{name} HTTP/1.1\r\nHost: h\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+            await curio.sleep(0.03)
+
     def test_changes_are_acknowledged_after_each_disk_was_full_in_turn(self):
         """Guards against replicas that stop for good with their first failed write."""
         disks = FullDisks()
