Acknowledge a cancel once the dispatcher has confirmed it

The entry sent one message to the dispatcher that it had heard last and answered at once; the entry that had the job handed it to the next dispatcher.

A dispatcher keeps them as well: submissions of a cancelled job are answered as cancelled, its runs are stopped when agents report them. The cancel is acknowledged when the dispatcher says that the job has ended; without that it is answered with 503 and Retry-After within the caller's time, 3 s at most.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
@@ -7,6 +7,7 @@
 from hawthornbarrow.cells import (
     GIVE_UP_FACTOR,
     NO_FEATURES,
+    CancelledJobs,
     DispatcherHeartbeat,
     HandoverComplete,
     JobAnswer,
@@ -30,6 +31,7 @@
 INFORMATION_LEASE_S = 1.2  # dispatcher information older than this is not used
 HEARTBEAT_TIMEOUT_S = 0.25  # after a longer silence jobs wait and are not submitted
 UNSUBMITTED_WAIT_FACTOR = 0.25  # of the objective; maximum wait before a submission
+HANDOVER_S = 1.0  # in which entries hand their jobs over to a new dispatcher
 MAX_VERSION_LAG_S = 0.6  # within which a newer configuration must be in force here
 
 JobMessage = SubmitJob | WithdrawJob | HandoverComplete
@@ -78,6 +80,8 @@
         self._levels = QueueLevels()
         # Ids of the jobs that were submitted to no dispatcher yet.
         self._held: set[str] = set()
+        self._cancelled = CancelledJobs()
+        self._term_since_s = math.inf
         self._counts: collections.Counter[str] = collections.Counter()
         self._jobs: dict[str, CallerJob] = {}
         self._messages: list[tuple[str, JobMessage]] = []
@@ -177,6 +181,8 @@
                 held=len(self._jobs),
             )
             self._dispatcher = peer
+            self._term_since_s = now_s
+            self._repeat_cancels(now_s)
         self._submit_all(now_s)
         if is_new:
             self._messages.append((peer, HandoverComplete(term=heartbeat.term)))
@@ -210,6 +216,7 @@
 
         The dispatcher answers those that it knows, and those that have ended, again.
         """
+        self._repeat_cancels(now_s)
         jobs = [
             job for job in self._jobs.values() if job.submitted_term == self._term != 0
         ]
@@ -247,6 +254,8 @@
             received_at_s: When this entry received the job.
             objective_s: Time within which the job should end, from then on.
         """
+        if document.job in self._cancelled:
+            return CallerOutcome(kind=OutcomeKind.CANCELLED, reason="cancelled before")
         job = self._jobs.get(document.job)
         if job is not None:
             job.waiters.append(waiter)
@@ -317,16 +326,37 @@
         return job.received_at_s + UNSUBMITTED_WAIT_FACTOR * job.objective_s
 
     def cancel(self, job: str, now_s: float) -> None:
-        """Cancels a job at a caller's request.
+        """Cancels a job at a caller's request, whichever entry has it.
 
-        One that waits for a dispatcher here is not submitted any more.
+        Callers here get their answer, and the job is handed over to no dispatcher any
+        more. The cancel is repeated to each new one: its entry may hand the job over.
         """
-        if self._waits_in_gaps and job in self._held:
-            held = self._jobs[job]
-            self._remove(held)
+        self._cancelled.add(job, now_s)
+        own = self._jobs.get(job)
+        if own is not None:
+            self._remove(own)
             outcome = CallerOutcome(kind=OutcomeKind.CANCELLED, reason="withdrawn")
-            self._finish(held, outcome, now_s)
-        self.withdraw(job)
+            self._finish(own, outcome, now_s)
+        self._send_cancel(job)
+
+    def _send_cancel(self, job: str) -> None:
+        if self._dispatcher:
+            message = WithdrawJob(job=job, is_cancelled=True)
+            self._messages.append((self._dispatcher, message))
+
+    def _repeat_cancels(self, now_s: float) -> None:
+        self._cancelled.remove_old(now_s)
+        for job in self._cancelled:
+            self._send_cancel(job)
+
+    def is_gone(self, state: JobState, now_s: float) -> bool:
+        """Returns whether the dispatcher's state of a cancelled job is conclusive.
+
+        A dispatcher that does not know the job may get it in the handover.
+        """
+        if state is JobState.UNKNOWN:
+            return now_s - self._term_since_s >= HANDOVER_S
+        return state.is_final
 
     def withdraw(self, job: str) -> None:
         """Cancels a job at the dispatcher, whichever entry's callers wait for it."""
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -346,7 +346,9 @@
         if isinstance(message, SubmitJob):
             self._dispatcher.submit(entry, message, now_s)
         else:
-            self._dispatcher.withdraw(message.job, now_s)
+            self._dispatcher.withdraw(
+                message.job, now_s, is_cancelled=message.is_cancelled
+            )
 
     async def _on_agent_message(
         self, agent: str, message: CellMessage, now_s: float
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -73,7 +73,11 @@
     EntryConfiguration,
 )
 from hawthornbarrow_entry.fleet._evacuation_orders import EvacuationOrders
-from hawthornbarrow_entry.fleet._gap_waits import CallerRequest, GapWaits
+from hawthornbarrow_entry.fleet._gap_waits import (
+    REFUSAL_MARGIN_S,
+    CallerRequest,
+    GapWaits,
+)
 from hawthornbarrow_entry.fleet._leader_requests import (
     LeaderRequests,
     LeaderUnavailableError,
@@ -97,6 +101,8 @@
 _MAINTENANCE_INTERVAL_S = 0.5
 _PROPOSAL_TIMEOUT_S = 0.9
 _JOB_STATE_TIMEOUT_S = 0.8
+_CANCEL_TIMEOUT_S = 3.0  # longer than a takeover of the dispatcher
+_CANCEL_RETRY_INTERVAL_S = 0.2
 _ESTIMATE_SAFETY_FACTOR = 1.5  # on a caller's estimate, which is often inaccurate
 _EXIT_MARGIN_S = 0.6
 _FINAL_FLUSH_S = 0.2
@@ -395,10 +401,43 @@
         )
         return answer.state
 
-    async def withdraw(self, job: str) -> None:
-        """Cancels a job here if no dispatcher has it, or else at the dispatcher."""
-        self._caller_jobs.cancel(job, steady_s())
-        await self._flush()
+    async def cancel(self, job: str, *, timeout_s: float | None = None) -> None:
+        """Cancels a job; returns once the dispatcher has confirmed that.
+
+        A job that the caller submitted at another entry is known only there and to the
+        dispatcher. While one takes over, the cancel waits for it.
+
+        Args:
+            job: Id of the job.
+            timeout_s: How long the caller waits, None if unknown.
+
+        Raises:
+            LeaderUnavailableError: No dispatcher has confirmed it in time. It is
+                repeated to each new dispatcher all the same.
+        """
+        limit_s = _CANCEL_TIMEOUT_S
+        if timeout_s is not None:
+            limit_s = min(limit_s, timeout_s - REFUSAL_MARGIN_S)
+        until_s = steady_s() + limit_s
+        while True:
+            self._caller_jobs.cancel(job, steady_s())
+            await self._flush()
+            if await self._is_gone(job):
+                return
+            if steady_s() + _CANCEL_RETRY_INTERVAL_S > until_s:
+                raise LeaderUnavailableError("no dispatcher has confirmed the cancel")
+            await curio.sleep(_CANCEL_RETRY_INTERVAL_S)
+
+    async def _is_gone(self, job: str) -> bool:
+        """Returns whether the dispatcher confirms that a cancelled job has ended."""
+        try:
+            answer = await self._leader_requests.request(
+                lambda number: GetJobState(number=number, job=job),
+                _CANCEL_RETRY_INTERVAL_S,
+            )
+        except LeaderUnavailableError:
+            return False
+        return self._caller_jobs.is_gone(answer.state, steady_s())
 
     def waiting_job_count(self, queue: Queue) -> int:
         """Returns the number of a queue's jobs that have not begun."""
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/_gap_simulation.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/_gap_simulation.py
@@ -209,7 +209,9 @@
             if isinstance(message, SubmitJob):
                 self.dispatcher.submit("e", message, now_s)
             elif isinstance(message, WithdrawJob):
-                self.dispatcher.withdraw(message.job, now_s)
+                self.dispatcher.withdraw(
+                    message.job, now_s, is_cancelled=message.is_cancelled
+                )
         for waiter in self.jobs.take_finished():
             self.record(self.waiters.pop(waiter), waiter.outcome, now_s)
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_caller_jobs.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_caller_jobs.py
@@ -141,6 +141,46 @@
         self.assertEqual([stays], self.caller_jobs.take_finished())
         self.assertEqual(0, self.caller_jobs.job_count)
 
+    def test_cancelled_job_is_not_handed_over_but_cancelled_at_the_next_dispatcher(
+        self,
+    ):
+        """Guards against cancels that end with the dispatcher that got them."""
+        caller = waiter()
+        self.heartbeat(1, 10.0)
+        self.submit(caller, 10.0)
+        self.caller_jobs.cancel("j", 10.1)
+        self.caller_jobs.cancel("other", 10.2)
+        self.assertIs(OutcomeKind.CANCELLED, caller.outcome.kind)
+        self.take_job_messages()
+        self.heartbeat(2, 11.0, peer="d2")
+        cancels = [
+            ("d2", WithdrawJob(job=job, is_cancelled=True)) for job in ("j", "other")
+        ]
+        self.assertEqual(cancels, self.take_job_messages())
+        self.caller_jobs.on_path_changed(11.1)
+        self.assertEqual(cancels, self.take_job_messages())
+
+    def test_cancel_without_a_dispatcher_is_sent_to_the_first_one(self):
+        self.caller_jobs.cancel("j", 10.0)
+        self.assertEqual([], self.take_job_messages())
+        self.heartbeat(1, 10.5)
+        self.assertEqual(
+            [("d", WithdrawJob(job="j", is_cancelled=True))], self.take_job_messages()
+        )
+
+    def test_submission_that_arrives_after_its_cancel_is_answered_at_once(self):
+        self.heartbeat(1, 10.0)
+        self.caller_jobs.cancel("j", 10.0)
+        outcome = self.submit(waiter(), 12.0)
+        self.assertIs(OutcomeKind.CANCELLED, outcome.kind)
+
+    def test_unknown_job_is_gone_only_after_the_handover(self):
+        self.heartbeat(1, 10.0)
+        self.assertFalse(self.caller_jobs.is_gone(JobState.UNKNOWN, 10.5))
+        self.assertTrue(self.caller_jobs.is_gone(JobState.UNKNOWN, 11.0))
+        self.assertTrue(self.caller_jobs.is_gone(JobState.CANCELLED, 10.0))
+        self.assertFalse(self.caller_jobs.is_gone(JobState.RUNNING, 12.0))
+
     def test_outcome_is_unknown_after_time_limit(self):
         caller = waiter(give_up_at_s=11.0)
         self.heartbeat(1, 10.0)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_process.py
@@ -262,6 +262,48 @@
 
         self.run_scenario(scenario)
 
+    def test_cancel_during_a_takeover_is_confirmed_by_the_next_dispatcher(self):
+        """Guards against confirmed cancels that end with the lost dispatcher."""
+
+        async def scenario(fleet):
+            lost = fleet.dispatching_index()
+            owner, other = (index for index in fleet.entries if index != lost)
+            steps = tuple(
+                Step(
+                    count=1,
+                    each=Resources(cpu=100),
+                    estimated_s=0.5,
+                    after=(n - 1,) if n else (),
+                )
+                for n in range(20)
+            )
+            job = JobDocument(job="long", queue="q", spec="", steps=steps)
+            task = await curio.spawn(
+                functools.partial(
+                    fleet.entries[owner].submit,
+                    job,
+                    received_at_s=steady_s(),
+                    timeout_s=60.0,
+                    is_abandoned=lambda: False,
+                )
+            )
+            await curio.sleep(1.0)
+            await fleet.tasks.pop(lost).cancel()
+            del fleet.entries[lost]
+            with self.assertRaises(LeaderUnavailableError):
+                await fleet.entries[other].cancel("long", timeout_s=0.5)
+            await fleet.entries[other].cancel("long")
+            started = sum(len(upstream.started) for upstream in fleet.upstreams)
+            outcome = await task.join()
+            self.assertIs(OutcomeKind.CANCELLED, outcome.kind)
+            await curio.sleep(1.5)
+            self.assertEqual(
+                started, sum(len(upstream.started) for upstream in fleet.upstreams)
+            )
+
+        with mock.patch(f"{__name__}.RUN_S", 0.4):
+            self.run_scenario(scenario)
+
     def test_connections_of_callers_that_left_are_closed(self):
         """Guards against an entry that keeps a connection for each of them."""
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -7,6 +7,7 @@
 if typing.TYPE_CHECKING:
     from hawthornbarrow.cells._admission import Admission, AdmissionDecision
     from hawthornbarrow.cells._announcement_order import AnnouncementOrder
+    from hawthornbarrow.cells._cancelled_jobs import CancelledJobs
     from hawthornbarrow.cells._configuration_transfer import (
         ConfigurationSender,
         with_document,
@@ -123,6 +124,7 @@
     "GetConfiguration",
     "GetJobState",
     "AttachWorker",
+    "CancelledJobs",
     "CellMessage",
     "ClaimAgents",
     "ConfigurationOutcome",
@@ -204,6 +206,7 @@
         "Admission": "_admission",
         "AdmissionDecision": "_admission",
         "AnnouncementOrder": "_announcement_order",
+        "CancelledJobs": "_cancelled_jobs",
         "ConfigurationSender": "_configuration_transfer",
         "with_document": "_configuration_transfer",
         "Dispatcher": "_dispatcher",
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -12,6 +12,7 @@
 import structlog
 
 from hawthornbarrow.cells._admission import Admission
+from hawthornbarrow.cells._cancelled_jobs import CancelledJobs
 from hawthornbarrow.cells._contention_control import ContentionControl
 from hawthornbarrow.cells._crash_history import CrashHistory
 from hawthornbarrow.cells._crash_monitor import CrashMonitor
@@ -114,6 +115,7 @@
                 else ATTACH_WINDOW_S
             ),
         )
+        self._cancelled_jobs = CancelledJobs()
         self._previous_runs = PreviousRuns(recovery_until_s=self._pool.recovery_until_s)
         self._crash_history = CrashHistory()
         self._isolation = QueueIsolation()
@@ -269,7 +271,10 @@
 
     def state_of(self, job: str) -> JobState:
         """Returns the state of a job that callers see."""
-        return self._job_registry.state_of(job)
+        state = self._job_registry.state_of(job)
+        if state is JobState.UNKNOWN and job in self._cancelled_jobs:
+            return JobState.CANCELLED
+        return state
 
     def awaits_first_attach(self, agent: str) -> bool:
         """Returns whether no run that this dispatcher ordered can be at an agent.
@@ -452,6 +457,9 @@
         self._pool.add_run(worker, run, now_s)
         self._crash_monitor.on_adopted_run(active, now_s)
         self._previous_runs.record_trace(active.task.job, now_s)
+        if active.task.job in self._cancelled_jobs:
+            self._pool.order_stop(worker, run)
+            return
         record = self._job_registry.jobs.get(active.task.job)
         if record is not None and not record.state.is_final:
             self._assign_run(record, worker, run)
@@ -506,6 +514,13 @@
             if known.state.is_final:
                 self._job_registry.answer(known)
             return
+        if job in self._cancelled_jobs:
+            state = JobState.CANCELLED
+            answer = JobAnswer(
+                job=job, state=state, reason="cancelled", term=self._term
+            )
+            self._job_registry.refuse(entry, answer)
+            return
         try:
             check_document(message.document)
         except InvalidJobError as error:
@@ -549,8 +564,19 @@
         self._assign_previous_runs(record, now_s)
         self._has_changes = True
 
-    def withdraw(self, job: str, now_s: float) -> None:
-        """Cancels a job and stops its runs."""
+    def withdraw(self, job: str, now_s: float, *, is_cancelled: bool = False) -> None:
+        """Ends a job and stops its runs.
+
+        Args:
+            job: Id of the job.
+            now_s: Current time.
+            is_cancelled: Whether a caller cancelled it. Then a submission that arrives
+                later, for example in a handover, is answered as cancelled. A job that
+                callers left may be submitted again.
+        """
+        if is_cancelled:
+            self._cancelled_jobs.add(job, now_s)
+            self._pool.stop_job(job)
         record = self._job_registry.jobs.get(job)
         if record is None or record.state.is_final:
             return
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
@@ -147,9 +147,16 @@
 
 
 class WithdrawJob(_Message, kw_only=True):
-    """An entry withdraws a job that its caller cancelled or abandoned."""
+    """An entry withdraws a job that its caller cancelled or abandoned.
+
+    Attributes:
+        job: Id of the job.
+        is_cancelled: Whether a caller cancelled it, so that it must not run if it is
+            submitted again. A version that does not know the field withdraws the job.
+    """
 
     job: str
+    is_cancelled: bool = False
 
 
 class JobAnswer(_Message, kw_only=True):
