Take the service of an agent from its settings

An agent took the service that two announcements in a row named for its own, and ignored its own upstream for good.

The service comes from the settings (FleetAgentSettings.service, "service" on the platform), or else from the first upstream that has answered, never from announcements.

--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -126,6 +126,7 @@
         started_at_s: When the process started, on the steady clock, or None when
             unknown.
         features: Optional features that the deployment has enabled.
+        service: Service that the agent's upstream serves, empty if not known.
     """
 
     name: str
@@ -134,6 +135,7 @@
     cluster_key: bytes
     started_at_s: float | None = None
     features: frozenset[LoadFeature] = NO_FEATURES
+    service: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -190,6 +192,7 @@
             now_s=steady_s(),
             features=settings.features,
             process=incarnation,
+            service=settings.service,
         )
         self._dialer = Dialer(port=self._port)
         self._link_plan = LinkPlan()
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_announcement_order.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_announcement_order.py
@@ -72,26 +72,23 @@
 
 
 class OwnService:
-    """The service of an agent, which its settings do not name.
+    """The service of an agent: that of its settings, or of its first upstream.
 
-    It is the service of the upstream in the directory, or the first one that two
-    announcements in a row have named. Before that, each announcement is believed.
-    """
+    Announcements do not determine it, as they may come from other writers. Without a
+    service in the settings, any announcement counts until an upstream has answered.
 
-    def __init__(self) -> None:
-        """Initializes an unknown service."""
-        self._service = ""
-        self._is_certain = False
+    Args:
+        service: The service that the settings name, empty for none.
+    """
 
-    def set(self, service: str) -> None:
-        """Sets the service."""
+    def __init__(self, *, service: str = "") -> None:
+        """Initializes it with the service of the settings."""
         self._service = service
-        self._is_certain = True
+
+    def on_confirmed(self, service: str) -> None:
+        """Records the service of an upstream that has answered."""
+        self._service = self._service or service
 
     def is_own(self, service: str) -> bool:
-        """Records that an announcement names a service; returns whether it counts."""
-        if self._is_certain:
-            return service == self._service
-        self._is_certain = service == self._service
-        self._service = service
-        return True
+        """Returns whether an announcement that names a service counts."""
+        return self._service in ("", service)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
@@ -81,6 +81,7 @@
         now_s: Current time.
         features: Optional features that the deployment has enabled.
         process: Random number that the process drew when it started.
+        service: Service that its upstream serves, empty if the settings name none.
     """
 
     def __init__(
@@ -91,6 +92,7 @@
         now_s: float,
         features: frozenset[LoadFeature] = NO_FEATURES,
         process: int = 0,
+        service: str = "",
     ) -> None:
         """Initializes a supervisor without an upstream.
 
@@ -107,7 +109,7 @@
         # Whether the attributes of the current incarnation are known.
         self._is_described = False
         self._has_announced_itself = False
-        self._own_service = OwnService()
+        self._own_service = OwnService(service=service)
         self._is_leaving = False
         self._leaving_until_s: float | None = None
         self._tracker = DispatcherTracker(timing=timing, now_s=now_s)
@@ -345,6 +347,7 @@
 
     def _on_confirmed(self, announced: AnnouncedUpstream, now_s: float) -> None:
         """Makes an upstream the current one after its first listing."""
+        self._own_service.on_confirmed(announced.worker.service)
         self._replace_upstream(announced.worker, now_s)
         self._has_announced_itself = True
         self._address = announced.address
@@ -776,7 +779,7 @@
             known = self._known_upstream.confirm(listing)
             if known is None or known in self._former_upstreams:
                 return False
-            self._own_service.set(known.service)
+            self._own_service.on_confirmed(known.service)
             self._replace_upstream(known, now_s)
             return True
         if listing.upstream != self._worker.upstream:
