Forget background tasks when they end

BackgroundTasks cancels what has not ended and keeps nothing else; it replaces the task groups of the agent's renewals and calls, the HTTP server, the link port and the dialer.

--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -39,6 +39,7 @@
     PeerUp,
 )
 from hawthornbarrow.observability import EventGuard
+from hawthornbarrow.tasks import BackgroundTasks
 
 _TICK_INTERVAL_S = 0.05
 _IDLE_TICK_INTERVAL_S = 0.15  # without runs; heartbeats of the dispatcher wake it too
@@ -381,7 +382,7 @@
         next one is made at once on another connection. It lists the runs without
         waiting for an end.
         """
-        async with curio.TaskGroup(wait=None) as group:
+        async with BackgroundTasks() as tasks:
             while True:
                 now_s = steady_s()
                 may_renew = self._supervisor.may_renew(now_s)
@@ -392,7 +393,7 @@
                 is_patient = may_renew and not contact.overdue_count
                 wait_s = _LISTING_WAIT_S if is_patient else 0.0
                 is_idle = not self._supervisor.run_count
-                call = await group.spawn(self._renew_once, may_renew, wait_s)
+                call = await tasks.spawn(self._renew_once, may_renew, wait_s)
                 overdue_after_s = wait_s + contact.overdue_after_s
                 await curio.ignore_after(overdue_after_s, call.wait)
                 is_listed = call.terminated and call.result
@@ -452,10 +453,10 @@
             self._client.set_address(self._supervisor.address)
 
     async def _make_calls(self) -> None:
-        async with curio.TaskGroup(wait=None) as group:
+        async with BackgroundTasks() as tasks:
             while True:
                 call = await self._calls.get()
-                await group.spawn(self._make_call, call)
+                await tasks.spawn(self._make_call, call)
 
     async def _make_call(self, call: StartCall | StopCall) -> None:
         if isinstance(call, StopCall):
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
@@ -8,6 +8,7 @@
 import h11
 
 from hawthornbarrow.http._exchange import Request, Response, problem
+from hawthornbarrow.tasks import BackgroundTasks
 
 _READ_SIZE_BYTES = 64 * 1024
 _HEADER_OVERHEAD_BYTES = 4
@@ -88,10 +89,10 @@
             host, port, backlog=1024, reuse_address=True
         )
         self._bound_port = sock.getsockname()[1]
-        async with sock, curio.TaskGroup(wait=None) as group:
+        async with sock, BackgroundTasks() as tasks:
             while True:
                 client, _ = await sock.accept()
-                await group.spawn(self._serve_connection, client)
+                await tasks.spawn(self._serve_connection, client)
 
     async def _serve_connection(self, sock: curio.io.Socket) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_dialer.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_dialer.py
@@ -5,6 +5,7 @@
 import curio
 
 from hawthornbarrow.links._port import LinkPort
+from hawthornbarrow.tasks import BackgroundTasks
 
 
 class Dialer:
@@ -32,13 +33,13 @@
 
     async def run(self) -> None:
         """Keeps links to the addresses until cancelled."""
-        async with curio.TaskGroup(wait=None) as group:
+        async with BackgroundTasks() as tasks:
             while True:
                 await self._has_changes.wait()
                 self._has_changes.clear()
                 for address in self._addresses - self._tasks.keys():
                     host, _, tcp_port = address.rpartition(":")
-                    self._tasks[address] = await group.spawn(
+                    self._tasks[address] = await tasks.spawn(
                         self._port.dial, host, int(tcp_port)
                     )
                 for address in self._tasks.keys() - self._addresses:
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
@@ -18,6 +18,7 @@
     LinkSession,
 )
 from hawthornbarrow.links._stream import BlockStream
+from hawthornbarrow.tasks import BackgroundTasks
 
 _ACKNOWLEDGEMENT_POLL_INTERVAL_S = 0.01
 # Short, as a host that has come back is reached by the next attempt.
@@ -228,10 +229,10 @@
             host, port, backlog=512, reuse_address=True
         )
         self._bound_port = sock.getsockname()[1]
-        async with sock, curio.TaskGroup(wait=None) as group:
+        async with sock, BackgroundTasks() as tasks:
             while True:
                 client, _ = await sock.accept()
-                await group.spawn(self._accept, client)
+                await tasks.spawn(self._accept, client)
 
     async def dial(self, host: str, port: int) -> None:
         """Keeps a link to the given address connected until cancelled."""
