--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
@@ -135,7 +135,7 @@
         )
         self._active_requests += 1
         try:
-            response = await self._handler(request)
+            response = await self._handle(request)
             must_close = (
                 self._is_draining
                 or response.closes_connection
@@ -146,6 +146,13 @@
             self._active_requests -= 1
         return connection.our_state is h11.DONE and not must_close
 
+    async def _handle(self, request: Request) -> Response:
+        """Calls the handler; a body that is nested too deeply to be read gets a 400."""
+        try:
+            return await self._handler(request)
+        except RecursionError:
+            return problem(400, "bad request", detail="the body is nested too deeply")
+
     async def _receive_request(
         self, sock: curio.io.Socket, connection: h11.Connection
     ) -> Request | None:
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/tests/test_http.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/tests/test_http.py
@@ -4,6 +4,7 @@
 import unittest
 
 import curio
+import msgspec
 
 from hawthornbarrow.http import (
     HttpLimits,
@@ -35,9 +36,14 @@
     )
 
 
-def run_with_server(scenario, *, is_draining=False):
+async def read_json(request: Request) -> Response:
+    msgspec.json.decode(request.body)
+    return Response(status=200)
+
+
+def run_with_server(scenario, *, is_draining=False, handler=echo, limits=LIMITS):
     """Runs a scenario in a thread against a server and returns its result."""
-    server = HttpServer(handler=echo, limits=LIMITS)
+    server = HttpServer(handler=handler, limits=limits)
     if is_draining:
         server.drain()
     result = []
@@ -111,6 +117,18 @@
             self.assertIn(b'"not_run":true', reply)
         self.assertIn(b"200", valid_reply)
 
+    def test_deeply_nested_body_is_answered_with_400(self):
+        """Guards against requests that get no answer at all."""
+        body = b"[" * 100_000
+        head = b"POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        data = head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+        reply = run_with_server(
+            lambda port: exchange(port, data),
+            handler=read_json,
+            limits=HttpLimits(body_bytes=200_000),
+        )
+        self.assertIn(b"400", reply.split(b"\r\n", 1)[0])
+
     def test_content_length_with_chunked_encoding_does_not_smuggle_a_request(self):
         data = (
             b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
