Dial the seeds until a dispatcher is known

At the first start the entries of each data centre could link to each other only, and stop dialling the seeds once more than half of the entries that they knew were linked; one known entry was enough. The seeds are what all processes have in common, so they are dialled until a dispatcher is known.

test_seeds_are_used_until_a_dispatcher_is_known failed before: the plan had no such state.

--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -296,7 +296,10 @@
         self._links_checked_at_s = now_s
         in_use = {self._supervisor.dispatcher, self._supervisor.relay}
         linked = set(self._port.peers_up("entry"))
-        await self._dialer.set_addresses(self._link_plan.choose(linked, in_use, now_s))
+        addresses = self._link_plan.choose(
+            linked, in_use, now_s, is_searching=not self._supervisor.term
+        )
+        await self._dialer.set_addresses(addresses)
 
     def _send(self, receiver: str, message: CellMessage, now_s: float) -> None:
         """Sends a message, through the relay if it is for the dispatcher."""
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -633,7 +633,10 @@
         """Dials the entries that the plan chooses, and closes links to others."""
         in_use = {self._caller_jobs.dispatcher}
         linked = set(self._port.peers_up(ENTRY_ROLE))
-        await self._dialer.set_addresses(self._link_plan.choose(linked, in_use, now_s))
+        addresses = self._link_plan.choose(
+            linked, in_use, now_s, is_searching=not self._caller_jobs.term
+        )
+        await self._dialer.set_addresses(addresses)
 
     async def _ask_entries_if_silent(self, now_s: float) -> None:
         """Sends a message over the links to other entries when a gap begins."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_link_plan.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_link_plan.py
@@ -20,8 +20,9 @@
     """Chooses the entries that a process keeps links to.
 
     A standby that cannot be reached is replaced by the next one in rank until it can be
-    reached again. Seeds are used while at most half of the chosen entries are
-    linked, as then the process may know only entries that are gone.
+    reached again. Seeds are used until a dispatcher is known, and while at most half of
+    the chosen entries are linked, as then the process may know only entries that are
+    gone.
 
     An entry that others choose keeps links to all entries, and dials those that come
     after it in the order of addresses: an entry that has restarted with outdated seeds
@@ -51,6 +52,8 @@
         linked: collections.abc.Container[str],
         in_use: collections.abc.Container[str],
         now_s: float,
+        *,
+        is_searching: bool = False,
     ) -> frozenset[str]:
         """Returns the addresses to keep links to.
 
@@ -58,6 +61,9 @@
             linked: Names of the processes whose links are up.
             in_use: Names of entries whose links must stay, such as the dispatcher's.
             now_s: Current time.
+            is_searching: Whether no dispatcher is known. At the first start, entries
+                that have linked to each other may be a part of all: only the seeds,
+                which all processes have in common, lead to the others.
         """
         chosen, is_own_chosen = self._choose_members(linked, now_s)
         addresses = {member.address for member in chosen}
@@ -66,7 +72,7 @@
             if is_next or name in in_use:
                 addresses.add(member.address)
         linked_count = sum(member.name in linked for member in chosen)
-        if 2 * linked_count <= len(chosen):
+        if is_searching or 2 * linked_count <= len(chosen):
             addresses.update(self._seeds)
         return frozenset(addresses)
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_link_plan.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_link_plan.py
@@ -103,6 +103,14 @@
         self.assertLessEqual(set(SEEDS), plan.choose({"d0"}, set(), 1.0))
         self.assertEqual(set(members), plan.choose({"d0", "d1"}, set(), 1.0))
 
+    def test_seeds_are_used_until_a_dispatcher_is_known(self):
+        """Guards against groups of entries that never meet at the first start."""
+        members = make_members(replicas=3, others=4)
+        plan = self.make_plan(members)
+        searching = plan.choose(set(members), set(), 0.0, is_searching=True)
+        self.assertEqual(set(members) | set(SEEDS), searching)
+        self.assertEqual(set(members), plan.choose(set(members), set(), 1.0))
+
     def test_replaced_seeds_are_not_dialed_again(self):
         plan = self.make_plan({})
         plan.set_seeds(("s2",))
