Found the ledger only on enough disks for the tolerated losses

Founding is a decision of its own now. It takes 2 t + 1 voters for t tolerated losses, or 2 t after 5 s, so that each majority has more disks than may be lost, and none with fewer. Before that, configurations are answered with 503 as before the founding.

Not done: another founder where the entry at the first seed is lost.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_membership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_membership.py
@@ -1,4 +1,4 @@
-"""Membership: which entries are alive, and which replicas bootstrap the ledger."""
+"""Membership: which entries are alive."""
 
 import structlog
 from hawthornbarrow.cells import Directory, FleetMember
@@ -108,35 +108,3 @@
                 del self._members[name]
                 self._lost_at_s.pop(name, None)
                 _log.info("member_forgotten", member=name, silent_s=round(silent_s, 1))
-
-
-def choose_initial_voters(
-    members: list[FleetMember], tolerated_losses: int
-) -> tuple[str, ...]:
-    """Returns the initial voters of the ledger, spread over data centres.
-
-    Args:
-        members: Entries that are alive.
-        tolerated_losses: Disks that may be lost at once.
-
-    Returns:
-        Identities of ``2 * tolerated_losses + 1`` replicas, or of the greatest odd
-        number of replicas that are available.
-    """
-    by_data_centre: dict[str, list[str]] = {}
-    for member in sorted(members, key=lambda member: member.name):
-        if member.replica:
-            by_data_centre.setdefault(member.data_centre, []).append(member.replica)
-    ranked = [
-        (rank, data_centre, replica)
-        for data_centre, replicas in by_data_centre.items()
-        for rank, replica in enumerate(replicas)
-    ]
-    count = min(2 * tolerated_losses + 1, len(ranked))
-    count -= 1 - count % 2
-    return tuple(sorted(replica for _, _, replica in sorted(ranked)[: max(0, count)]))
-
-
-def required_voter_count(tolerated_losses: int) -> int:
-    """Returns how many voters tolerate the loss of a number of disks."""
-    return 2 * tolerated_losses + 1
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -73,6 +73,7 @@
     EntryConfiguration,
 )
 from hawthornbarrow_entry.fleet._evacuation_orders import EvacuationOrders
+from hawthornbarrow_entry.fleet._founding import Founding
 from hawthornbarrow_entry.fleet._gap_waits import (
     REFUSAL_MARGIN_S,
     CallerRequest,
@@ -149,6 +150,11 @@
             events=self._mailbox,
             generator=self._generator,
         )
+        is_first_seed = settings.seeds[:1] == (settings.address,)
+        self._founding = Founding(
+            is_founder=settings.is_first_start and is_first_seed,
+            tolerated_losses=settings.tolerated_losses,
+        )
         own = FleetMember(
             name=settings.name,
             address=settings.address,
@@ -620,7 +626,7 @@
         self._membership.remove_silent(now_s)
         await self._update_links(now_s)
         await self._send_directory(AGENT_ROLE)
-        voters = self._replica.initial_voters_to_announce(
+        voters = self._founding.voters_to_announce(
             self._membership, self._caller_jobs.term, now_s
         )
         if voters:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_replica_manager.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_replica_manager.py
@@ -18,16 +18,8 @@
 )
 from hawthornbarrow.links import LinkPort, Mailbox, ReplicaPayload
 
-from hawthornbarrow_entry.fleet._membership import (
-    Membership,
-    choose_initial_voters,
-    required_voter_count,
-)
 from hawthornbarrow_entry.fleet._settings import FleetEntrySettings
 
-MEMBERSHIP_QUIET_S = 1.0  # without a change; all starting entries are known then
-BOOTSTRAP_TIMEOUT_S = 5.0  # after which fewer initial voters than required suffice
-
 _log = structlog.get_logger()
 
 
@@ -42,9 +34,9 @@
 class ReplicaManager:
     """Manages the replica of an entry; an entry without a disk has none.
 
-    At the first start of a deployment, the entry at the first seed chooses the initial
-    voters and announces them. A replica that is not among them, or whose disk is empty
-    later, waits with an empty log until a leader makes it a member.
+    At the first start of a deployment, one entry announces the initial voters, which
+    `Founding` chooses. A replica that is not among them, or whose disk is empty later,
+    waits with an empty log until a leader makes it a member.
 
     Args:
         settings: Settings of the process.
@@ -69,8 +61,6 @@
         self._ledger: ReplicatedLedger | None = None
         self._transport: LinkReplicaTransport | None = None
         self._opened = curio.Event()
-        self._discovery_started_at_s = 0.0
-        self._initial_voters: tuple[str, ...] = ()
         self._identity = ""
         if settings.data_dir is not None:
             self._identity = str(load_identity(settings.data_dir, settings.name))
@@ -122,37 +112,6 @@
         if self._ledger is not None:
             await self._ledger.resign()
 
-    def initial_voters_to_announce(
-        self, membership: Membership, term: int, now_s: float
-    ) -> tuple[str, ...]:
-        """Returns the initial voters to announce, or none if not chosen by this entry.
-
-        The entry at the first seed chooses them once the membership has not changed
-        for MEMBERSHIP_QUIET_S, and announces them until a dispatcher has begun.
-
-        Args:
-            membership: Entries that are alive.
-            term: Highest known term of a dispatcher, zero before the first.
-            now_s: Current time.
-        """
-        chooses_voters = self._settings.seeds[:1] == (self._settings.address,)
-        if not self._settings.is_first_start or not chooses_voters or term:
-            return ()
-        if self._initial_voters:
-            return self._initial_voters
-        self._discovery_started_at_s = self._discovery_started_at_s or now_s
-        candidates = [member for member in membership.alive if member.replica]
-        is_quiet = now_s - membership.changed_at_s >= MEMBERSHIP_QUIET_S
-        has_enough = len(candidates) >= required_voter_count(
-            self._settings.tolerated_losses
-        )
-        has_waited = now_s - self._discovery_started_at_s >= BOOTSTRAP_TIMEOUT_S
-        if is_quiet and (has_enough or has_waited):
-            self._initial_voters = choose_initial_voters(
-                candidates, self._settings.tolerated_losses
-            )
-        return self._initial_voters
-
     async def _open_as_learner(self) -> None:
         if self._settings.data_dir is not None:
             await self._open()
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_voter_repair.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_voter_repair.py
@@ -5,7 +5,7 @@
 import structlog
 from hawthornbarrow.ledger import Members
 
-from hawthornbarrow_entry.fleet._membership import required_voter_count
+from hawthornbarrow_entry.fleet._founding import required_voter_count
 
 REPLICA_TIMEOUT_S = 6.0  # silence after which a voter is replaced or a learner dropped
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_membership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_membership.py
@@ -1,10 +1,10 @@
-"""Tests of the membership and of the choice of the ledger's initial voters."""
+"""Tests of the membership."""
 
 import unittest
 
 from hawthornbarrow.cells import Directory, FleetMember
 
-from hawthornbarrow_entry.fleet import Membership, choose_initial_voters
+from hawthornbarrow_entry.fleet import Membership
 
 
 def member(name, data_centre="x", replica=""):
@@ -50,17 +50,5 @@
         self.assertEqual(set(), membership.recently_lost(26.0, 5.0))
 
 
-class InitialVotersTest(unittest.TestCase):
-    def test_initial_voters_are_spread_over_data_centres(self):
-        members = [
-            member("a1", "x", "a1.1"),
-            member("a2", "x", "a2.1"),
-            member("b1", "y", "b1.1"),
-            member("c1", "z", "c1.1"),
-            member("d1", "z"),
-        ]
-        self.assertEqual(("a1.1", "b1.1", "c1.1"), choose_initial_voters(members, 1))
-
-    def test_number_of_initial_voters_is_odd_with_too_few_disks(self):
-        members = [member("a", "x", "a.1"), member("b", "y", "b.1")]
-        self.assertEqual(1, len(choose_initial_voters(members, 1)))
+if __name__ == "__main__":
+    unittest.main()
