Acknowledge nothing to an upstream that is asked for the first time

While an announced upstream is asked for its first listing, the call carried the number of the last ended run of the former one, so that an upstream that keeps that number would count its own first ends as noted.

The number is zero now, and the silent upstream stays the current one while its successor is asked. The permission to renew is checked again when the call is made: the upstream may have changed since.

--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/fleet/_process.py
@@ -428,6 +428,7 @@
             return False
         self._update_address()
         lease_until_s = self._supervisor.lease_until_s
+        may_renew = may_renew and self._supervisor.may_renew(steady_s())
         if may_renew:
             self._supervisor.record_renewal(lease_until_s)
         try:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
@@ -121,6 +121,7 @@
         self._lease_until_s = -1e9
         self._renewed_until_s = -1e9
         self._contact = UpstreamContact()
+        self._is_unreachable = False
         self._was_suspect = False
         self._used = Resources()
         self._runs: dict[TaskKey, RunRecord] = {}
@@ -176,21 +177,28 @@
     def listed_worker(self) -> WorkerRecord | None:
         """The worker whose upstream is to list its runs, None when there is none.
 
-        Without an upstream, that is the one that announced itself last, or else the one
-        that the directory lists.
+        Without an upstream that can be reached, that is the one that announced itself
+        last, or else the one that the directory lists.
         """
-        if self._worker is not None:
-            return self._worker
-        announced = self._announced.newest
-        return announced.worker if announced else self._known_upstream.worker
+        announced = self._asked
+        if announced is not None:
+            return announced.worker
+        return self._worker or self._known_upstream.worker
+
+    @property
+    def _asked(self) -> AnnouncedUpstream | None:
+        """The announced upstream that is asked in place of the current one, if any."""
+        if self._worker is not None and not self._is_unreachable:
+            return None
+        return self._announced.newest
 
     @property
     def address(self) -> str:
         """Address that the listed worker announced, empty if it is not known."""
-        if self._worker is not None:
-            return self._address
-        announced = self._announced.newest
-        return announced.address if announced else ""
+        announced = self._asked
+        if announced is not None:
+            return announced.address
+        return self._address if self._worker is not None else ""
 
     @property
     def is_attached(self) -> bool:
@@ -207,8 +215,11 @@
         """The upstream's number of the last ended run that is acknowledged to it.
 
         Jobs need not be stored, so it suffices that this process has the ended run in
-        memory. When the process is lost, the run counts as lost.
+        memory. When the process is lost, the run counts as lost. Zero for an upstream
+        that is asked for the first time: the numbers are those of the current one.
         """
+        if self._worker is None or self._asked is not None:
+            return 0
         return self._last_listed_number
 
     @property
@@ -504,6 +515,7 @@
         self._leaving_until_s = None
         self._has_no_unknown_runs = False
         self._contact = UpstreamContact()
+        self._is_unreachable = False
         self._last_listed_number = 0
         self._unknown_stopped_at_s.clear()
         self._end_session()
@@ -890,7 +902,7 @@
         if self._runs and now_s > self._all_ended_at_s:
             self._expire_lease(now_s)
         self._check_upstream_silence(now_s)
-        self._give_up_unreachable(now_s)
+        self._check_reachability(now_s)
         self._repeat_overdue_starts(now_s)
         if self._worker is not None:
             self._calls += self._fences.take_calls(self._worker, self.term, now_s)
@@ -942,17 +954,18 @@
             )
             self._end_session()
 
-    def _give_up_unreachable(self, now_s: float) -> None:
-        """Gives up an upstream that does not answer, if another one announced itself.
+    def _check_reachability(self, now_s: float) -> None:
+        """Notices when announced upstreams are to be asked in place of a silent one.
 
-        Its runs have ended by then. It is asked again when it announces itself.
+        Its runs have ended by then. It is asked again once no announced one is left.
         """
-        if self._worker is None or self._runs or not self._announced:
-            return
-        if self._contact.is_unreachable(now_s):
+        was_unreachable = self._is_unreachable
+        has_successor = self._worker is not None and bool(self._announced)
+        self._is_unreachable = (
+            has_successor and not self._runs and self._contact.is_unreachable(now_s)
+        )
+        if self._is_unreachable and not was_unreachable:
             _log.warning("upstream_unreachable", upstream=self.upstream)
-            self._worker = None
-            self._end_session()
 
     def _expire_lease(self, now_s: float) -> None:
         """Ends the session, since the upstream has ended runs that were not renewed."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_late_announcements.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_late_announcements.py
@@ -7,6 +7,7 @@
     AttachWorker,
     DispatcherHeartbeat,
     JobState,
+    ListedEndedRun,
     Listing,
     LoadFeature,
     Resources,
@@ -167,6 +168,21 @@
         self.tick(2.0)
         self.assertEqual("u3", self.agent.upstream)
         self.assertEqual({RunOutcome.LOST}, {run.end for run in self.ended})
+        crashed = {run.crashed_upstream for run in self.attach_requests[-1].ended}
+        self.assertIn("u2", crashed)
+
+    def test_silent_upstream_is_asked_again_after_a_late_announcement(self):
+        self.attach()
+        self.is_silent = True
+        running, self.running = self.running, ("nobody", 0)
+        self.tick(1.5)
+        self.announce("u1")
+        self.is_silent = False
+        self.agent.on_upstream_gone("u1", self.now_s)
+        self.running = running
+        self.tick(0.3)
+        self.assertEqual("u2", self.agent.upstream)
+        self.assertTrue(self.agent.is_attached)
 
     def test_successor_is_found_among_late_announcements(self):
         self.attach()
@@ -177,6 +193,23 @@
         self.tick(0.5)
         self.assertEqual("u9", self.agent.upstream)
 
+    def test_no_ended_run_is_acknowledged_to_an_upstream_before_its_first_listing(self):
+        """Guards against ends of a successor that count as noted before they occur."""
+        self.attach()
+        ended = ListedEndedRun(
+            number=57, task=str(TASK), attempt=1, end=RunOutcome.DONE
+        )
+        listing = Listing(
+            upstream="u2", asked_at_s=self.now_s, running=[], ended=[ended]
+        )
+        self.agent.on_listing(listing, self.now_s)
+        self.assertEqual(57, self.agent.acknowledged)
+        self.announce("u3")
+        self.assertEqual(57, self.agent.acknowledged)
+        self.agent.on_upstream_gone("u2", self.now_s)
+        self.assertEqual("u3", self.agent.listed_worker.upstream)
+        self.assertEqual(0, self.agent.acknowledged)
+
     def test_successor_that_is_leaving_is_attached_as_leaving(self):
         self.announce("u2", is_leaving=True)
         self.tick(0.2)
