--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # library only.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -m compileall -q stand_ins_2 6
+python3 -m compileall -q stand_ins_2 6 9 10
--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -34,6 +34,7 @@
     def __init__(self, folder, record, *, cores, fronts, agents):
         network = free_network()
         self.record = record
+        self.unused_address = f"127.{network}.9.9"  # nothing listens there
         self.runs = Runs(record)
         self.cores = [
             Machine(f"core-{i}", "entry", i, network, folder, record, disk=True)
--- a/review/stand_ins_2/executor.py
+++ b/review/stand_ins_2/executor.py
@@ -46,15 +46,19 @@
         self._born_s = time.monotonic()
         self._until_ms = 0
         self._fence = 0
-        self._sequence = 0
+        self.sequence = 0
+        self.state = "ready"
+        self.drain_acked_s = None  # when a report that it drains was acknowledged
         self._running = {}  # task -> [run, began, length]
         self._closed = {}  # task -> highest run ended or stopped here
         self._ends = []
         self._end_count = 0
         self._tasks = []
+        self._server = None
+        self._gone = False
 
     async def start(self):
-        await serve(self._machine.ip, APP_PORT, self._handle)
+        self._server = await serve(self._machine.ip, APP_PORT, self._handle)
         self._tasks = [
             asyncio.create_task(self._work()),
             asyncio.create_task(self._beat()),
@@ -65,29 +69,50 @@
 
     async def _beat(self):
         while True:
-            self._sequence += 1
+            self.sequence += 1
             beat = {
                 "service": SERVICE,
                 "address": f"{self._machine.ip}:{APP_PORT}",
                 "zone": self._machine.zone,
                 "version": "v1",
                 "slots": 8,
-                "state": "ready",
+                "state": self.state,
                 "coldRemainingMs": 0,
                 "capacity": {"cpu": self._cpu, "memMb": 32768, "gpu": 0},
                 "labels": ["a", "r1-1"],
                 "clockMs": self._clock_ms(),
-                "sequence": self._sequence,
+                "sequence": self.sequence,
             }
-            await call(
+            if self.state == "draining":
+                beat["remainingMs"] = 3000
+            status, _ = await call(
                 self._machine.ip,
                 CONTROL_PORT,
                 "PUT",
                 f"/api/instances/{self.id}",
                 body=json.dumps(beat).encode(),
             )
+            if self.state == "draining" and status == 200:
+                self._record.note(f"{self.id} says that it drains: 200")
+                if self.drain_acked_s is None:
+                    self.drain_acked_s = self._record.now_s()
             await asyncio.sleep(_BEAT_S)
 
+    async def leave(self):
+        """Deregisters and ends; what runs there is terminated."""
+        for task in self._tasks:
+            task.cancel()
+        await call(
+            self._machine.ip, CONTROL_PORT, "DELETE", f"/api/instances/{self.id}"
+        )
+        self._server.close()
+        self._gone = True
+        lost = list(self._running.items())
+        for task, (run, _, _) in lost:
+            del self._running[task]
+            self._runs.ended(task, self.id, run, "lost with its executor")
+        return len(lost)
+
     async def _work(self):
         while True:
             now_s = time.monotonic()
@@ -110,6 +135,8 @@
         return status, {"clockMs": self._clock_ms(), **fields}
 
     async def _handle(self, method, path, headers, body):
+        if self._gone:
+            return None
         if headers.get("x-expect-instance", self.id) != self.id:
             return 421, None
         order = json.loads(body) if body else {}
