Review stand-ins: docstrings and formatting for the linter

Cause: the linter checks review/ too. Change: docstrings, formatting; the record file is opened for each line.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A configuration that no leader ever got is acknowledged, and never comes into force."""
+"""A configuration that was proposed to no leader is acknowledged."""
 
 import asyncio
 import pathlib
@@ -15,6 +15,7 @@
 
 
 async def bring_back(deployment, lost, killed_at_s, trouble):
+    """Starts the killed processes of the core again."""
     await asyncio.sleep(max(0.0, killed_at_s + DOWN_S - deployment.record.now_s()))
     if trouble:
         for core in lost:
@@ -22,6 +23,7 @@
 
 
 async def case(deployment, trouble):
+    """Returns whether reads give the newest acknowledged version."""
     record = deployment.record
     await deployment.put_until_accepted(7, deployment.configuration(7))
     await deployment.wait_ready(deployment.entries)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -16,6 +16,7 @@
 
 
 async def case(deployment, trouble):
+    """Returns whether no task ran twice at the same time."""
     record = deployment.record
     await deployment.put_until_accepted(7, deployment.configuration(7))
     await deployment.wait_ready(deployment.entries)
--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -31,7 +31,10 @@
 
 
 class Deployment:
+    """The processes of a small deployment, its executors, operator and clients."""
+
     def __init__(self, folder, record, *, cores, fronts, agents):
+        """Creates the machines and executors; nothing runs yet."""
         network = free_network()
         self.record = record
         self.unused_address = f"127.{network}.9.9"  # nothing listens there
@@ -52,19 +55,23 @@
 
     @property
     def entries(self):
+        """All entries, those with a disk first."""
         return self.cores + self.fronts
 
     @property
     def seeds(self):
+        """The entries that the settings files name."""
         return self.cores[:3]
 
     async def start(self):
+        """Starts the executors and all processes, for the first time."""
         for executor in self.executors:
             await executor.start()
         for machine in self.entries + self.agents:
             machine.start(self.seeds, bootstrap=True)
 
     def kill_all(self):
+        """Ends all processes that were started."""
         for machine in self.entries + self.agents:
             machine.kill()
 
@@ -89,6 +96,7 @@
         return status == 200 and re.search(pattern, body, re.MULTILINE) is not None
 
     async def leader(self):
+        """Returns the entry that dispatches."""
         for machine in self.entries:
             if await self.dispatching(machine):
                 return machine
@@ -97,6 +105,7 @@
     # Operator
 
     def configuration(self, version, *, timeout_ms=1500, routes=1):
+        """Returns a configuration with one route in use and idle ones."""
         return json.dumps(
             {
                 "version": version,
@@ -136,6 +145,7 @@
         ).encode()
 
     async def put(self, machine, version, body, timeout_s=1.0):
+        """Sends a configuration once; returns the status, 0 for no response."""
         self.record.note(f"operator: PUT version {version} to {machine.name}")
         status, _ = await call(
             machine.ip,
@@ -157,6 +167,7 @@
         return json.loads(body)["version"] if status == 200 else None
 
     async def put_until_accepted(self, version, body, limit_s=25.0):
+        """Sends the first configuration until it is accepted."""
         async with asyncio.timeout(limit_s):
             while True:
                 for machine in self.cores:
@@ -174,7 +185,9 @@
             "phases": [{"count": count, "cpu": 1000, "memMb": 64, "estimatedMs": ms}],
             "bestEffort": True,
         }
-        self.record.note(f"client: POST {job} ({count} tasks of {ms} ms) {machine.name}")
+        self.record.note(
+            f"client: POST {job} ({count} tasks of {ms} ms) {machine.name}"
+        )
         status, answer = await call(
             machine.ip,
             FRONTEND_PORT,
--- a/review/stand_ins_2/executor.py
+++ b/review/stand_ins_2/executor.py
@@ -19,12 +19,14 @@
     """What runs where, over all executors: tells when a task runs twice at once."""
 
     def __init__(self, record):
+        """Initializes it without runs."""
         self._record = record
         self.running = {}  # task -> {(executor, run)}
         self.overlaps = []
         self.starts = []  # (time, task, executor, run)
 
     def began(self, task, executor, run):
+        """Records that a run has begun."""
         places = self.running.setdefault(task, set())
         places.add((executor, run))
         self.starts.append((self._record.now_s(), task, executor, run))
@@ -34,12 +36,16 @@
             self._record.note(f"RUNS TWICE AT ONCE: {task} on {sorted(places)}")
 
     def ended(self, task, executor, run, how):
+        """Records that a run has ended."""
         self.running.get(task, set()).discard((executor, run))
         self._record.note(f"run ends: {task} run {run} on {executor}: {how}")
 
 
 class Executor:
+    """One executor, beside the agent of its machine."""
+
     def __init__(self, machine, runs, record, *, cpu=16000):
+        """Creates an executor that does not listen yet."""
         self._machine, self._runs, self._record = machine, runs, record
         self._cpu = cpu
         self.id = f"i-{machine.name}"
@@ -58,6 +64,7 @@
         self._gone = False
 
     async def start(self):
+        """Accepts calls and begins to report to the agent."""
         self._server = await serve(self._machine.ip, APP_PORT, self._handle)
         self._tasks = [
             asyncio.create_task(self._work()),
--- a/review/stand_ins_2/platform.py
+++ b/review/stand_ins_2/platform.py
@@ -1,4 +1,4 @@
-"""The platform: machines with settings files, started with the deploy file's commands."""
+"""The platform: machines with settings files, and processes as the deploy file says."""
 
 import os
 import pathlib
@@ -63,14 +63,19 @@
     """Writes what was sent, answered and run, with the time since the start."""
 
     def __init__(self, path):
-        self._file = open(path, "w")
+        """Opens the record file anew."""
+        self._path = pathlib.Path(path)
+        self._path.write_text("")
         self._begin_s = time.monotonic()
 
     def now_s(self):
+        """Returns the time since the start."""
         return time.monotonic() - self._begin_s
 
     def note(self, text):
-        print(f"{self.now_s():8.3f} {text}", file=self._file, flush=True)
+        """Writes one line."""
+        with open(self._path, "a") as file:
+            print(f"{self.now_s():8.3f} {text}", file=file)
 
 
 class Machine:
@@ -81,6 +86,7 @@
     """
 
     def __init__(self, name, role, number, network, folder, record, *, disk=False):
+        """Derives the addresses; nothing runs yet."""
         self.name, self.role, self.disk = name, role, disk
         self.ip = f"127.{network}.1.{number}"
         self.advertised = self.ip
@@ -92,6 +98,7 @@
         self._environment = deploy["roles"][role]["env"]
 
     def start(self, seeds, *, bootstrap=False):
+        """Writes the settings file and starts the process."""
         serves = ["edge", "control"] if self.role == "entry" else ["side"]
         lines = [
             f'nodeName = "{self.name}"',
@@ -150,11 +157,13 @@
         self._record.note(f"start {self.name}")
 
     def signal(self, number):
+        """Sends a signal to the process, if it runs."""
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
             self._record.note(f"{signal.Signals(number).name} to {self.name}")
 
     def kill(self):
+        """Ends the process with SIGKILL and waits for its end."""
         if self._process is not None:
             if self._process.poll() is None:
                 self._process.send_signal(signal.SIGKILL)
--- a/review/stand_ins_2/wire.py
+++ b/review/stand_ins_2/wire.py
@@ -45,7 +45,8 @@
                 data = json.dumps(content).encode() if content is not None else b""
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(data)}\r\n\r\n".encode() + data
+                    f"Content-Length: {len(data)}\r\n\r\n".encode()
+                    + data
                 )
                 await writer.drain()
         except (ConnectionError, OSError):
