Review case 6: a second disk is lost before the ledger has replaced the first

Cause: the leader replaces a lost voter 7.5 s to 8.5 s after the loss, though the next loss may come catchUpS (4 s) after the start of its successor.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,88 +1,67 @@
-"""A configuration that was proposed to no leader is acknowledged."""
+"""A machine of the core is replaced; 6 s later another one loses its disk."""
 
 import asyncio
 import pathlib
+import shutil
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from stand_ins_2.deployment import main  # noqa: E402
 
-DOWN_S = 2.0  # for which the killed processes of the core are down
-FRONT_DOWN_S = 0.3
-CONFIG_APPLY_S = 2.0  # configApplyMs
-READ_FOR_S = 16.0  # longer than recoverS
-
-
-async def bring_back(deployment, lost, killed_at_s, trouble):
-    """Starts the killed processes of the core again."""
-    await asyncio.sleep(max(0.0, killed_at_s + DOWN_S - deployment.record.now_s()))
-    if trouble:
-        for core in lost:
-            core.start(deployment.seeds)
+SUCCESSOR_AFTER_S = 1.0
+CATCH_UP_S = 4.0  # catchUpS, from the start of the successor
+MARGIN_S = 1.0
+DOWN_S = 1.0  # of the machine that loses its disk
+READ_FOR_S = 40.0  # far longer than recoverS (12 s)
 
 
 async def case(deployment, trouble):
-    """Returns whether reads give the newest acknowledged version."""
+    """Returns whether the acknowledged configuration can be read back."""
     record = deployment.record
+    successor = deployment.spares[0]
     await deployment.put_until_accepted(7, deployment.configuration(7))
     await deployment.wait_ready(deployment.entries)
     await deployment.wait_serving(deployment.entries)
-    await asyncio.sleep(3.0)
-    leader = await deployment.leader()
-    lost = [core for core in deployment.cores if core is not leader][:2]
-    front, other = deployment.fronts
-    record.note(f"{leader.name} leads")
-
-    # Two operators change the configuration while two of the three core processes die.
-    killed_at_s = record.now_s()
-    if trouble:
-        for core in lost:
-            core.kill()
-    early = await asyncio.gather(
-        deployment.put(front, 8, deployment.configuration(8, routes=2)),
-        deployment.put(front, 9, deployment.configuration(9, routes=3)),
-    )
-    acknowledged = max(
-        [7] + [v for v, status in zip((8, 9), early, strict=True) if status == 200]
-    )
+    await asyncio.sleep(4.0)
+    removed, wiped = deployment.cores[2], deployment.cores[1]
     if trouble:
-        front.kill()
-        await asyncio.sleep(FRONT_DOWN_S)
-        front.start(deployment.seeds)
-    restart = asyncio.create_task(bring_back(deployment, lost, killed_at_s, trouble))
-    await asyncio.sleep(max(0.0, killed_at_s + DOWN_S - 0.1 - record.now_s()))
-
-    # The operator's next change; after a failure it moves on to another node.
-    nodes = [other, *deployment.cores]
-    body = deployment.configuration(10, routes=4)
-    for attempt in range(20):
-        node = nodes[attempt // 2 % len(nodes)] if attempt % 2 else front
-        if await deployment.put(node, 10, body) == 200:
-            acknowledged = 10
-            break
-        await asyncio.sleep(min(0.1 * 1.5**attempt, 1.0))
-    await restart
-    if acknowledged < 10:
-        record.note("version 10 was not acknowledged")
+        record.note(f"{removed.name} is gone for good")
+        # A machine without power does not respond, and channels to it hang.
+        removed.signal(signal.SIGSTOP)
+        deployment.cores.remove(removed)
+        await asyncio.sleep(SUCCESSOR_AFTER_S)
+        deployment.cores.append(successor)
+        successor.start(deployment.cores)
+        await asyncio.sleep(CATCH_UP_S + MARGIN_S)
+    if await deployment.put(deployment.cores[0], 8, deployment.configuration(8)) != 200:
+        record.note("version 8 was not acknowledged")
         return True
-    await asyncio.sleep(CONFIG_APPLY_S + 0.1)
+    await asyncio.sleep(0.3)
+    if trouble:
+        record.note(f"{wiped.name} loses its disk")
+        wiped.kill()
+        shutil.rmtree(wiped.data)
+        await asyncio.sleep(DOWN_S)
+        wiped.start(deployment.cores)
+    # All machines are up again from here on.
     until_s = record.now_s() + READ_FOR_S
-    older = []
+    versions = []
     while record.now_s() < until_s:
         for machine in deployment.entries:
             version = await deployment.read(machine)
+            versions.append(version)
             record.note(f"operator: GET at {machine.name}: version {version}")
-            if version is not None and version < acknowledged:
-                older.append((machine.name, version))
-        await asyncio.sleep(0.7)
-    if older:
-        record.note(
-            f"version {acknowledged} was acknowledged; {len(older)} later reads gave "
-            f"older versions, the last {older[-1]}"
-        )
-    return not older
+        if versions[-len(deployment.entries) :].count(8) == len(deployment.entries):
+            return True
+        await asyncio.sleep(1.0)
+    record.note(
+        f"{len(versions)} reads in {READ_FOR_S:.0f} s gave "
+        f"{sorted({str(version) for version in versions})}"
+    )
+    return versions[-1] == 8
 
 
 if __name__ == "__main__":
-    sys.exit(main(case, cores=3, fronts=2, agents=3))
+    sys.exit(main(case, cores=3, spares=1, fronts=2, agents=2))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,67 +1,88 @@
-"""A report with missing fields, of another writer, moves an agent off its executor."""
+"""A configuration that was proposed to no leader is acknowledged."""
 
 import asyncio
-import json
 import pathlib
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from stand_ins_2.deployment import main  # noqa: E402
-from stand_ins_2.platform import APP_PORT, CONTROL_PORT, SERVICE  # noqa: E402
-from stand_ins_2.wire import call  # noqa: E402
 
-JOBS = 24  # one each 0.25 s
-TASK_MS = 900
+DOWN_S = 2.0  # for which the killed processes of the core are down
+FRONT_DOWN_S = 0.3
+CONFIG_APPLY_S = 2.0  # configApplyMs
+READ_FOR_S = 16.0  # longer than recoverS
+
+
+async def bring_back(deployment, lost, killed_at_s, trouble):
+    """Starts the killed processes of the core again."""
+    await asyncio.sleep(max(0.0, killed_at_s + DOWN_S - deployment.record.now_s()))
+    if trouble:
+        for core in lost:
+            core.start(deployment.seeds)
 
 
 async def case(deployment, trouble):
-    """Returns whether no task ran twice at the same time."""
+    """Returns whether reads give the newest acknowledged version."""
     record = deployment.record
     await deployment.put_until_accepted(7, deployment.configuration(7))
     await deployment.wait_ready(deployment.entries)
     await deployment.wait_serving(deployment.entries)
     await asyncio.sleep(3.0)
-    jobs = []
-    for number in range(JOBS):
-        entry = deployment.entries[number % len(deployment.entries)]
-        jobs.append(
-            asyncio.create_task(
-                deployment.submit(entry, ms=TASK_MS, count=9, timeout_ms=4000)
-            )
-        )
-        await asyncio.sleep(0.25)
-        if number == JOBS // 3 and trouble:
-            await report_of_another_writer(deployment)
-    await asyncio.gather(*jobs)
-    await asyncio.sleep(1.0)
-    record.note(f"tasks that ran twice at once: {deployment.runs.overlaps}")
-    return not deployment.runs.overlaps
+    leader = await deployment.leader()
+    lost = [core for core in deployment.cores if core is not leader][:2]
+    front, other = deployment.fronts
+    record.note(f"{leader.name} leads")
 
-
-async def report_of_another_writer(deployment):
-    """Sends one report without `version`, `slots`, `labels`, `memMb` and `gpu`."""
-    executor, agent = deployment.executors[0], deployment.agents[0]
-    report = {
-        "service": SERVICE,
-        "address": f"{deployment.unused_address}:{APP_PORT}",
-        "zone": agent.zone,
-        "state": "ready",
-        "capacity": {"cpu": 16000},
-        "clockMs": 1000,
-        "sequence": executor.sequence + 2,
-    }
-    status, _ = await call(
-        agent.ip,
-        CONTROL_PORT,
-        "PUT",
-        f"/api/instances/{executor.id}",
-        body=json.dumps(report).encode(),
+    # Two operators change the configuration while two of the three core processes die.
+    killed_at_s = record.now_s()
+    if trouble:
+        for core in lost:
+            core.kill()
+    early = await asyncio.gather(
+        deployment.put(front, 8, deployment.configuration(8, routes=2)),
+        deployment.put(front, 9, deployment.configuration(9, routes=3)),
     )
-    deployment.record.note(
-        f"another writer: PUT /api/instances/{executor.id} {report}: {status}"
+    acknowledged = max(
+        [7] + [v for v, status in zip((8, 9), early, strict=True) if status == 200]
     )
+    if trouble:
+        front.kill()
+        await asyncio.sleep(FRONT_DOWN_S)
+        front.start(deployment.seeds)
+    restart = asyncio.create_task(bring_back(deployment, lost, killed_at_s, trouble))
+    await asyncio.sleep(max(0.0, killed_at_s + DOWN_S - 0.1 - record.now_s()))
+
+    # The operator's next change; after a failure it moves on to another node.
+    nodes = [other, *deployment.cores]
+    body = deployment.configuration(10, routes=4)
+    for attempt in range(20):
+        node = nodes[attempt // 2 % len(nodes)] if attempt % 2 else front
+        if await deployment.put(node, 10, body) == 200:
+            acknowledged = 10
+            break
+        await asyncio.sleep(min(0.1 * 1.5**attempt, 1.0))
+    await restart
+    if acknowledged < 10:
+        record.note("version 10 was not acknowledged")
+        return True
+    await asyncio.sleep(CONFIG_APPLY_S + 0.1)
+    until_s = record.now_s() + READ_FOR_S
+    older = []
+    while record.now_s() < until_s:
+        for machine in deployment.entries:
+            version = await deployment.read(machine)
+            record.note(f"operator: GET at {machine.name}: version {version}")
+            if version is not None and version < acknowledged:
+                older.append((machine.name, version))
+        await asyncio.sleep(0.7)
+    if older:
+        record.note(
+            f"version {acknowledged} was acknowledged; {len(older)} later reads gave "
+            f"older versions, the last {older[-1]}"
+        )
+    return not older
 
 
 if __name__ == "__main__":
-    sys.exit(main(case, cores=3, fronts=1, agents=3))
+    sys.exit(main(case, cores=3, fronts=2, agents=3))
--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -33,7 +33,7 @@
 class Deployment:
     """The processes of a small deployment, its executors, operator and clients."""
 
-    def __init__(self, folder, record, *, cores, fronts, agents):
+    def __init__(self, folder, record, *, cores, fronts, agents, spares=0):
         """Creates the machines and executors; nothing runs yet."""
         network = free_network()
         self.record = record
@@ -43,6 +43,11 @@
             Machine(f"core-{i}", "entry", i, network, folder, record, disk=True)
             for i in range(1, cores + 1)
         ]
+        # Machines with a disk that are started by the case.
+        self.spares = [
+            Machine(f"core-{i}", "entry", i, network, folder, record, disk=True)
+            for i in range(cores + 1, cores + 1 + spares)
+        ]
         self.fronts = [
             Machine(f"front-{i}", "entry", 20 + i, network, folder, record)
             for i in range(1, fronts + 1)
@@ -51,6 +56,7 @@
             Machine(f"side-{i}", "agent", 50 + i, network, folder, record)
             for i in range(1, agents + 1)
         ]
+        self._all = self.cores + self.spares + self.fronts + self.agents
         self.executors = [Executor(agent, self.runs, record) for agent in self.agents]
 
     @property
@@ -72,7 +78,7 @@
 
     def kill_all(self):
         """Ends all processes that were started."""
-        for machine in self.entries + self.agents:
+        for machine in self._all:
             machine.kill()
 
     async def wait_ready(self, machines, limit_s=25.0):
--- a/review/stand_ins_2/platform.py
+++ b/review/stand_ins_2/platform.py
@@ -91,6 +91,7 @@
         self.ip = f"127.{network}.1.{number}"
         self.advertised = self.ip
         self.zone = _ZONES[number % len(_ZONES)]
+        self.data = folder / f"data-{name}"
         self._folder, self._record = folder, record
         self._process = None
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
@@ -121,9 +122,8 @@
             'commands = "request"',
         ]
         if self.disk:
-            data = self._folder / f"data-{self.name}"
-            data.mkdir(exist_ok=True)
-            lines.append(f'dataDir = "{data}"')
+            self.data.mkdir(exist_ok=True)
+            lines.append(f'dataDir = "{self.data}"')
         if self.role == "agent":
             lines.append(f'app = "{self.ip}:{APP_PORT}"')
             lines.append(f'service = "{SERVICE}"')
