--- a/review/9/case.py
+++ b/review/9/case.py
@@ -9,6 +9,7 @@
 from stand_ins_2.deployment import main  # noqa: E402
 
 DOWN_S = 2.0  # for which the killed processes of the core are down
+FRONT_LIVES_S = 0.4  # after the two changes were sent
 FRONT_DOWN_S = 0.3
 CONFIG_APPLY_S = 2.0  # configApplyMs
 READ_FOR_S = 16.0  # longer than recoverS
@@ -39,17 +40,19 @@
     if trouble:
         for core in lost:
             core.kill()
-    early = await asyncio.gather(
+    early = asyncio.gather(
         deployment.put(front, 8, deployment.configuration(8, routes=2)),
         deployment.put(front, 9, deployment.configuration(9, routes=3)),
     )
-    acknowledged = max(
-        [7] + [v for v, status in zip((8, 9), early, strict=True) if status == 200]
-    )
+    await asyncio.sleep(FRONT_LIVES_S)
     if trouble:
         front.kill()
         await asyncio.sleep(FRONT_DOWN_S)
         front.start(deployment.seeds)
+    acknowledged = max(
+        [7]
+        + [v for v, status in zip((8, 9), await early, strict=True) if status == 200]
+    )
     restart = asyncio.create_task(bring_back(deployment, lost, killed_at_s, trouble))
     await asyncio.sleep(max(0.0, killed_at_s + DOWN_S - 0.1 - record.now_s()))
 
