Run each job at one of two dispatchers during a partition

Tasks ran twice at the same time, and jobs that had run were answered as not run.

Cause: a standby rests on a majority of the agents, a leader on a majority of the disks. The leader went on with jobs, and with runs that it had adopted, however few agents it had; the standby started handed-over jobs at once; the leader struck the agents that the standby used, so nobody waited for their runs once the links were back.

Change: a dispatcher knows whether all agents, a majority or a part follow it (FollowingAgents). With a part it stops the jobs of entries that it does not hear, and retires no agent. A job that was submitted to another dispatcher starts once that one must have released it; other jobs start at once. Agents tell a dispatcher that counts on them of a higher term. A standby counts agents by what they have heard, not by what arrives from them. Beside a leader of an older version it needs all agents. New fields come last with defaults.

Result: test_split_dispatch plays the cut of the case and random ones in virtual time.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_agent_registry.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_agent_registry.py
@@ -145,6 +145,10 @@
             for agent in missing
         ]
 
+    def restart_absences(self) -> None:
+        """Counts the absence of agents from the next look at them."""
+        self._absent_since_s.clear()
+
     def take_retirements(
         self,
         agents: collections.abc.Mapping[str, AgentRecord],
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_job.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_job.py
@@ -21,6 +21,8 @@
         submission_count: Number of its submissions, to any dispatcher.
         has_late_copy: Whether an earlier submission to the same dispatcher may still
             arrive there, on another path.
+        may_be_kept: Whether a previous dispatcher may have it that does not release
+            the jobs of entries it no longer hears.
     """
 
     document: JobDocument
@@ -30,6 +32,7 @@
     submitted_term: int = 0
     submission_count: int = 0
     has_late_copy: bool = False
+    may_be_kept: bool = False
 
     @property
     def start_by_s(self) -> float:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
@@ -16,6 +16,7 @@
     LoadFeature,
     SubmitJob,
     WithdrawJob,
+    is_standby_term,
 )
 
 from hawthornbarrow_entry.fleet._caller_job import CallerJob
@@ -76,6 +77,10 @@
         self._version_changed_at_s = -math.inf
         self._informed_at_s = -math.inf
         self._heartbeat_at_s = -math.inf
+        self._heard_at_s = -math.inf
+        # When a previous dispatcher was heard last that may still have its jobs.
+        self._former_heard_at_s = -math.inf
+        self._releases_jobs = False
         self._waiting: dict[str, int] = {}
         self._levels = QueueLevels()
         # Ids of the jobs that were submitted to no dispatcher yet.
@@ -162,10 +167,16 @@
     ) -> None:
         """Processes a heartbeat and hands all jobs over to a new dispatcher."""
         if heartbeat.term < self._term:
+            self._on_former_heard(heartbeat.term, now_s, releases_jobs=True)
             return
         is_new = heartbeat.term > self._term
-        self._term = heartbeat.term
-        self._heartbeat_at_s = now_s
+        if is_new:
+            former_term, self._term = self._term, heartbeat.term
+            self._on_former_heard(
+                former_term, self._heard_at_s, releases_jobs=self._releases_jobs
+            )
+        self._heartbeat_at_s = self._heard_at_s = now_s
+        self._releases_jobs = heartbeat.releases_jobs
         if heartbeat.version > self._version:
             self._version_changed_at_s = now_s
             self._version = heartbeat.version
@@ -187,6 +198,26 @@
         if is_new:
             self._messages.append((peer, HandoverComplete(term=heartbeat.term)))
 
+    def _on_former_heard(
+        self, term: int, heard_at_s: float, *, releases_jobs: bool
+    ) -> None:
+        """Records when a previous dispatcher was heard that may still have its jobs.
+
+        A leader of the ledger has lost its authority before the next one gets it. A
+        standby and a leader may dispatch at the same time.
+        """
+        if not is_standby_term(term) and not is_standby_term(self._term):
+            return
+        self._former_heard_at_s = max(self._former_heard_at_s, heard_at_s)
+        if releases_jobs:
+            return
+        for job in self._jobs.values():
+            job.may_be_kept = job.may_be_kept or job.submission_count > 0
+
+    def _former_silent_s(self, job: CallerJob, now_s: float) -> float | None:
+        """Returns the time since a dispatcher was heard that may have a job."""
+        return None if job.may_be_kept else now_s - self._former_heard_at_s
+
     def _submit_all(self, now_s: float) -> None:
         """Submits the jobs that this dispatcher does not have yet."""
         held_s = []
@@ -482,6 +513,7 @@
             age_s=now_s - job.received_at_s,
             was_offered=job.submission_count > 1,
             data_centre=self._data_centre,
+            former_silent_s=self._former_silent_s(job, now_s),
         )
         self._messages.append((self._dispatcher, message))
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -11,17 +11,21 @@
 import msgspec
 import structlog
 from hawthornbarrow.cells import (
+    ENTRY_CONTACT_S,
     LOST_ENTRY_WINDOW_S,
     AttachWorker,
     CellMessage,
     ConfigurationOutcome,
     ConfigurationSender,
+    ContactTimes,
     Dispatcher,
     DispatcherHeartbeat,
+    DispatchScope,
     EntryWatch,
     EvacuationOutcome,
     EvacuationState,
     EvacuationView,
+    FollowingAgents,
     GetConfiguration,
     GetJobState,
     GrantClaim,
@@ -128,6 +132,9 @@
         self._previous_dispatcher = ""
         self._handed_over_by: set[str] = set()
         self._entry_watch = EntryWatch(now_s=now_s)
+        self._following_agents = FollowingAgents()
+        self._entry_contacts = ContactTimes(timeout_s=ENTRY_CONTACT_S)
+        self._processes: dict[str, int] = {}
         has_gap_waiting = LoadFeature.GAP_WAITING in settings.features
         self._resubmission_bound = ResubmissionBound(
             resend_s=settings.resend_s if has_gap_waiting else None
@@ -152,9 +159,18 @@
         """The current dispatcher, kept while it may resume in its term, or None."""
         return self._dispatcher
 
-    def on_frame(self, peer: str, now_s: float) -> None:
-        """Records that a frame arrived."""
-        self._standby.on_frame(peer, now_s)
+    def on_frame(self, peer: str, confirmed_at_s: float, now_s: float) -> None:
+        """Records that a frame arrived.
+
+        Args:
+            peer: Its sender.
+            confirmed_at_s: When this process sent the newest frame that the sender is
+                known to have received, or infinity when unknown.
+            now_s: Current time.
+        """
+        contact_at_s = min(confirmed_at_s, now_s)
+        self._standby.on_frame(peer, contact_at_s)
+        self._following_agents.on_frame(peer, contact_at_s)
         if self._dispatcher is not None:
             self._dispatcher.on_frame(peer, now_s)
 
@@ -175,8 +191,9 @@
             return
         if is_entry:
             self._relayed_entries.add(source)
+            self._entry_contacts.record(source, now_s)
         else:
-            self.on_frame(source, now_s)
+            self.on_frame(source, now_s, now_s)
         if is_new and self._current_authority(now_s, self._table) is not None:
             await self._send_relayed_heartbeat(self._dispatcher, source, now_s)
         if is_entry:
@@ -213,6 +230,8 @@
     def on_entry_frame(self, entry: str, confirmed_at_s: float) -> None:
         """Records which frame another entry is known to have received."""
         self._entry_watch.on_frame(entry, confirmed_at_s)
+        if math.isfinite(confirmed_at_s):
+            self._entry_contacts.record(entry, confirmed_at_s)
 
     def on_entry_up(self, entry: str, *, is_restarted: bool, now_s: float) -> None:
         """Records a new link to another entry."""
@@ -225,9 +244,20 @@
     def on_peer_up(self, peer: str, *, is_restarted: bool, process: int = 0) -> None:
         """Processes a new link, to a process that may not know the agents yet."""
         self._sent_agents.pop(peer, None)
+        if self._processes.get(peer, process) != process:
+            self._on_process_replaced(peer)
+        self._processes[peer] = process
         if is_restarted and self._dispatcher is not None:
             self._dispatcher.on_agent_restarted(peer, steady_s(), process=process)
 
+    def _on_process_replaced(self, peer: str) -> None:
+        """Forgets what a former process of an agent or entry promised or submitted."""
+        self._standby.on_agent_restarted(peer)
+        self._following_agents.on_restarted(peer)
+        self._entry_contacts.forget(peer)
+        if self._dispatcher is not None:
+            self._dispatcher.on_entry_restarted(peer)
+
     async def tick(
         self, now_s: float, table: QueueTable | None, membership: Membership
     ) -> None:
@@ -239,6 +269,7 @@
             membership: Entries that are or were alive.
         """
         self._observe_replica(now_s)
+        self._standby.set_needs_all_agents(membership.may_keep_jobs)
         authority = self._current_authority(now_s, table)
         if authority is None:
             self._suspend_dispatcher()
@@ -252,11 +283,25 @@
         self._put_evacuation_in_force(authority.evacuation, now_s)
         await self._attach_agents(authority, now_s)
         await self._send_heartbeats_if_due(authority, now_s)
+        self._update_scope(self._dispatcher, authority, now_s)
         if self._dispatcher.is_recovering(now_s):
             self._check_handover(self._dispatcher, membership, now_s)
         self._dispatcher.tick(now_s)
         await self._send_dispatcher_messages()
 
+    def _update_scope(
+        self, dispatcher: Dispatcher, authority: _DispatchAuthority, now_s: float
+    ) -> None:
+        """Tells the dispatcher whether another one may be at work."""
+        scope = self._scope(authority, now_s)
+        entries = self._entry_contacts.recent(now_s)
+        dispatcher.set_scope(scope, entries | {self._settings.name})
+
+    def _scope(self, authority: _DispatchAuthority, now_s: float) -> DispatchScope:
+        return self._following_agents.scope(
+            authority.agents, now_s, is_standby=authority.is_standby
+        )
+
     def _observe_replica(self, now_s: float) -> None:
         """Takes a newer state of the evacuations from this entry's replica."""
         ledger = self._replica.ledger
@@ -357,6 +402,8 @@
         match message:
             case AttachWorker():
                 self._standby.on_grant(agent, message.term, now_s)
+                if message.term == self._dispatcher.term:
+                    self._following_agents.on_attach(agent, now_s)
                 self._registry.on_attach_request(agent, message, now_s)
             case WorkerReport():
                 self._dispatcher.report(agent, message, now_s)
@@ -448,14 +495,21 @@
         return dispatcher.heartbeat_for_agent(agent, heard_at_s, known_worker)
 
     async def retire_agents(self, now_s: float) -> None:
-        """Retires agents from the ledger that can have no runs any more."""
+        """Retires agents from the ledger that can have no runs any more.
+
+        An agent that a leader without a majority does not hear may work for a standby.
+        """
         ledger = self._replica.ledger
         if ledger is None or self._dispatcher is None or not ledger.leads(now_s):
             return
+        if self._dispatcher.scope is DispatchScope.PART:
+            self._registry.restart_absences()
+            return
         retirements = self._registry.take_retirements(
             ledger.state.agents, self._dispatcher.workers, now_s
         )
         for command in retirements:
+            self._following_agents.on_retired(command.name, now_s)
             await ledger.propose_in_term(command, ledger_term_of(self._dispatcher.term))
 
     async def on_request(self, peer: str, message: CellMessage, now_s: float) -> None:
@@ -568,7 +622,9 @@
             now_s=now_s,
             has_lease_expired=authority.is_standby,
             features=self._settings.features,
+            resend_s=self._resubmission_bound.resend_s,
         )
+        self._following_agents.begin_term()
         self._table = None
         self._dispatching_since_s = now_s
         is_own = self._last_heartbeat_from == self._settings.name
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_membership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_membership.py
@@ -39,6 +39,14 @@
         names = sorted(self._alive & set(self._members))
         return [self._own, *(self._members[name] for name in names)]
 
+    @property
+    def may_keep_jobs(self) -> bool:
+        """Whether an entry that could lead does not release jobs."""
+        return any(
+            member.replica and not member.releases_jobs
+            for member in self._members.values()
+        )
+
     @property
     def changed_at_s(self) -> float:
         """Time of the last change of the known or linked entries."""
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -162,6 +162,7 @@
             replica=self._replica.identity,
             is_relay=True,
             relays_entries=True,
+            releases_jobs=True,
         )
         self._membership = Membership(own=own, now_s=steady_s())
         self._caller_jobs = CallerJobs(
@@ -676,10 +677,10 @@
             case PeerDown():
                 self._on_peer_down(item, now_s)
             case PeerHeartbeat():
-                self._dispatcher_role.on_frame(item.peer, now_s)
+                self._dispatcher_role.on_frame(item.peer, item.confirmed_at_s, now_s)
                 self._on_entry_frame(item.peer, item.confirmed_at_s)
             case MessageReceived():
-                self._dispatcher_role.on_frame(item.peer, now_s)
+                self._dispatcher_role.on_frame(item.peer, item.confirmed_at_s, now_s)
                 self._on_entry_frame(item.peer, item.confirmed_at_s)
                 await self._on_message(item.peer, item.message, now_s)
             case Applied():
@@ -791,6 +792,7 @@
         if information is not None:
             await self._send(peer, information)
         if heartbeat.term < self._caller_jobs.term:
+            self._caller_jobs.on_heartbeat(peer, heartbeat, now_s)
             await self._send(peer, Superseded(term=self._caller_jobs.term))
             return
         has_new_path = self._dispatcher_link.on_heartbeat(relay, heartbeat, now_s)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_caller_jobs.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_caller_jobs.py
@@ -1,5 +1,6 @@
 """Tests of the outcomes that callers get, across changes of the dispatcher."""
 
+import math
 import unittest
 
 from hawthornbarrow.cells import (
@@ -31,8 +32,10 @@
     def setUp(self):
         self.caller_jobs = CallerJobs()
 
-    def heartbeat(self, term, now_s, peer="d"):
-        heartbeat = DispatcherHeartbeat(term=term, heard_at_s=now_s, version=1)
+    def heartbeat(self, term, now_s, peer="d", *, releases_jobs=True):
+        heartbeat = DispatcherHeartbeat(
+            term=term, heard_at_s=now_s, version=1, releases_jobs=releases_jobs
+        )
         self.caller_jobs.on_heartbeat(peer, heartbeat, now_s)
 
     def submit(self, caller, now_s, *, objective_s=1.0):
@@ -61,6 +64,36 @@
         self.assertTrue(submission[1].was_offered)
         self.assertEqual(("d2", HandoverComplete(term=2)), completion)
 
+    def handed_over(self, *heartbeats):
+        """Returns the last submission of a job after heartbeats of dispatchers."""
+        for term, now_s, releases_jobs in heartbeats:
+            self.heartbeat(term, now_s, peer=str(term), releases_jobs=releases_jobs)
+            if not self.caller_jobs.job_count:
+                self.submit(waiter(), now_s, objective_s=50.0)
+        return self.take_job_messages()[-1][1]
+
+    def test_standby_is_told_when_the_leader_was_heard_last(self):
+        """Guards against a start beside a run of a leader that is cut off."""
+        submission = self.handed_over((2, 10.0, True), (2, 10.5, True), (3, 12.0, True))
+        self.assertEqual(1.5, submission.former_silent_s)
+
+    def test_leader_is_told_when_a_standby_was_heard_last(self):
+        submission = self.handed_over((3, 10.0, True), (4, 10.1, True))
+        self.assertAlmostEqual(0.1, submission.former_silent_s)
+        submission = self.handed_over((3, 10.4, True), (6, 11.0, True))
+        self.assertAlmostEqual(0.6, submission.former_silent_s)
+
+    def test_former_leader_of_the_ledger_has_lost_its_authority(self):
+        submission = self.handed_over((2, 10.0, True), (4, 10.1, True))
+        self.assertEqual(math.inf, submission.former_silent_s)
+
+    def test_dispatcher_of_an_older_version_may_keep_a_job(self):
+        """Guards against a start beside a run of a leader of an older version."""
+        submission = self.handed_over((2, 10.0, False), (3, 12.0, True))
+        self.assertIsNone(submission.former_silent_s)
+        submission = self.handed_over((4, 14.0, True))
+        self.assertIsNone(submission.former_silent_s)
+
     def test_job_is_refused_at_once_without_dispatcher(self):
         outcome = self.submit(waiter(), 10.0)
         self.assertEqual(OutcomeKind.REFUSED, outcome.kind)
--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_split_dispatch.py
@@ -0,0 +1,80 @@
+"""Tests of a leader and a standby that dispatch on either side of a partition."""
+
+import unittest
+
+from hawthornbarrow_entry.fleet.tests._split_simulation import VOTERS, SplitSimulation
+
+WARM_UP_S = 3.0
+CUT_S = 5.5
+MIN_SERVED_SHARE = 0.25  # of either side, while it has a part of the agents
+
+
+def _start(seed):
+    simulation = SplitSimulation(seed=seed)
+    simulation.run(WARM_UP_S)
+    simulation.arrives_at_s = simulation.now_s
+    simulation.run(2.0)
+    return simulation
+
+
+def cut_at_random(simulation):
+    """Cuts some machines off for a while; entries may be killed beside that."""
+    generator = simulation.generator
+    far_voters = generator.choices([0, 1, 2], weights=[2, 3, 1])[0]
+    others = [name for name in simulation.entries if name not in VOTERS]
+    far = generator.sample(VOTERS, far_voters)
+    far += generator.sample(others, generator.randint(1, len(others)))
+    far += generator.sample(list(simulation.agents), generator.randint(2, 6))
+    names = [*simulation.entries, *simulation.agents]
+    near = [name for name in names if name not in far]
+    if generator.random() < 0.6:
+        near = [name for name in near if name in VOTERS]
+    for_s = generator.uniform(0.5, 6.0)
+    for name in far:
+        simulation.cut([name], near, for_s + generator.choice([0.0, 0.0, 0.5, 1.5]))
+    if generator.random() < 0.3:
+        simulation.run(generator.uniform(0.0, 2.0))
+        name = generator.choice(list(simulation.entries))
+        simulation.kill_entry(name, generator.uniform(0.2, 2.0))
+    simulation.run(generator.uniform(2.0, 8.0))
+
+
+class SplitDispatchTest(unittest.TestCase):
+    """Tests with seven agents and five entries, three of them voters."""
+
+    def test_no_task_runs_twice_while_two_dispatchers_are_at_work(self):
+        """Guards against a standby that starts what the leader has at work."""
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                simulation = _start(seed)
+                near, far = ["e0", "e1"], ["e2", "e3", "e4"]
+                for name in [*far, "a0", "a1", "a2", "a3"]:
+                    for_s = CUT_S + simulation.generator.choice([0.0, 0.5])
+                    simulation.cut([name], near, for_s)
+                cut_at_s = simulation.now_s
+                simulation.run(CUT_S)
+                # Agents that serve the standby are not retired by the leader.
+                self.assertEqual(
+                    set(simulation.agents), set(simulation.ledger_state.agents)
+                )
+                simulation.run(12.0)
+                simulation.check_refusals()
+                for entries in (near, far):
+                    share = simulation.served_share(
+                        cut_at_s + 2.0, cut_at_s + CUT_S - 1.0, entries
+                    )
+                    self.assertGreater(share, MIN_SERVED_SHARE)
+
+    def test_no_task_runs_twice_under_random_cuts(self):
+        """Guards against any overlap of two dispatchers, whatever links are cut."""
+        for seed in range(100, 108):
+            with self.subTest(seed=seed):
+                simulation = _start(seed)
+                for _ in range(3):
+                    cut_at_random(simulation)
+                simulation.run(12.0)
+                simulation.check_refusals()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -12,6 +12,12 @@
         ConfigurationSender,
         with_document,
     )
+    from hawthornbarrow.cells._dispatch_scope import (
+        ENTRY_CONTACT_S,
+        ContactTimes,
+        DispatchScope,
+        FollowingAgents,
+    )
     from hawthornbarrow.cells._dispatcher import Dispatcher
     from hawthornbarrow.cells._dispatcher_path import DispatcherPath
     from hawthornbarrow.cells._evacuation import (
@@ -110,6 +116,10 @@
     from hawthornbarrow.cells._upstream_directory import decode_worker, encode_worker
 
 __all__ = [
+    "ENTRY_CONTACT_S",
+    "ContactTimes",
+    "DispatchScope",
+    "FollowingAgents",
     "FEATURES_VARIABLE",
     "EntryWatch",
     "GIVE_UP_FACTOR",
@@ -209,6 +219,10 @@
         "CancelledJobs": "_cancelled_jobs",
         "ConfigurationSender": "_configuration_transfer",
         "with_document": "_configuration_transfer",
+        "ENTRY_CONTACT_S": "_dispatch_scope",
+        "ContactTimes": "_dispatch_scope",
+        "DispatchScope": "_dispatch_scope",
+        "FollowingAgents": "_dispatch_scope",
         "Dispatcher": "_dispatcher",
         "EvacuationState": "_evacuation",
         "EvacuationView": "_evacuation",
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -16,6 +16,7 @@
 from hawthornbarrow.cells._contention_control import ContentionControl
 from hawthornbarrow.cells._crash_history import CrashHistory
 from hawthornbarrow.cells._crash_monitor import CrashMonitor
+from hawthornbarrow.cells._dispatch_scope import DispatchScope, ScopedJobs
 from hawthornbarrow.cells._evacuation import EvacuationState
 from hawthornbarrow.cells._job_limits import InvalidJobError, check_document
 from hawthornbarrow.cells._job_record import JobRecord
@@ -79,6 +80,8 @@
         has_lease_expired: Whether the leases of the previous dispatcher have expired.
         order: Order in which waiting jobs are placed.
         features: Optional features that the deployment has enabled.
+        resend_s: Minimum time after which a caller whose connection broke submits its
+            job again, or None when unknown.
     """
 
     def __init__(
@@ -91,6 +94,7 @@
         has_lease_expired: bool = False,
         order: JobOrder | None = None,
         features: frozenset[LoadFeature] = NO_FEATURES,
+        resend_s: float | None = None,
     ) -> None:
         """Initializes a dispatcher without agents, which awaits the expected ones."""
         self._term = term
@@ -115,6 +119,7 @@
                 else ATTACH_WINDOW_S
             ),
         )
+        self._scoped_jobs = ScopedJobs(timing=timing, resend_s=resend_s)
         self._cancelled_jobs = CancelledJobs()
         self._previous_runs = PreviousRuns(recovery_until_s=self._pool.recovery_until_s)
         self._crash_history = CrashHistory()
@@ -233,6 +238,37 @@
                 term=self._term,
             )
 
+    @property
+    def scope(self) -> DispatchScope:
+        """How far this dispatcher knows that no other one is at work."""
+        return self._scoped_jobs.scope
+
+    def set_scope(
+        self, scope: DispatchScope, entries: collections.abc.Set[str]
+    ) -> None:
+        """Sets how far this dispatcher knows that no other one is at work.
+
+        Args:
+            scope: The scope.
+            entries: Entries that are known to follow this dispatcher.
+        """
+        if scope is not self._scoped_jobs.scope:
+            _log.info(
+                "dispatch_scope_changed",
+                term=self._term,
+                scope=scope.value,
+                former=self._scoped_jobs.scope.value,
+                workers=len(self._pool.workers),
+                entries=len(entries),
+            )
+            self._has_changes = True
+        self._scoped_jobs.set_scope(scope, entries)
+
+    def on_entry_restarted(self, entry: str) -> None:
+        """Forgets an entry that has restarted, as its callers' connections broke."""
+        for record in self._job_registry.jobs.values():
+            record.entries.discard(entry)
+
     def set_table(self, table: QueueTable) -> None:
         """Sets the configuration in force."""
         self._table = table
@@ -342,6 +378,7 @@
             evacuation_revision=self.evacuation.revision,
             evacuated=self.evacuation.data_centres,
             levels=levels,
+            releases_jobs=True,
         )
 
     def take_messages(self) -> list[tuple[str, CellMessage]]:
@@ -509,6 +546,7 @@
             )
         known = self._job_registry.jobs.get(job)
         if known is not None and known.state is not JobState.CANCELLED:
+            self._scoped_jobs.on_submission(known, entry, message, now_s)
             known.entries.add(entry)
             known.is_new = known.is_new and not message.was_offered
             if known.state.is_final:
@@ -548,6 +586,7 @@
         )
         record.set_times(chain_s)
         self._isolation.record_submission(queue.service, queue.name, now_s)
+        self._scoped_jobs.on_submission(record, entry, message, now_s)
         record.entries.add(entry)
         record.is_new = not message.was_offered and not self._previous_runs.has_trace(
             job
@@ -855,9 +894,48 @@
         if self._has_changes and (not is_recovering or new_before_s > -math.inf):
             self._has_changes = False
             self._task_placer.place(
-                now_s, only_new=is_recovering, new_before_s=new_before_s
+                now_s,
+                only_new=is_recovering,
+                new_before_s=new_before_s,
+                may_start=self._scope_filter(now_s),
             )
 
+    def _scope_filter(
+        self, now_s: float
+    ) -> collections.abc.Callable[[JobRecord], bool] | None:
+        if self._scoped_jobs.scope is DispatchScope.ALL:
+            return None
+
+        def may_start(job: JobRecord) -> bool:
+            is_released = self._scoped_jobs.is_released(job)
+            return not is_released and self._scope_delay_s(job, now_s) <= 0.0
+
+        return may_start
+
+    def _scope_delay_s(self, job: JobRecord, now_s: float) -> float:
+        """Returns the time until no other dispatcher can run a job."""
+        is_new = job.is_new and job.arrived_at_s < self._new_before_s
+        return self._scoped_jobs.start_delay_s(job, now_s, is_new=is_new)
+
+    def _stop_released_jobs(self, now_s: float) -> None:
+        """Stops the runs of jobs whose entries may follow another dispatcher.
+
+        The tasks wait until an entry of the job is heard again.
+        """
+        for job in self._pool.running_jobs:
+            record = self._job_registry.jobs.get(job)
+            if record is None or not self._scoped_jobs.is_released(record):
+                continue
+            if self._pool.stop_job(job):
+                self._counts["job_released"] += 1
+                _log.info(
+                    "job_released",
+                    job=job,
+                    entries=" ".join(sorted(record.entries)),
+                    running=record.running_count,
+                    term=self._term,
+                )
+
     def _sweep(self, now_s: float) -> None:
         for worker in self._pool.silent_workers(now_s):
             self._detach(worker, "silent", now_s)
@@ -866,6 +944,9 @@
             self._monitor.detect_slow_runs(worker, now_s)
             if worker.is_leaving:
                 self._stop_unfinishable_runs(worker, now_s)
+        is_part = self._scoped_jobs.scope is DispatchScope.PART
+        if is_part:
+            self._stop_released_jobs(now_s)
         self._decisions.sweep(now_s)
         self._pool.refresh_all(now_s)
         self._contention.update(now_s)
@@ -879,7 +960,8 @@
             crashing = self._job_registry.jobs.get(cause.task.job)
             if crashing is not None and not crashing.state.is_final:
                 self._fail_crashing(crashing, cause.task, now_s)
-        for task, agent in self._previous_runs.take_unclaimed(now_s):
+        unclaimed = self._previous_runs.take_unclaimed(now_s, may_be_elsewhere=is_part)
+        for task, agent in unclaimed:
             worker = self._pool.workers.get(agent)
             if worker is not None and task in worker.runs:
                 self._pool.order_stop(worker, worker.runs[task])
@@ -892,9 +974,10 @@
 
     def _start_delay_s(self, job: JobRecord, now_s: float) -> float:
         """Returns the time until a job may start if missing agents do not attach."""
+        delay_s = self._scope_delay_s(job, now_s)
         if job.is_new and job.arrived_at_s < self._known_new_before_s:
-            return 0.0
-        return self._pool.start_delay_s(now_s)
+            return delay_s
+        return max(delay_s, self._pool.start_delay_s(now_s))
 
     def _refuse_infeasible(self, now_s: float) -> None:
         """Refuses jobs as soon as they are expected to start after ``refuse_by_s``."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher_tracker.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher_tracker.py
@@ -2,6 +2,7 @@
 
 import structlog
 
+from hawthornbarrow.cells._messages import DispatcherHeartbeat
 from hawthornbarrow.cells._standby import is_standby_term
 from hawthornbarrow.cells._timing import RunLeaseTiming
 
@@ -71,6 +72,18 @@
             self._promised_at_s = now_s
         return is_granted
 
+    def should_inform(self, heartbeat: DispatcherHeartbeat) -> bool:
+        """Returns whether to tell the sender of a heartbeat of the higher term.
+
+        A leader then begins a term above it. A standby is told only if it counts on
+        this agent, as it may serve the agents that the other dispatcher can not reach.
+        """
+        if heartbeat.term >= self._term:
+            return False
+        has_promise = heartbeat.term == self._promised_term
+        is_counted_on = bool(heartbeat.session) or has_promise
+        return is_counted_on or not is_standby_term(heartbeat.term)
+
     def _follows(self, term: int, now_s: float) -> bool:
         if term < self._term:
             return False
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_record.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from hawthornbarrow.cells._parts import (
     JobDocument,
@@ -86,6 +87,12 @@
         self.data_centre = data_centre
         self.lane = Lane.SMALL
         self.is_new = False
+        # When no other dispatcher can run it any more: one that it was submitted to
+        # before, unless that may keep it, and one that an earlier submission of its
+        # caller may have reached.
+        self.released_at_s = -math.inf
+        self.may_be_kept = False
+        self.settled_at_s = -math.inf
         self.state = JobState.QUEUED
         self.tasks = [
             [TaskProgress(attempts=first_attempt) for _ in range(step.count)]
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
@@ -46,6 +46,8 @@
             for it.
         entries_alive_s: For an entry, age of the dispatcher's oldest proof that an
             entry with jobs was alive, infinite when it has none.
+        releases_jobs: For an entry, whether the dispatcher stops the runs of jobs whose
+            entries it does not hear, while another dispatcher may have them.
     """
 
     term: int
@@ -59,6 +61,7 @@
     levels: tuple[QueueLevel, ...] = ()
     known_worker: WorkerRecord | None = None
     entries_alive_s: float = math.inf
+    releases_jobs: bool = False
 
 
 class AttachWorker(_Message, kw_only=True):
@@ -138,12 +141,16 @@
         age_s: Time since the entry received it.
         was_offered: Whether it was submitted to another dispatcher before.
         data_centre: Data centre of the entry, which is near the caller.
+        former_silent_s: Time since the entry last heard another dispatcher that may
+            still have the job, infinite for none. None when unknown, or when that
+            dispatcher does not release jobs.
     """
 
     document: JobDocument
     age_s: float
     was_offered: bool
     data_centre: str = ""
+    former_silent_s: float | None = None
 
 
 class WithdrawJob(_Message, kw_only=True):
@@ -323,7 +330,7 @@
 
 
 class Superseded(_Message, kw_only=True):
-    """An entry informs a dispatcher that another one has a higher term."""
+    """An entry or agent informs a dispatcher that another one has a higher term."""
 
     term: int
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_parts.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_parts.py
@@ -291,6 +291,8 @@
         is_relay: Whether it forwards relayed messages; other versions may not.
         relays_entries: Whether it forwards those of entries too, and answers them as
             the dispatcher.
+        releases_jobs: Whether it stops the runs of jobs whose entries it does not hear
+            while it leads a minority of the agents; other versions may not.
     """
 
     name: str
@@ -299,3 +301,4 @@
     replica: str
     is_relay: bool = False
     relays_entries: bool = False
+    releases_jobs: bool = False
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_previous_runs.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_previous_runs.py
@@ -1,5 +1,6 @@
 """PreviousRuns: runs that a previous dispatcher started at the agents."""
 
+from hawthornbarrow.cells._dispatch_scope import ENTRY_CONTACT_S
 from hawthornbarrow.cells._parts import (
     TaskKey,
 )
@@ -77,12 +78,21 @@
         """Returns whether an agent has reported a run of a job."""
         return job in self._traces
 
-    def take_unclaimed(self, now_s: float) -> list[tuple[TaskKey, str]]:
-        """Removes and returns runs that no job claimed in time; removes old records."""
+    def take_unclaimed(
+        self, now_s: float, *, may_be_elsewhere: bool = False
+    ) -> list[tuple[TaskKey, str]]:
+        """Removes and returns runs that no job claimed in time; removes old records.
+
+        Args:
+            now_s: Current time.
+            may_be_elsewhere: Whether their entries may follow another dispatcher, which
+                waits only until the silence of an entry is noticed.
+        """
         unclaimed = [
             (task, agent)
             for task, (agent, found_at_s) in self._runs.items()
             if now_s - max(found_at_s, self._recovery_until_s) >= ORPHAN_RETENTION_S
+            or (may_be_elsewhere and now_s - found_at_s >= ENTRY_CONTACT_S)
         ]
         for task, _ in unclaimed:
             del self._runs[task]
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_resubmission.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_resubmission.py
@@ -97,6 +97,11 @@
         self._resend_s = resend_s
         self._alive_at_s = -math.inf
 
+    @property
+    def resend_s(self) -> float | None:
+        """Minimum time until a caller submits a job again, None when unknown."""
+        return self._resend_s
+
     @property
     def new_before_s(self) -> float:
         """Time before which a received job is new, on this process's clock."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
@@ -29,6 +29,7 @@
     GrantClaim,
     StartTasks,
     StopTasks,
+    Superseded,
     WorkerReport,
 )
 from hawthornbarrow.cells._parts import (
@@ -540,6 +541,8 @@
         """
         previous_dispatcher, previous_term = self._tracker.dispatcher, self.term
         if not self._tracker.on_heartbeat(peer, heartbeat.term, now_s):
+            if not relay and self._tracker.should_inform(heartbeat):
+                self._messages.append((peer, Superseded(term=self.term)))
             return
         if heartbeat.term > previous_term:
             _log.info(
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_standby.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_standby.py
@@ -17,6 +17,7 @@
 
 import structlog
 
+from hawthornbarrow.cells._dispatch_scope import CONTACT_TIMEOUT_S
 from hawthornbarrow.cells._messages import (
     ClaimAgents,
 )
@@ -30,7 +31,6 @@
 RANK_DELAY_S = 0.2  # between the first claims of entries of successive rank
 CLAIM_RETRY_INTERVAL_S = 0.4
 LINKED_STANDBY_COUNT = 3  # at least, beside the entries with replicas
-CONTACT_TIMEOUT_S = 0.5  # a majority of the agents must have been heard within it
 
 _log = structlog.get_logger()
 
@@ -86,6 +86,7 @@
         self._claimed_term = 0
         self._claimed_at_s = now_s
         self._granted: set[str] = set()
+        self._needs_all_agents = False
         self._heard_at_s: dict[str, float] = {}
 
     @property
@@ -103,6 +104,15 @@
         """Agents that the ledger lists, as reported by the last leader."""
         return self._agents
 
+    def set_needs_all_agents(self, needs_all_agents: bool) -> None:
+        """Sets whether promises of all agents are needed, not of a majority.
+
+        Args:
+            needs_all_agents: Whether a leader may be of a version that does not stop
+                the runs of jobs whose entries it no longer hears.
+        """
+        self._needs_all_agents = needs_all_agents
+
     def on_known_agents(self, term: int, agents: collections.abc.Iterable[str]) -> None:
         """Updates the agents that the ledger lists, ignoring older leaders.
 
@@ -128,10 +138,10 @@
         """Processes an agent's promise to follow this entry."""
         if term != self._claimed_term or agent not in self._agents:
             return
-        had_majority = self._has_majority(self._granted)
+        was_enough = self._is_enough(self._granted)
         self._granted.add(agent)
         self._heard_at_s[agent] = now_s
-        if not had_majority and self._has_majority(self._granted):
+        if not was_enough and self._is_enough(self._granted):
             _log.warning(
                 "standby_elected",
                 term=term,
@@ -139,10 +149,15 @@
                 agents=len(self._agents),
             )
 
-    def on_frame(self, agent: str, now_s: float) -> None:
-        """Records that a frame of an agent arrived."""
+    def on_frame(self, agent: str, contact_at_s: float) -> None:
+        """Records when an agent last heard this entry."""
         if agent in self._granted:
-            self._heard_at_s[agent] = now_s
+            known_s = self._heard_at_s[agent]
+            self._heard_at_s[agent] = max(known_s, contact_at_s)
+
+    def on_agent_restarted(self, agent: str) -> None:
+        """Records that an agent has restarted, which ends its promise."""
+        self._granted.discard(agent)
 
     def is_dispatcher_silent(self, now_s: float) -> bool:
         """Returns whether no heartbeat arrived for longer than any run can live."""
@@ -157,7 +172,7 @@
             for agent in self._granted
             if now_s - self._heard_at_s[agent] <= CONTACT_TIMEOUT_S
         }
-        return self._has_majority(in_contact)
+        return self._is_enough(in_contact)
 
     def claim_if_due(
         self, agents_up: collections.abc.Collection[str], rank: int, now_s: float
@@ -175,7 +190,7 @@
             return None
         if now_s - self._claimed_at_s < CLAIM_RETRY_INTERVAL_S:
             return None
-        if not self._has_majority(self._agents.intersection(agents_up)):
+        if not self._is_enough(self._agents.intersection(agents_up)):
             return None
         self._claimed_at_s = now_s
         self._claimed_term = (max(self._highest_term, self._claimed_term) + 1) | 1
@@ -202,5 +217,8 @@
             return current
         return max(first, (self._highest_term // 2 + 1) * 2)
 
-    def _has_majority(self, agents: collections.abc.Collection[str]) -> bool:
+    def _is_enough(self, agents: collections.abc.Collection[str]) -> bool:
+        """Returns whether no leader can dispatch to so many agents beside it."""
+        if self._needs_all_agents and len(agents) < len(self._agents):
+            return False
         return 2 * len(agents) > len(self._agents)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_task_placer.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_task_placer.py
@@ -79,7 +79,12 @@
         return queue.service if queue else ""
 
     def place(
-        self, now_s: float, *, only_new: bool, new_before_s: float = math.inf
+        self,
+        now_s: float,
+        *,
+        only_new: bool,
+        new_before_s: float = math.inf,
+        may_start: collections.abc.Callable[[JobRecord], bool] | None = None,
     ) -> None:
         """Starts waiting tasks in order, as far as there is free capacity.
 
@@ -89,12 +94,16 @@
                 wait.
             new_before_s: Time from which received jobs may have been submitted to a
                 previous dispatcher by another entry, and must wait too.
+            may_start: Returns whether no other dispatcher may run a job, None where
+                that is known of all jobs.
         """
         self._reservations.update(self._pool.workers, self._is_waiting, now_s)
         self._choice.begin_pass(now_s)
         for job in self._job_registry.waiting_in_order(now_s):
             is_new = job.is_new and job.arrived_at_s < new_before_s
-            if not only_new or is_new:
+            if only_new and not is_new:
+                continue
+            if may_start is None or may_start(job):
                 self._place_job(job, now_s)
 
     def _place_job(self, job: JobRecord, now_s: float) -> None:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -401,11 +401,19 @@
         run.is_stopping = True
         self._stops.setdefault(worker.agent, []).append(run.task)
 
-    def stop_job(self, job: str) -> None:
-        """Queues orders to stop all runs of a job."""
+    @property
+    def running_jobs(self) -> list[str]:
+        """Jobs that have runs on attached agents."""
+        return list(self._runs_by_job)
+
+    def stop_job(self, job: str) -> int:
+        """Queues orders to stop all runs of a job; returns their number."""
+        count = 0
         for (agent, _), run in self._runs_by_job.get(job, {}).items():
             if not run.is_stopping:
                 self.order_stop(self._workers[agent], run)
+                count += 1
+        return count
 
     def take_orders(self) -> list[tuple[str, CellMessage]]:
         """Returns the orders to send with their agents, and clears them."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_standby.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_standby.py
@@ -76,6 +76,29 @@
         self.assertTrue(self.standby.is_dispatching(now_s))
         self.assertFalse(self.standby.is_dispatching(now_s + 0.4))
 
+    def test_agents_that_do_not_hear_this_entry_do_not_count(self):
+        """Guards against a standby that goes on although its agents have left it."""
+        self.claim_and_win()
+        for agent in AGENTS[:3]:
+            self.standby.on_frame(agent, SILENT_S + 0.1)
+        self.assertFalse(self.standby.is_dispatching(SILENT_S + 0.7))
+
+    def test_needs_all_agents_beside_leaders_of_an_older_version(self):
+        """Guards against a start beside a run of a leader that never releases it."""
+        self.standby.set_needs_all_agents(True)
+        self.assertIsNone(self.claim(SILENT_S, agents=AGENTS[:4]))
+        term = self.claim(SILENT_S).term
+        for agent in AGENTS[:4]:
+            self.standby.on_grant(agent, term, SILENT_S)
+        self.assertFalse(self.standby.is_dispatching(SILENT_S))
+        self.standby.on_grant(AGENTS[4], term, SILENT_S)
+        self.assertTrue(self.standby.is_dispatching(SILENT_S))
+
+    def test_restart_of_an_agent_ends_its_promise(self):
+        self.claim_and_win()
+        self.standby.on_agent_restarted("a")
+        self.assertFalse(self.standby.is_dispatching(SILENT_S))
+
     def test_stops_dispatching_when_a_leader_returns(self):
         self.claim_and_win()
         self.standby.on_heartbeat(first_term(4), SILENT_S + 0.1)
