Ignore submissions to a former dispatcher that a link delivers late

What callers would see: "not run" for a job of which a task was started.

Cause: links repeat their messages after a partition, and a submission did not say for which dispatcher it was. The first one of a job arrived in a later term as a new job, after the job had run at a standby, and was refused as not run; the entry had submitted the job in that term too and believed it.

Change: SubmitJob carries the term; a dispatcher ignores one of another term, with a count.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
@@ -514,6 +514,7 @@
             was_offered=job.submission_count > 1,
             data_centre=self._data_centre,
             former_silent_s=self._former_silent_s(job, now_s),
+            term=self._term,
         )
         self._messages.append((self._dispatcher, message))
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_caller_jobs.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_caller_jobs.py
@@ -75,7 +75,7 @@
     def test_standby_is_told_when_the_leader_was_heard_last(self):
         """Guards against a start beside a run of a leader that is cut off."""
         submission = self.handed_over((2, 10.0, True), (2, 10.5, True), (3, 12.0, True))
-        self.assertEqual(1.5, submission.former_silent_s)
+        self.assertEqual((3, 1.5), (submission.term, submission.former_silent_s))
 
     def test_leader_is_told_when_a_standby_was_heard_last(self):
         submission = self.handed_over((3, 10.0, True), (4, 10.1, True))
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_split_dispatch.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_split_dispatch.py
@@ -6,6 +6,8 @@
 
 WARM_UP_S = 3.0
 CUT_S = 5.5
+# With these, a link delivers a submission after a partition, to another term.
+LATE_SUBMISSION_SEEDS = (33, 99, 140)
 MIN_SERVED_SHARE = 0.25  # of either side, while it has a part of the agents
 
 
@@ -67,7 +69,7 @@
 
     def test_no_task_runs_twice_under_random_cuts(self):
         """Guards against any overlap of two dispatchers, whatever links are cut."""
-        for seed in range(100, 108):
+        for seed in (*LATE_SUBMISSION_SEEDS, *range(100, 105)):
             with self.subTest(seed=seed):
                 simulation = _start(seed)
                 for _ in range(3):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -538,8 +538,22 @@
     # Jobs
 
     def submit(self, entry: str, message: SubmitJob, now_s: float) -> None:
-        """Accepts or refuses a job, or adds the entry to a known job."""
+        """Accepts or refuses a job, or adds the entry to a known job.
+
+        A submission to a former dispatcher is ignored: links repeat it after a
+        partition, when the entry may have submitted the job to others, and again here.
+        """
         job = message.document.job
+        if message.term not in (0, self._term):
+            self._counts["late_submission"] += 1
+            _log.info(
+                "late_submission_ignored",
+                job=job,
+                entry=entry,
+                submitted_in_term=message.term,
+                term=self._term,
+            )
+            return
         if message.was_offered:
             self._previous_runs.record_previous_submission(
                 job, now_s - message.age_s, now_s
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
@@ -144,6 +144,7 @@
         former_silent_s: Time since the entry last heard another dispatcher that may
             still have the job, infinite for none. None when unknown, or when that
             dispatcher does not release jobs.
+        term: Term of the dispatcher for which it is, zero when unknown.
     """
 
     document: JobDocument
@@ -151,6 +152,7 @@
     was_offered: bool
     data_centre: str = ""
     former_silent_s: float | None = None
+    term: int = 0
 
 
 class WithdrawJob(_Message, kw_only=True):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_dispatch_scope.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_dispatch_scope.py
@@ -220,6 +220,13 @@
         kinds = [kind for kind, _ in self.run_until(10.5)]
         self.assertEqual([StopTasks], kinds)
 
+    def test_late_submission_to_a_former_dispatcher_is_ignored(self):
+        """Guards against "not run" for a job that ran at another dispatcher since."""
+        self.submit(term=first_term(1))
+        self.assertEqual({}, self.dispatcher.jobs)
+        self.submit(term=TERM)
+        self.assertEqual(["j"], list(self.dispatcher.jobs))
+
 
 class InformTest(unittest.TestCase):
     """Tests of an agent that follows a leader and hears other dispatchers."""
