Match a reply of the leader with its request by sender and kind

Cause: LeaderRequests numbered its requests from 1 in each process and took any reply with a pending number. An outcome for the entry's former process, with version 9, ended the wait for version 10. The entry compared no versions.

Change: numbers begin at random in each process; a reply counts from the entry that was asked and of the request's kind only; an outcome with an older version than the proposed one is answered with 503. A leader forgets the proposals of an entry's process that has been replaced. Evacuation orders, reads and states of jobs take the same way. The replicas of both stacks already begin their numbers at random.

With the checks off five of the tests in test_leader_requests fail.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -255,6 +255,12 @@
         self._standby.on_agent_restarted(peer)
         self._following_agents.on_restarted(peer)
         self._entry_contacts.forget(peer)
+        # Its new process has not asked for what the former one proposed.
+        self._pending_proposals = {
+            number: proposal
+            for number, proposal in self._pending_proposals.items()
+            if proposal[0] != peer
+        }
         if self._dispatcher is not None:
             self._dispatcher.on_entry_restarted(peer)
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -212,7 +212,11 @@
         self._link_plan = LinkPlan(own=own)
         self._link_plan.set_members(self._membership.members)
         self._uninformed_roles: set[str] = set()
-        self._leader_requests = LeaderRequests(send=self._send_leader_request)
+        self._leader_requests = LeaderRequests(
+            send=self._send_now,
+            dispatcher=lambda: self._caller_jobs.dispatcher,
+            generator=self._generator,
+        )
         self._evacuation_orders = EvacuationOrders(
             requests=self._leader_requests,
             view=self._evacuation,
@@ -467,6 +471,9 @@
             ),
             _PROPOSAL_TIMEOUT_S,
         )
+        if answer.version < version:
+            _log.warning("configuration_not_kept", version=version, held=answer.version)
+            raise LeaderUnavailableError("the leader holds an older version")
         _log.info("configuration_acknowledged", version=version, held=answer.version)
         return answer.version
 
@@ -729,7 +736,7 @@
             case JobAnswer():
                 self._caller_jobs.on_answer(message, now_s)
             case JobStateReply() | ConfigurationOutcome() | EvacuationOutcome():
-                await self._leader_requests.on_reply(message)
+                await self._leader_requests.on_reply(peer, message)
             case ConfigurationReply():
                 await self._on_configuration_reply(peer, message)
             case Directory():
@@ -858,17 +865,14 @@
         reply = self._configuration.on_reply(peer, message)
         if reply is None:
             return
-        await self._leader_requests.on_reply(reply)
+        await self._leader_requests.on_reply(peer, reply)
         await self._request_configuration_if_newer(steady_s())
 
     # Messages
 
-    async def _send_leader_request(self, request: CellMessage) -> bool:
-        if not self._caller_jobs.dispatcher:
-            return False
-        await self._send(self._caller_jobs.dispatcher, request)
+    async def _send_now(self, receiver: str, message: CellMessage) -> None:
+        await self._send(receiver, message)
         await self._flush()
-        return True
 
     async def _send(self, receiver: str, message: CellMessage) -> None:
         """Sends a message; one to this entry itself goes through its own mailbox."""
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/_split_simulation.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/_split_simulation.py
@@ -36,7 +36,12 @@
     make_job,
     make_table,
 )
-from hawthornbarrow.ledger import AgentRecord, EvacuationRecord, RetireAgent
+from hawthornbarrow.ledger import (
+    AgentRecord,
+    EvacuationRecord,
+    RegisterAgent,
+    RetireAgent,
+)
 
 from hawthornbarrow_entry.fleet import _dispatcher_role
 from hawthornbarrow_entry.fleet._caller_jobs import CallerJobs
@@ -121,7 +126,7 @@
         return True
 
     async def propose(self, command):
-        self._simulation.commit(command)
+        return self._simulation.commit(command)
 
     async def propose_in_term(self, command, term):
         if term == self._simulation.ledger_term:
@@ -235,6 +240,7 @@
         self.down_until_s = {}
         self.leader = ""
         self.confirmed_at_s = -math.inf
+        self.proposal_count = 0
         self.table = make_table(max_attempts=6, objective_s=2.0)
         self.ledger_state = types.SimpleNamespace(
             agents={},
@@ -386,6 +392,10 @@
     # The ledger
 
     def commit(self, command):
+        """Commits a command on agents; returns the number of its proposal."""
+        self.proposal_count += 1
+        if not isinstance(command, RegisterAgent | RetireAgent):
+            return self.proposal_count
         agents = self.ledger_state.agents
         if isinstance(command, RetireAgent):
             agents.pop(command.name, None)
@@ -397,6 +407,7 @@
                 index=1,
                 worker=command.worker,
             )
+        return self.proposal_count
 
     def update_leader(self):
         if self.leader and self.has_majority(self.leader):
