Replace a lost voter by its successor before the next loss is allowed

No configuration could be read any more, for good.

Cause: VoterRepair waited 6 s from when the leader first looked, 1.4 s to 2 s after the loss, and anew with each leader. Nothing referred to the settings' catchUpS, 4 s from the start of the successor, after which the next disk may be lost. `replica_replaced` shows the wait; the successor is linked 0.7 s after its start and learns in a fraction of a second, so neither of these was it.

Change: catch_up_s comes from the settings. A replica that appears about when a voter falls silent replaces it a quarter of that time later. Each process with a replica observes the voters, so a new leader does not begin anew. A spare that was there before still waits for 6 s, so that voters that are slow, cut off or restarting keep their places.

With the former wait test_successor_votes_before_the_next_disk_may_be_lost and test_new_leader_counts_from_when_it_saw_the_loss fail.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -140,7 +140,11 @@
             resend_s=settings.resend_s if has_gap_waiting else None
         )
         self._dispatching_since_s = now_s
-        self._voter_repair = VoterRepair(tolerated_losses=settings.tolerated_losses)
+        self._voter_repair = VoterRepair(
+            tolerated_losses=settings.tolerated_losses,
+            catch_up_s=settings.catch_up_s,
+            now_s=now_s,
+        )
         self._sent_agents: dict[str, frozenset[str]] = {}
         self._table: QueueTable | None = None
         self._configuration_sender = ConfigurationSender()
@@ -560,9 +564,12 @@
     async def repair_voters(self, membership: Membership, now_s: float) -> None:
         """Replaces lost voters and adds voters where there are too few."""
         ledger = self._replica.ledger
-        if ledger is None or not ledger.leads(now_s):
+        if ledger is None:
             return
         replicas = {member.name: member.replica for member in membership.alive}
+        self._voter_repair.observe(ledger.members, replicas, now_s)
+        if not ledger.leads(now_s):
+            return
         match self._voter_repair.next_change(ledger.members, replicas, now_s):
             case ReplaceVoter(old=old, new=new):
                 await ledger.replace(old, new)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_settings.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_settings.py
@@ -29,6 +29,8 @@
         resend_s: Minimum time after which a caller whose connection broke submits its
             job again, or None when the platform does not say; nothing relies on it
             then.
+        catch_up_s: Time from the start of a machine that replaces another, or from the
+            return of one, after which the next disk may be lost.
     """
 
     name: str
@@ -45,3 +47,4 @@
     started_at_s: float | None = None
     features: frozenset[LoadFeature] = NO_FEATURES
     resend_s: float | None = None
+    catch_up_s: float = 4.0
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_voter_repair.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_voter_repair.py
@@ -1,6 +1,15 @@
-"""VoterRepair: maintains as many voters as the tolerated losses require."""
+"""VoterRepair: maintains as many voters as the tolerated losses require.
 
+A machine that is replaced counts as lost until its successor has been running for
+`catch_up_s`. From then on another one may lose its disk, so by then the successor must
+be a voter in its place. A replica that appears about when a voter falls silent is taken
+for its successor, and replaces it after a quarter of that time. Other spare replicas
+replace a voter later, as one that is slow, cut off or restarting is likely to return.
+"""
+
+import collections.abc
 import dataclasses
+import math
 
 import structlog
 from hawthornbarrow.ledger import Members
@@ -8,6 +17,10 @@
 from hawthornbarrow_entry.fleet._founding import required_voter_count
 
 REPLICA_TIMEOUT_S = 6.0  # silence after which a voter is replaced or a learner dropped
+SUCCESSOR_WAIT_FRACTION = 0.25  # of the time in which a successor must have caught up
+# A successor may appear as long before the loss of its predecessor's link is noticed.
+LINK_LOSS_S = 3.0
+STARTUP_S = 3.0  # in which replicas appear to a process that were running before it
 
 _log = structlog.get_logger()
 
@@ -40,15 +53,47 @@
 
     Args:
         tolerated_losses: Disks that may be lost at once.
+        catch_up_s: Time from the start of a successor after which another disk may be
+            lost.
+        now_s: Current time.
     """
 
-    def __init__(self, *, tolerated_losses: int) -> None:
+    def __init__(
+        self, *, tolerated_losses: int, catch_up_s: float, now_s: float
+    ) -> None:
         """Initializes a repair that has observed no silent replica."""
         self._required_count = required_voter_count(tolerated_losses)
+        self._successor_wait_s = SUCCESSOR_WAIT_FRACTION * catch_up_s
+        self._newcomers_from_s = now_s + STARTUP_S
         self._silent_since_s: dict[str, float] = {}
+        # When each replica was observed first, infinitely early at the start.
+        self._appeared_at_s: dict[str, float] = {}
+
+    def observe(
+        self,
+        members: Members,
+        replicas: collections.abc.Mapping[str, str],
+        now_s: float,
+    ) -> None:
+        """Observes which replicas are alive; also while another replica leads.
+
+        Args:
+            members: Voters and learners of the ledger.
+            replicas: Identity of the replica of each entry that is alive.
+            now_s: Current time.
+        """
+        alive = {replica for replica in replicas.values() if replica}
+        is_newcomer = now_s >= self._newcomers_from_s
+        for replica in alive:
+            self._appeared_at_s.setdefault(replica, now_s if is_newcomer else -math.inf)
+        for replica in (*members.voters, *members.learners):
+            self._silent_s(replica, alive, now_s)
 
     def next_change(
-        self, members: Members, replicas: dict[str, str], now_s: float
+        self,
+        members: Members,
+        replicas: collections.abc.Mapping[str, str],
+        now_s: float,
     ) -> VoterChange | None:
         """Returns the change to make now, or None when none is due.
 
@@ -58,24 +103,25 @@
                 entry's name, empty for entries without a disk.
             now_s: Current time.
         """
+        self.observe(members, replicas, now_s)
         alive = {replica for replica in replicas.values() if replica}
         if members.learners:
             return self._drop_lost(members.learners[0], alive, now_s)
         voting = {voter.partition(".")[0] for voter in members.voters}
-        spare = min(
-            (
-                replica
-                for name, replica in replicas.items()
-                if replica and name not in voting
-            ),
-            default="",
+        spares = sorted(
+            replica
+            for name, replica in replicas.items()
+            if replica and name not in voting
         )
+        spare = spares[0] if spares else ""
         for voter in members.voters:
             silent_s = self._silent_s(voter, alive, now_s)
             if voter in alive:
                 continue
             # The new replica of an entry that lost its disk replaces its previous one.
             new = replicas.get(voter.partition(".")[0], "")
+            if not new:
+                new = self._successor_of(voter, spares, now_s)
             if not new and silent_s >= REPLICA_TIMEOUT_S:
                 new = spare
             if new:
@@ -93,6 +139,16 @@
             return AddVoter(new=spare)
         return None
 
+    def _successor_of(self, voter: str, spares: list[str], now_s: float) -> str:
+        """Returns the spare replica to replace a silent voter now, or empty."""
+        lost_from_s = self._silent_since_s[voter] - LINK_LOSS_S
+        for spare in spares:
+            appeared_at_s = self._appeared_at_s[spare]
+            has_waited = now_s - appeared_at_s >= self._successor_wait_s
+            if appeared_at_s >= lost_from_s and has_waited:
+                return spare
+        return ""
+
     def _drop_lost(
         self, learner: str, alive: set[str], now_s: float
     ) -> DropLearner | None:
