Replace a voter that is stopping while it is still alive

Cause: the leader noticed the end by silence, its successor had appeared too long before to be taken for one, and the ledger refuses to replace a voter that is alive.

Change: an entry that stops says so in its directory (a field that comes last, with a default). The leader replaces it by a replica that appeared in the last 30 s; without such a newcomer a restarted entry keeps its place. The voter is removed by one change of the members and the successor added by the next, so quorums overlap also with a voter that is alive.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -567,12 +567,21 @@
         if ledger is None:
             return
         replicas = {member.name: member.replica for member in membership.alive}
-        self._voter_repair.observe(ledger.members, replicas, now_s)
+        # A leader that stops transfers its leadership, and the next one replaces it.
+        stopping = {
+            member.name
+            for member in membership.alive
+            if member.is_stopping and member.name != self._settings.name
+        }
+        self._voter_repair.observe(ledger.members, replicas, now_s, stopping=stopping)
         if not ledger.leads(now_s):
             return
-        match self._voter_repair.next_change(ledger.members, replicas, now_s):
-            case ReplaceVoter(old=old, new=new):
-                await ledger.replace(old, new)
+        change = self._voter_repair.next_change(
+            ledger.members, replicas, now_s, stopping=stopping
+        )
+        match change:
+            case ReplaceVoter(old=old, new=new, is_stopping=is_stopping):
+                await ledger.replace(old, new, is_stopping=is_stopping)
             case AddVoter(new=new):
                 await ledger.add(new)
             case DropLearner():
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_membership.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_membership.py
@@ -98,6 +98,10 @@
             )
         return has_changes
 
+    def set_own(self, own: FleetMember) -> None:
+        """Replaces the record of this entry."""
+        self._own = own
+
     def on_link_change(self, peer: str, is_up: bool, now_s: float) -> None:
         """Records that the link to an entry came up or went down."""
         self._seen_at_s[peer] = now_s
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -551,6 +551,9 @@
         self._is_stopping = True
         self._stopping_at_s = steady_s()
         _log.info("entry_stopping", held=self._caller_jobs.job_count)
+        own = self._membership.alive[0]
+        self._membership.set_own(msgspec.structs.replace(own, is_stopping=True))
+        self._uninformed_roles.add(ENTRY_ROLE)
         await self._replica.resign()
 
     async def drain(self, active_requests: collections.abc.Callable[[], int]) -> None:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_voter_repair.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_voter_repair.py
@@ -111,6 +111,33 @@
         replaced_at_s = self.replaced_at_s(10.0, 0.0)
         self.assertGreaterEqual(replaced_at_s, 10.0 + REPLICA_TIMEOUT_S)
 
+    def test_successor_replaces_a_voter_that_is_stopping(self):
+        """Guards against a planned successor that votes only after the next loss."""
+        members = Members(voters=VOTERS)
+        voters = {"a": "a.1", "b": "b.1", "c": "c.1"}
+        with_successor = voters | {"z": "z.1"}
+        self.assertIsNone(self.change(members, voters, 0.0))
+        self.assertIsNone(self.change(members, with_successor, 1.0))
+        self.assertIsNone(self.change(members, with_successor, 5.0))
+        change = self.repair.next_change(members, with_successor, 5.5, stopping={"b"})
+        expected = ReplaceVoter(old="b.1", new="z.1", is_stopping=True)
+        self.assertEqual(expected, change)
+        # Its process has ended before the change began.
+        del with_successor["b"]
+        change = self.change(members, with_successor, 12.0)
+        self.assertEqual(ReplaceVoter(old="b.1", new="z.1"), change)
+
+    def test_voter_that_restarts_keeps_its_place_beside_other_spares(self):
+        members = Members(voters=VOTERS)
+        self.assertIsNone(self.change(members, ALL_REPLICAS, -50.0))
+        change = self.repair.next_change(members, ALL_REPLICAS, 0.0, stopping={"b"})
+        self.assertIsNone(change)
+        without_b = {"a": "a.1", "c": "c.1", "d": "d.1"}
+        self.assertIsNone(self.change(members, without_b, 1.0))
+        self.assertIsNone(self.change(members, ALL_REPLICAS, 4.0))
+        newcomers = without_b | {"z": "z.1"}
+        self.assertIsNone(self.change(members, newcomers, 60.0))
+
     def test_replicas_that_a_new_process_finds_are_no_successors(self):
         repair = self.make_repair(0.0)
         replaced_at_s = self.replaced_at_s(0.1, 0.2, repair=repair)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_parts.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_parts.py
@@ -293,6 +293,7 @@
             the dispatcher.
         releases_jobs: Whether it stops the runs of jobs whose entries it does not hear
             while it leads a minority of the agents; other versions may not.
+        is_stopping: Whether its process is about to end.
     """
 
     name: str
@@ -302,3 +303,4 @@
     is_relay: bool = False
     relays_entries: bool = False
     releases_jobs: bool = False
+    is_stopping: bool = False
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_membership.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_membership.py
@@ -4,7 +4,12 @@
 
 
 def replacement_refusal_reason(
-    members: Members, old: str, new: str, heard: set[str]
+    members: Members,
+    old: str,
+    new: str,
+    heard: set[str],
+    *,
+    is_stopping: bool = False,
 ) -> str:
     """Returns why a replacement must be refused, or an empty string.
 
@@ -13,6 +18,8 @@
         old: Voter to remove.
         new: Replica to add.
         heard: Replicas that the leader heard from recently, itself included.
+        is_stopping: Whether the old voter's process is about to end. It may then be
+            replaced while it is alive.
     """
     if members.leaving:
         return f"the replacement of {members.leaving} is still under way"
@@ -22,7 +29,7 @@
         return f"{old} is not a voter; the voters are {', '.join(members.voters)}"
     if new in members.voters:
         return f"{new} is a voter already"
-    if old in heard:
+    if old in heard and not is_stopping:
         return f"{old} is alive; stop it before it is replaced"
     remaining = [voter for voter in members.voters if voter != old]
     alive = sum(voter in heard for voter in remaining)
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_raft.py
@@ -224,15 +224,23 @@
         self._append(proposer=proposer, number=number, command=command)
         return True
 
-    def replace(self, old: str, new: str, now_s: float) -> str:
+    def replace(
+        self, old: str, new: str, now_s: float, *, is_stopping: bool = False
+    ) -> str:
         """Starts the replacement of one voter by a new replica.
 
+        Args:
+            old: Voter to remove.
+            new: Replica to add.
+            now_s: Current time.
+            is_stopping: Whether the old voter's process is about to end.
+
         Returns:
             An empty string, or the reason why the request is refused.
         """
         members = self._log.members
         reason = self._change_refusal_reason() or replacement_refusal_reason(
-            members, old, new, self._recently_heard(now_s)
+            members, old, new, self._recently_heard(now_s), is_stopping=is_stopping
         )
         if not reason:
             self._append(
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/_replica.py
@@ -74,6 +74,7 @@
     number: int
     old: str
     new: str
+    is_stopping: bool
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -247,10 +248,20 @@
         """
         await self._inbox.post(_TermBoundProposal(term=term, command=command))
 
-    async def replace(self, old: str, new: str) -> int:
-        """Asks the leader to replace a replica; returns the request's number."""
+    async def replace(self, old: str, new: str, *, is_stopping: bool = False) -> int:
+        """Asks the leader to replace a replica; returns the request's number.
+
+        Args:
+            old: Voter to remove.
+            new: Replica to add.
+            is_stopping: Whether the old voter's process is about to end. Only this
+                replica, if it leads, replaces a voter that is still alive.
+        """
         number = self._allocate_number()
-        await self._inbox.post(_ReplacementRequest(number=number, old=old, new=new))
+        request = _ReplacementRequest(
+            number=number, old=old, new=new, is_stopping=is_stopping
+        )
+        await self._inbox.post(request)
         return number
 
     async def add(self, new: str) -> None:
@@ -491,7 +502,9 @@
             )
             self._transport.send(leader, message)
             return
-        reason = self._raft.replace(item.old, item.new, now_s)
+        reason = self._raft.replace(
+            item.old, item.new, now_s, is_stopping=item.is_stopping
+        )
         await self._events.post(
             ReplaceReply(term=self._raft.term, number=item.number, reason=reason)
         )
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/_cluster.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/_cluster.py
@@ -145,6 +145,11 @@
         self.start(new_name)
         return new_name
 
+    def add_spare(self, name: str) -> None:
+        """Starts a replica with an empty disk."""
+        self.disks[name] = MemoryStorage(Members(voters=()))
+        self.start(name)
+
     def tick(self, dt_s: float) -> None:
         self.now_s += dt_s
         for node in list(self.nodes.values()):
@@ -163,11 +168,11 @@
         self.process_ready(node)
         return accepted
 
-    def replace(self, old: str, new: str) -> str:
+    def replace(self, old: str, new: str, *, is_stopping: bool = False) -> str:
         leader = self.leader()
         if leader is None:
             return "no leader"
-        reason = leader.raft.replace(old, new, self.now_s)
+        reason = leader.raft.replace(old, new, self.now_s, is_stopping=is_stopping)
         leader.raft.flush(self.now_s)
         self.process_ready(leader)
         return reason
--- a/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_raft.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/ledger/tests/test_raft.py
@@ -195,6 +195,23 @@
         old = next(n for n in leader.log.members.voters if n not in cluster.nodes)
         self.assertEqual("", cluster.replace(old, second_fresh))
 
+    def test_voter_that_is_stopping_is_replaced_while_it_is_alive(self):
+        """Guards against a second loss before a stopped voter has a successor."""
+        cluster = started_cluster()
+        cluster.propose(cluster.leader().name, claim("before"))
+        leader = cluster.leader().name
+        old, second = [name for name in cluster.names if name != leader]
+        cluster.add_spare("z.1")
+        self.assertEqual("", cluster.replace(old, "z.1", is_stopping=True))
+        cluster.run(1.0)
+        members = cluster.leader().raft.log.members
+        self.assertEqual({leader, second, "z.1"}, set(members.voters))
+        cluster.crash(old)
+        cluster.wipe(second)
+        cluster.run(3.0)
+        self.assertEqual(cluster.leader().state.claim_count, 1)
+        self.assertTrue(cluster.propose(cluster.leader().name, claim("after")))
+
     def test_unsafe_replacements_are_refused_with_a_reason(self):
         cluster = started_cluster()
         leader = cluster.leader().name
