Count a process after a silence once it tells whom it follows

Cause: a frame of an entry proves that it hears the leader, not that it follows it. The cut ended at 10.5 s; at 10.555 s the leader resumed a job, as a frame of its entry had come; at 10.613 s it learned that the entry follows a standby, which had had the job at work since 6.87 s. The same holds for the agents that make up its majority.

Change: entries and agents tell back when the dispatcher sent the heartbeat that they follow, in HandoverComplete, AttachWorker and WorkerReport, and repeat it for 0.5 s after a gap. After a silence a process counts once it names a recent heartbeat; what a link held up names an old one. Processes of older versions tell nothing and count after 1 s of contact. All fields come last with defaults.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_caller_jobs.py
@@ -32,6 +32,7 @@
 INFORMATION_LEASE_S = 1.2  # dispatcher information older than this is not used
 HEARTBEAT_TIMEOUT_S = 0.25  # after a longer silence jobs wait and are not submitted
 UNSUBMITTED_WAIT_FACTOR = 0.25  # of the objective; maximum wait before a submission
+CONFIRMATION_S = 0.5  # in which each heartbeat after a gap is answered
 HANDOVER_S = 1.0  # in which entries hand their jobs over to a new dispatcher
 MAX_VERSION_LAG_S = 0.6  # within which a newer configuration must be in force here
 
@@ -78,6 +79,7 @@
         self._informed_at_s = -math.inf
         self._heartbeat_at_s = -math.inf
         self._heard_at_s = -math.inf
+        self._confirms_until_s = -math.inf
         # When a previous dispatcher was heard last that may still have its jobs.
         self._former_heard_at_s = -math.inf
         self._releases_jobs = False
@@ -170,6 +172,9 @@
             self._on_former_heard(heartbeat.term, now_s, releases_jobs=True)
             return
         is_new = heartbeat.term > self._term
+        # After a gap the dispatcher does not know whether this entry still follows it.
+        if not is_new and not self.hears_dispatcher(now_s):
+            self._confirms_until_s = now_s + CONFIRMATION_S
         if is_new:
             former_term, self._term = self._term, heartbeat.term
             self._on_former_heard(
@@ -195,8 +200,11 @@
             self._term_since_s = now_s
             self._repeat_cancels(now_s)
         self._submit_all(now_s)
-        if is_new:
-            self._messages.append((peer, HandoverComplete(term=heartbeat.term)))
+        if is_new or now_s <= self._confirms_until_s:
+            message = HandoverComplete(
+                term=heartbeat.term, heartbeat_at_s=heartbeat.sent_at_s
+            )
+            self._messages.append((peer, message))
 
     def _on_former_heard(
         self, term: int, heard_at_s: float, *, releases_jobs: bool
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -17,7 +17,6 @@
     CellMessage,
     ConfigurationOutcome,
     ConfigurationSender,
-    ContactTimes,
     Dispatcher,
     DispatcherHeartbeat,
     DispatchScope,
@@ -25,6 +24,7 @@
     EvacuationOutcome,
     EvacuationState,
     EvacuationView,
+    Followers,
     FollowingAgents,
     GetConfiguration,
     GetJobState,
@@ -133,7 +133,7 @@
         self._handed_over_by: set[str] = set()
         self._entry_watch = EntryWatch(now_s=now_s)
         self._following_agents = FollowingAgents()
-        self._entry_contacts = ContactTimes(timeout_s=ENTRY_CONTACT_S)
+        self._following_entries = Followers(timeout_s=ENTRY_CONTACT_S)
         self._processes: dict[str, int] = {}
         has_gap_waiting = LoadFeature.GAP_WAITING in settings.features
         self._resubmission_bound = ResubmissionBound(
@@ -174,7 +174,7 @@
         """
         contact_at_s = min(confirmed_at_s, now_s)
         self._standby.on_frame(peer, contact_at_s)
-        self._following_agents.on_frame(peer, contact_at_s)
+        self._following_agents.on_frame(peer, contact_at_s, now_s)
         if self._dispatcher is not None:
             self._dispatcher.on_frame(peer, now_s)
 
@@ -195,7 +195,7 @@
             return
         if is_entry:
             self._relayed_entries.add(source)
-            self._entry_contacts.record(source, now_s)
+            self._following_entries.on_frame(source, now_s, now_s)
         else:
             self.on_frame(source, now_s, now_s)
         if is_new and self._current_authority(now_s, self._table) is not None:
@@ -231,11 +231,11 @@
             heartbeat.heard_at_s, heartbeat.entries_alive_s
         )
 
-    def on_entry_frame(self, entry: str, confirmed_at_s: float) -> None:
+    def on_entry_frame(self, entry: str, confirmed_at_s: float, now_s: float) -> None:
         """Records which frame another entry is known to have received."""
         self._entry_watch.on_frame(entry, confirmed_at_s)
         if math.isfinite(confirmed_at_s):
-            self._entry_contacts.record(entry, confirmed_at_s)
+            self._following_entries.on_frame(entry, confirmed_at_s, now_s)
 
     def on_entry_up(self, entry: str, *, is_restarted: bool, now_s: float) -> None:
         """Records a new link to another entry."""
@@ -258,7 +258,7 @@
         """Forgets what a former process of an agent or entry promised or submitted."""
         self._standby.on_agent_restarted(peer)
         self._following_agents.on_restarted(peer)
-        self._entry_contacts.forget(peer)
+        self._following_entries.forget(peer)
         # Its new process has not asked for what the former one proposed.
         self._pending_proposals = {
             number: proposal
@@ -304,7 +304,7 @@
     ) -> None:
         """Tells the dispatcher whether another one may be at work."""
         scope = self._scope(authority, now_s)
-        entries = self._entry_contacts.recent(now_s)
+        entries = self._following_entries.in_contact(now_s)
         dispatcher.set_scope(scope, entries | {self._settings.name})
 
     def _scope(self, authority: _DispatchAuthority, now_s: float) -> DispatchScope:
@@ -393,6 +393,7 @@
                 self._on_job_message(peer, message, now_s)
             case HandoverComplete() if message.term == self._dispatcher.term:
                 self._handed_over_by.add(peer)
+                self._following_entries.on_follow(peer, message.heartbeat_at_s, now_s)
 
     def _on_job_message(
         self, entry: str, message: SubmitJob | WithdrawJob, now_s: float
@@ -413,11 +414,17 @@
             case AttachWorker():
                 self._standby.on_grant(agent, message.term, now_s)
                 if message.term == self._dispatcher.term:
-                    self._following_agents.on_attach(agent, now_s)
+                    self._following_agents.on_attach(
+                        agent, message.heartbeat_at_s, now_s
+                    )
                 self._registry.on_attach_request(agent, message, now_s)
             case WorkerReport():
                 self._dispatcher.report(agent, message, now_s)
                 worker = self._dispatcher.workers.get(agent)
+                if worker is not None and worker.session == message.session:
+                    self._following_agents.on_report(
+                        agent, message.heartbeat_at_s, now_s
+                    )
                 if worker is not None:
                     self._registry.on_report(
                         agent, worker.record, is_leaving=worker.is_leaving
@@ -490,7 +497,7 @@
                 await ledger.propose(command)
 
     def _heartbeat_for_agent(
-        self, dispatcher: Dispatcher, agent: str, heard_at_s: float
+        self, dispatcher: Dispatcher, agent: str, heard_at_s: float, now_s: float
     ) -> DispatcherHeartbeat:
         """Returns a heartbeat with the worker that the ledger lists, where needed."""
         known_worker = None
@@ -502,7 +509,9 @@
         ):
             record = ledger.state.agents.get(agent)
             known_worker = self._registry.directory.known_worker(record)
-        return dispatcher.heartbeat_for_agent(agent, heard_at_s, known_worker)
+        return dispatcher.heartbeat_for_agent(
+            agent, heard_at_s, known_worker, sent_at_s=now_s
+        )
 
     async def retire_agents(self, now_s: float) -> None:
         """Retires agents from the ledger that can have no runs any more.
@@ -647,6 +656,7 @@
             resend_s=self._resubmission_bound.resend_s,
         )
         self._following_agents.begin_term()
+        self._following_entries.begin_term()
         self._table = None
         self._dispatching_since_s = now_s
         is_own = self._last_heartbeat_from == self._settings.name
@@ -714,9 +724,10 @@
             await self._send_known_agents(authority)
         for peer in self._port.peers_up("agent"):
             heard_at_s = self._port.peer_sent_at_s(peer)
-            await self._send(
-                peer, self._heartbeat_for_agent(self._dispatcher, peer, heard_at_s)
+            heartbeat = self._heartbeat_for_agent(
+                self._dispatcher, peer, heard_at_s, now_s
             )
+            await self._send(peer, heartbeat)
         for agent in self._relay_routes.agents(now_s):
             await self._send_relayed_heartbeat(self._dispatcher, agent, now_s)
         template = self._entry_heartbeat(self._dispatcher, now_s)
@@ -740,6 +751,7 @@
         alive_age_s = self._entry_watch.alive_age_s(
             dispatching_since_s=self._dispatching_since_s, now_s=steady_s()
         )
+        heartbeat = msgspec.structs.replace(heartbeat, sent_at_s=now_s)
         return self._complete_heartbeat(heartbeat, alive_age_s)
 
     def _complete_heartbeat(
@@ -777,7 +789,9 @@
             template = self._entry_heartbeat(dispatcher, now_s)
             heartbeat = msgspec.structs.replace(template, heard_at_s=heard_at_s)
         else:
-            heartbeat = self._heartbeat_for_agent(dispatcher, receiver, heard_at_s)
+            heartbeat = self._heartbeat_for_agent(
+                dispatcher, receiver, heard_at_s, now_s
+            )
         await self._send_relayed(receiver, heartbeat)
 
     async def _send_relayed(self, receiver: str, message: CellMessage) -> None:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -688,20 +688,20 @@
                 self._on_peer_down(item, now_s)
             case PeerHeartbeat():
                 self._dispatcher_role.on_frame(item.peer, item.confirmed_at_s, now_s)
-                self._on_entry_frame(item.peer, item.confirmed_at_s)
+                self._on_entry_frame(item.peer, item.confirmed_at_s, now_s)
             case MessageReceived():
                 self._dispatcher_role.on_frame(item.peer, item.confirmed_at_s, now_s)
-                self._on_entry_frame(item.peer, item.confirmed_at_s)
+                self._on_entry_frame(item.peer, item.confirmed_at_s, now_s)
                 await self._on_message(item.peer, item.message, now_s)
             case Applied():
                 await self._dispatcher_role.on_applied(item, now_s)
             case LedgerFailed():
                 _log.error("replica_lost", reason=item.reason)
 
-    def _on_entry_frame(self, peer: str, confirmed_at_s: float) -> None:
+    def _on_entry_frame(self, peer: str, confirmed_at_s: float, now_s: float) -> None:
         if self._roles.get(peer) == ENTRY_ROLE:
             self._reachable.on_frame(peer, confirmed_at_s)
-            self._dispatcher_role.on_entry_frame(peer, confirmed_at_s)
+            self._dispatcher_role.on_entry_frame(peer, confirmed_at_s, now_s)
 
     async def _on_peer_up(self, event: PeerUp, now_s: float) -> None:
         self._roles[event.peer] = event.role
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/_split_simulation.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/_split_simulation.py
@@ -58,8 +58,11 @@
 LINK_DELAYS_S = (0.002, 0.005, 0.02)
 ENTRY_TICK_S = 0.05
 MAINTENANCE_S = 0.5
+KEEPALIVE_S = 0.2
+KEEPALIVE_OFFSET_S = 0.03
 RESEND_S = 1.3
 ARRIVAL_INTERVAL_S = 0.06
+OBJECTIVE_S = 2.0
 CALLER_TIMEOUT_S = 6.0
 CALLER_LIMIT_S = 9.0
 MAX_RUN_S = 2.5
@@ -175,14 +178,14 @@
 
     async def send(self, receiver, message):
         if receiver == self.name:
-            self.mailbox.append(message)
+            self.mailbox.append((self.name, message, math.inf))
         elif receiver:
             self.simulation.send(self.name, receiver, message, self.simulation.now_s)
 
     def step(self, now_s):
         mailbox, self.mailbox = self.mailbox, []
-        for message in mailbox:
-            self.receive(self.name, message, math.inf, now_s)
+        for peer, message, confirmed_at_s in mailbox:
+            self.receive(peer, message, confirmed_at_s, now_s)
         _run(self.role.tick(now_s, self.simulation.table, self.membership))
         if self.role.is_dispatcher_silent(now_s):
             _run(self.role.claim_agents(self.rank(), now_s))
@@ -208,7 +211,7 @@
         is_entry = peer in self.simulation.entries
         self.role.on_frame(peer, confirmed_at_s, now_s)
         if is_entry and peer != self.name:
-            self.role.on_entry_frame(peer, confirmed_at_s)
+            self.role.on_entry_frame(peer, confirmed_at_s, now_s)
         if isinstance(message, DispatcherHeartbeat):
             self.role.on_heartbeat(peer, message, now_s)
             self.caller_jobs.on_heartbeat(peer, message, now_s)
@@ -241,12 +244,13 @@
         self.leader = ""
         self.confirmed_at_s = -math.inf
         self.proposal_count = 0
-        self.table = make_table(max_attempts=6, objective_s=2.0)
+        self.table = make_table(max_attempts=6, objective_s=OBJECTIVE_S)
         self.ledger_state = types.SimpleNamespace(
             agents={},
             put=types.SimpleNamespace(version=1, document=b""),
             evacuation=EvacuationRecord(),
         )
+        self.inboxes = collections.defaultdict(list)
         self.callers = {}
         self.waiters = {}
         self.resubmissions = []
@@ -311,12 +315,20 @@
 
     def receive(self, source, target, frame):
         if target in self.entries:
-            self.entries[target].receive(
-                source, frame.message, frame.heard_at_s, self.now_s
-            )
+            entry = self.entries[target]
+            entry.mailbox.append((source, frame.message, frame.heard_at_s))
             return
+        self.inboxes[target].append((source, frame.message))
+
+    def step_agent(self, name):
+        inbox, self.inboxes[name] = self.inboxes[name], []
+        for source, message in inbox:
+            self.receive_at_agent(name, source, message)
+        super().step_agent(name)
+
+    def receive_at_agent(self, target, source, message):
         agent = self.agents[target]
-        match frame.message:
+        match message:
             case DispatcherHeartbeat() as heartbeat:
                 agent.on_heartbeat(source, heartbeat, self.now_s)
                 self.send_agent_messages(target)
@@ -326,6 +338,13 @@
             case ClaimAgents() as claim:
                 agent.on_claim(source, claim, self.now_s)
 
+    def send_keepalives(self):
+        """Sends a frame on each link, which tells only what has arrived."""
+        for pair in self.linked:
+            first, second = sorted(pair)
+            self.send(first, second, None, self.now_s)
+            self.send(second, first, None, self.now_s)
+
     def send_agent_messages(self, name):
         for receiver, message in self.agents[name].take_messages():
             self.send(name, receiver, message, self.now_s)
@@ -455,7 +474,7 @@
             waiter,
             self.now_s,
             received_at_s=self.now_s,
-            objective_s=2.0,
+            objective_s=OBJECTIVE_S,
         )
         if outcome is not None:
             self.on_end(job, outcome.kind)
@@ -480,7 +499,8 @@
     def check_refusals(self):
         """Checks that no refused job was run."""
         for job, outcomes in self.outcomes.items():
-            if any(outcome is not OutcomeKind.REFUSED for outcome in outcomes):
+            is_refused = all(outcome is OutcomeKind.REFUSED for outcome in outcomes)
+            if not outcomes or not is_refused:
                 continue
             for task in self.starts:
                 if task.startswith(f"{job}."):
@@ -511,6 +531,12 @@
             for entry in self.entries.values():
                 if entry.name not in self.down_until_s:
                     entry.step(self.now_s)
+        # Between two ticks, so that a frame confirms messages not yet processed.
+        if (
+            round((self.now_s - KEEPALIVE_OFFSET_S) * 100) % round(KEEPALIVE_S * 100)
+            == 0
+        ):
+            self.send_keepalives()
         if round(self.now_s * 100) % round(MAINTENANCE_S * 100) == 0:
             for entry in self.entries.values():
                 _run(entry.role.retire_agents(self.now_s))
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_caller_jobs.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_caller_jobs.py
@@ -32,9 +32,15 @@
     def setUp(self):
         self.caller_jobs = CallerJobs()
 
-    def heartbeat(self, term, now_s, peer="d", *, releases_jobs=True):
+    def heartbeat(
+        self, term, now_s, peer="d", *, releases_jobs=True, sent_at_s=-math.inf
+    ):
         heartbeat = DispatcherHeartbeat(
-            term=term, heard_at_s=now_s, version=1, releases_jobs=releases_jobs
+            term=term,
+            heard_at_s=now_s,
+            version=1,
+            releases_jobs=releases_jobs,
+            sent_at_s=sent_at_s,
         )
         self.caller_jobs.on_heartbeat(peer, heartbeat, now_s)
 
@@ -94,6 +100,22 @@
         submission = self.handed_over((4, 14.0, True))
         self.assertIsNone(submission.former_silent_s)
 
+    def test_dispatcher_is_told_after_a_gap_that_it_is_followed(self):
+        """Guards against jobs that wait, as their entry may follow another one."""
+        self.heartbeat(2, 10.0, sent_at_s=50.0)
+        self.caller_jobs.take_messages()
+        self.heartbeat(2, 10.15, sent_at_s=50.15)
+        self.assertEqual([], self.caller_jobs.take_messages())
+        for at_s, sent_at_s in ((11.0, 50.3), (11.01, 51.0)):
+            self.heartbeat(2, at_s, sent_at_s=sent_at_s)
+            told = HandoverComplete(term=2, heartbeat_at_s=sent_at_s)
+            self.assertEqual([("d", told)], self.caller_jobs.take_messages())
+        for step in range(1, 7):
+            self.heartbeat(2, 11.0 + 0.15 * step)
+        self.caller_jobs.take_messages()
+        self.heartbeat(2, 12.0)
+        self.assertEqual([], self.caller_jobs.take_messages())
+
     def test_job_is_refused_at_once_without_dispatcher(self):
         outcome = self.submit(waiter(), 10.0)
         self.assertEqual(OutcomeKind.REFUSED, outcome.kind)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_split_dispatch.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_split_dispatch.py
@@ -1,7 +1,10 @@
 """Tests of a leader and a standby that dispatch on either side of a partition."""
 
+import math
 import unittest
 
+from hawthornbarrow.cells import HandoverComplete
+
 from hawthornbarrow_entry.fleet.tests._split_simulation import VOTERS, SplitSimulation
 
 WARM_UP_S = 3.0
@@ -67,6 +70,47 @@
                     )
                     self.assertGreater(share, MIN_SERVED_SHARE)
 
+    def test_released_job_resumes_once_its_entry_tells_whom_it_follows(self):
+        """Guards against a run that resumes beside that of a standby after a cut."""
+        simulation = _start(3)
+        near, far = ["e0", "e1"], ["e2", "e3", "e4"]
+        for name in [*far, "a0", "a1", "a2", "a3"]:
+            simulation.cut([name], near, CUT_S)
+        simulation.arrives_at_s = math.inf
+        simulation.run(2.5)
+        leader = simulation.entries[simulation.leader]
+        dispatcher = leader.role.dispatcher
+        released = [
+            record
+            for record in dispatcher.jobs.values()
+            if record.entries & set(far) and not record.state.is_final
+        ]
+        self.assertTrue(released)
+        now_s = simulation.now_s
+
+        def is_resumed(*, heartbeat_age_s=None):
+            """Returns whether jobs run again after frames of their entries."""
+            nonlocal now_s
+            # The leader's lease is not renewed meanwhile.
+            for _ in range(2):
+                now_s += 0.055
+                for agent in ("a4", "a5", "a6"):
+                    leader.receive(agent, None, now_s, now_s)
+                for name in far:
+                    told = None
+                    if heartbeat_age_s is not None:
+                        told = HandoverComplete(
+                            term=dispatcher.term, heartbeat_at_s=now_s - heartbeat_age_s
+                        )
+                    leader.receive(name, told, now_s, now_s)
+                leader.step(now_s)
+            return any(record.running_count for record in released)
+
+        self.assertFalse(any(record.running_count for record in released))
+        self.assertFalse(is_resumed())
+        self.assertFalse(is_resumed(heartbeat_age_s=1.0))
+        self.assertTrue(is_resumed(heartbeat_age_s=0.0))
+
     def test_no_task_runs_twice_under_random_cuts(self):
         """Guards against any overlap of two dispatchers, whatever links are cut."""
         for seed in (*LATE_SUBMISSION_SEEDS, *range(100, 105)):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -14,8 +14,8 @@
     )
     from hawthornbarrow.cells._dispatch_scope import (
         ENTRY_CONTACT_S,
-        ContactTimes,
         DispatchScope,
+        Followers,
         FollowingAgents,
     )
     from hawthornbarrow.cells._dispatcher import Dispatcher
@@ -117,8 +117,8 @@
 
 __all__ = [
     "ENTRY_CONTACT_S",
-    "ContactTimes",
     "DispatchScope",
+    "Followers",
     "FollowingAgents",
     "FEATURES_VARIABLE",
     "EntryWatch",
@@ -220,7 +220,7 @@
         "ConfigurationSender": "_configuration_transfer",
         "with_document": "_configuration_transfer",
         "ENTRY_CONTACT_S": "_dispatch_scope",
-        "ContactTimes": "_dispatch_scope",
+        "Followers": "_dispatch_scope",
         "DispatchScope": "_dispatch_scope",
         "FollowingAgents": "_dispatch_scope",
         "Dispatcher": "_dispatcher",
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatch_scope.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatch_scope.py
@@ -31,6 +31,7 @@
 CONTACT_TIMEOUT_S = 0.5  # a majority of the agents must have been heard within it
 ENTRY_CONTACT_S = 0.5  # silence after which an entry may follow another dispatcher
 REACTION_S = 0.2  # time in which a dispatcher notices the silence of an entry
+RESUME_S = 1.0  # contact after which a process follows that does not tell
 RETIRED_RETENTION_S = 12.0  # entries that are cut off may still count a retired agent
 
 
@@ -42,69 +43,104 @@
     PART = "part"  # another dispatcher may have the other agents
 
 
-class ContactTimes:
-    """Tracks when processes were last known to hear this one.
+class Followers:
+    """Tracks which processes follow the dispatcher of this process in its term.
+
+    A process that has not heard this one for a while may have followed another
+    dispatcher since. The first frames after such a gap prove only that it hears this
+    one: its report of a higher term may still be under way, and links deliver old
+    messages. So it counts again once it tells which recent heartbeat it follows, or has
+    been in contact for RESUME_S.
 
     Args:
         timeout_s: Age up to which a contact counts.
     """
 
     def __init__(self, *, timeout_s: float) -> None:
-        """Initializes the times without any contact."""
+        """Initializes the state without any contact."""
         self._timeout_s = timeout_s
         self._contact_at_s: dict[str, float] = {}
+        # Since when processes have been in contact again.
+        self._resumed_at_s: dict[str, float] = {}
+
+    def begin_term(self) -> None:
+        """Begins a term, which no process follows yet."""
+        self._contact_at_s.clear()
+        self._resumed_at_s.clear()
+
+    def on_follow(self, process: str, heartbeat_at_s: float, now_s: float) -> None:
+        """Records that a process tells which heartbeat it follows.
+
+        Args:
+            process: The process.
+            heartbeat_at_s: When the heartbeat was sent, on this process's clock.
+            now_s: Current time.
+        """
+        if now_s - heartbeat_at_s <= self._timeout_s:
+            known_s = self._contact_at_s.get(process, -math.inf)
+            self._contact_at_s[process] = max(known_s, heartbeat_at_s)
+            self._resumed_at_s.pop(process, None)
+
+    def on_frame(self, process: str, contact_at_s: float, now_s: float) -> None:
+        """Records when a process last heard this one, as a frame of it shows.
 
-    def record(self, process: str, at_s: float) -> None:
-        """Records a time at which a process heard this one."""
+        Args:
+            process: The process.
+            contact_at_s: When it heard this one.
+            now_s: Current time.
+        """
         known_s = self._contact_at_s.get(process, -math.inf)
-        self._contact_at_s[process] = max(known_s, at_s)
+        if now_s - known_s > self._timeout_s:
+            self._resumed_at_s[process] = now_s
+        self._contact_at_s[process] = max(known_s, contact_at_s)
 
     def forget(self, process: str) -> None:
         """Removes a process, for example one that has restarted."""
         self._contact_at_s.pop(process, None)
+        self._resumed_at_s.pop(process, None)
 
-    def clear(self) -> None:
-        """Removes all processes."""
-        self._contact_at_s.clear()
-
-    def recent(self, now_s: float) -> set[str]:
-        """Returns the processes in contact."""
+    def in_contact(self, now_s: float) -> set[str]:
+        """Returns the processes that follow the dispatcher now."""
         return {
             process
             for process, at_s in self._contact_at_s.items()
             if now_s - at_s <= self._timeout_s
+            and now_s - self._resumed_at_s.get(process, -math.inf) >= RESUME_S
         }
 
 
 class FollowingAgents:
-    """Tracks which agents follow the dispatcher of this process in its term."""
+    """Tracks which agents follow the dispatcher, to know what no other one can do."""
 
     def __init__(self) -> None:
         """Initializes the state before any term."""
-        self._followers: set[str] = set()
-        self._contacts = ContactTimes(timeout_s=CONTACT_TIMEOUT_S)
+        self._followers = Followers(timeout_s=CONTACT_TIMEOUT_S)
+        self._attached: set[str] = set()
         self._retired_at_s: dict[str, float] = {}
 
     def begin_term(self) -> None:
         """Begins a term, which no agent follows yet."""
-        self._followers.clear()
-        self._contacts.clear()
+        self._followers.begin_term()
+        self._attached.clear()
 
-    def on_attach(self, agent: str, now_s: float) -> None:
+    def on_attach(self, agent: str, heartbeat_at_s: float, now_s: float) -> None:
         """Records an attach request of the current term."""
-        self._followers.add(agent)
-        self._retired_at_s.pop(agent, None)
-        self._contacts.record(agent, now_s)
+        self._attached.add(agent)
+        self._followers.on_follow(agent, heartbeat_at_s, now_s)
+
+    def on_report(self, agent: str, heartbeat_at_s: float, now_s: float) -> None:
+        """Records a report of an attached agent."""
+        self._followers.on_follow(agent, heartbeat_at_s, now_s)
 
-    def on_frame(self, agent: str, contact_at_s: float) -> None:
-        """Records when an agent last heard this process."""
-        if agent in self._followers:
-            self._contacts.record(agent, contact_at_s)
+    def on_frame(self, agent: str, contact_at_s: float, now_s: float) -> None:
+        """Records when an agent that has attached last heard this process."""
+        if agent in self._attached:
+            self._followers.on_frame(agent, contact_at_s, now_s)
 
     def on_restarted(self, agent: str) -> None:
         """Records that an agent has restarted and may follow another dispatcher."""
-        self._followers.discard(agent)
-        self._contacts.forget(agent)
+        self._attached.discard(agent)
+        self._followers.forget(agent)
 
     def on_retired(self, agent: str, now_s: float) -> None:
         """Records that an agent leaves the ledger's list.
@@ -126,9 +162,9 @@
                 at work with a minority of the agents.
         """
         for agent, at_s in list(self._retired_at_s.items()):
-            if now_s - at_s > RETIRED_RETENTION_S:
+            if agent in agents or now_s - at_s > RETIRED_RETENTION_S:
                 del self._retired_at_s[agent]
-        in_contact = self._contacts.recent(now_s)
+        in_contact = self._followers.in_contact(now_s)
         electors = set(agents).union(self._retired_at_s)
         if electors <= in_contact:
             return DispatchScope.ALL
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -324,6 +324,8 @@
         agent: str,
         heard_at_s: float,
         known_worker: WorkerRecord | None = None,
+        *,
+        sent_at_s: float = -math.inf,
     ) -> DispatcherHeartbeat:
         """Returns the heartbeat for an agent.
 
@@ -331,6 +333,7 @@
             agent: Name of the agent.
             heard_at_s: When, on its own clock, it sent its newest heard frame.
             known_worker: Worker that the ledger lists for it.
+            sent_at_s: Current time, or negative infinity to tell none.
         """
         worker = self._pool.workers.get(agent)
         return DispatcherHeartbeat(
@@ -340,6 +343,7 @@
             session=worker.session if worker else 0,
             noted=worker.acknowledged if worker else 0,
             known_worker=known_worker if self.awaits_first_attach(agent) else None,
+            sent_at_s=sent_at_s,
         )
 
     def count_waiting_by_queue(self) -> dict[str, int]:
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher_tracker.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher_tracker.py
@@ -41,6 +41,10 @@
         """Name of the entry that is followed, empty before the first."""
         return self._dispatcher
 
+    def silent_s(self, now_s: float) -> float:
+        """Returns the time since the last heartbeat of the dispatcher."""
+        return now_s - self._heartbeat_at_s
+
     def on_heartbeat(self, peer: str, term: int, now_s: float) -> bool:
         """Processes a heartbeat and returns whether its sender is now followed."""
         if not self._follows(term, now_s):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_messages.py
@@ -48,6 +48,8 @@
             entry with jobs was alive, infinite when it has none.
         releases_jobs: For an entry, whether the dispatcher stops the runs of jobs whose
             entries it does not hear, while another dispatcher may have them.
+        sent_at_s: When the dispatcher sent it, on its own clock, negative infinity from
+            other versions. Receivers that follow the dispatcher tell it back.
     """
 
     term: int
@@ -62,6 +64,7 @@
     known_worker: WorkerRecord | None = None
     entries_alive_s: float = math.inf
     releases_jobs: bool = False
+    sent_at_s: float = -math.inf
 
 
 class AttachWorker(_Message, kw_only=True):
@@ -80,6 +83,7 @@
             start. Agents of the version before do not send it.
         process: Random number that the agent drew when it started, which its links
             carry too; zero from agents of a version that does not send it.
+        heartbeat_at_s: As in HandoverComplete.
     """
 
     term: int
@@ -91,6 +95,7 @@
     sent_at_s: float = 0.0
     recorded_s: float = math.inf
     process: int = 0
+    heartbeat_at_s: float = -math.inf
 
 
 class WorkerReport(_Message, kw_only=True):
@@ -106,6 +111,7 @@
             before.
         remaining_s: Minimum time until its upstream ends, None when it is not leaving
             or did not say.
+        heartbeat_at_s: As in HandoverComplete.
     """
 
     session: int
@@ -115,6 +121,7 @@
     is_silent: bool = False
     capacity: Resources | None = None
     remaining_s: float | None = None
+    heartbeat_at_s: float = -math.inf
 
 
 class StartTasks(_Message, kw_only=True):
@@ -307,9 +314,16 @@
 
 
 class HandoverComplete(_Message, kw_only=True, tag="OffersMade"):
-    """An entry has handed over all its jobs to a new dispatcher."""
+    """An entry has handed over all its jobs to the dispatcher, and follows it.
+
+    Attributes:
+        term: Term of the dispatcher.
+        heartbeat_at_s: When the dispatcher sent the newest heartbeat that arrived, on
+            the dispatcher's clock, negative infinity when unknown.
+    """
 
     term: int
+    heartbeat_at_s: float = -math.inf
 
 
 class KnownAgents(_Message, kw_only=True):
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_run_supervisor.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import math
 import random
 
 import msgspec
@@ -55,6 +56,7 @@
 from hawthornbarrow.cells._upstream_directory import KnownUpstream
 
 REPORT_RETRY_INTERVAL_S = 0.4
+CONFIRMATION_S = 0.5  # in which each heartbeat after a gap is answered by a report
 STOP_RETRY_INTERVAL_S = 0.25
 MAX_START_CALLS = 3
 # Change of the time that a leaving upstream has left, from which it is reported again.
@@ -144,6 +146,9 @@
         self._uses_directory = LoadFeature.UPSTREAM_DIRECTORY in features
         self._known_upstream = KnownUpstream(counts=self._counts)
         self._term_since_s = now_s
+        # When the dispatcher sent its newest heartbeat, on its clock.
+        self._heartbeat_at_s = -math.inf
+        self._confirms_until_s = -math.inf
 
     @property
     def counts(self) -> collections.Counter[str]:
@@ -540,10 +545,13 @@
             relay: Entry that forwarded it, or empty.
         """
         previous_dispatcher, previous_term = self._tracker.dispatcher, self.term
+        if self._tracker.silent_s(now_s) > self._timing.suspect_after_s:
+            self._confirms_until_s = now_s + CONFIRMATION_S
         if not self._tracker.on_heartbeat(peer, heartbeat.term, now_s):
             if not relay and self._tracker.should_inform(heartbeat):
                 self._messages.append((peer, Superseded(term=self.term)))
             return
+        self._heartbeat_at_s = heartbeat.sent_at_s
         if heartbeat.term > previous_term:
             _log.info(
                 "dispatcher_found",
@@ -568,6 +576,9 @@
                 self._attached_at_s = now_s
                 self._needs_report = True
             self._ended_runs.acknowledge(heartbeat.noted)
+            # The dispatcher does not know whether this agent still follows it.
+            if now_s <= self._confirms_until_s:
+                self._needs_report = True
         elif self._is_attached and heartbeat.heard_at_s > self._attached_at_s:
             # The dispatcher has ended this session. Heartbeats that were sent before it
             # began may arrive late, after a partition of the direct link.
@@ -994,6 +1005,7 @@
                 is_silent=self._was_suspect,
                 capacity=self._worker.capacity if self._worker else None,
                 remaining_s=self._remaining_s(now_s),
+                heartbeat_at_s=self._heartbeat_at_s,
             )
         )
 
@@ -1048,6 +1060,7 @@
                 sent_at_s=now_s,
                 recorded_s=now_s - self._started_at_s,
                 process=self._process,
+                heartbeat_at_s=self._heartbeat_at_s,
             )
         )
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_dispatch_scope.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_dispatch_scope.py
@@ -1,5 +1,6 @@
 """Tests of what a dispatcher may run while another dispatcher may be at work."""
 
+import math
 import unittest
 
 from hawthornbarrow.cells import (
@@ -21,6 +22,7 @@
     CONTACT_TIMEOUT_S,
     ENTRY_CONTACT_S,
     REACTION_S,
+    RESUME_S,
     RETIRED_RETENTION_S,
 )
 from hawthornbarrow.cells._parts import EndedRun, RunOutcome
@@ -45,9 +47,9 @@
         self.following = FollowingAgents()
         self.following.begin_term()
 
-    def attach(self, *agents):
+    def attach(self, *agents, now_s=0.0):
         for agent in agents:
-            self.following.on_attach(agent, 0.0)
+            self.following.on_attach(agent, now_s, now_s)
 
     def scope(self, now_s=0.0, agents=AGENTS, *, is_standby=False):
         return self.following.scope(agents, now_s, is_standby=is_standby)
@@ -68,23 +70,44 @@
 
     def test_contact_is_what_an_agent_has_heard_of_this_process(self):
         self.attach("a", "b", "c")
-        later_s = CONTACT_TIMEOUT_S + 0.1
-        self.following.on_frame("a", later_s)
-        self.following.on_frame("b", later_s)
-        self.following.on_frame("c", 0.05)
-        self.assertIs(DispatchScope.PART, self.scope(later_s))
-        self.following.on_frame("c", 0.2)
-        self.assertIs(DispatchScope.MAJORITY, self.scope(later_s))
-
-    def test_frames_of_agents_that_follow_another_dispatcher_do_not_count(self):
-        for agent in AGENTS:
-            self.following.on_frame(agent, 0.0)
-        self.assertIs(DispatchScope.PART, self.scope())
+        now_s = CONTACT_TIMEOUT_S - 0.1
+        for agent, contact_at_s in (("a", now_s), ("b", now_s), ("c", 0.05)):
+            self.following.on_frame(agent, contact_at_s, now_s)
+        self.assertIs(DispatchScope.MAJORITY, self.scope(now_s))
+        self.assertIs(DispatchScope.PART, self.scope(now_s + 0.3))
+
+    def test_frames_after_a_gap_do_not_show_whom_an_agent_follows(self):
+        """Guards against runs that resume before a report of a higher term arrives."""
+        self.attach("a", "b", "c")
+        for agent in ("a", "b", "c"):
+            self.following.on_frame(agent, 5.0, 5.0)
+        self.assertIs(DispatchScope.PART, self.scope(5.0))
+        self.following.on_report("a", 0.2, 5.0)
+        self.following.on_report("b", 4.9, 5.0)
+        self.following.on_report("c", 4.9, 5.0)
+        self.assertIs(DispatchScope.PART, self.scope(5.0))
+        self.following.on_report("a", 4.9, 5.0)
+        self.assertIs(DispatchScope.MAJORITY, self.scope(5.0))
+
+    def test_agents_of_an_older_version_count_after_a_longer_contact(self):
+        for agent in ("a", "b", "c"):
+            self.following.on_attach(agent, -math.inf, 0.0)
+        for now_s in (0.0, 0.4, 0.8):
+            for agent in ("a", "b", "c"):
+                self.following.on_frame(agent, now_s, now_s)
+        self.assertIs(DispatchScope.PART, self.scope(0.9))
+        self.assertIs(DispatchScope.MAJORITY, self.scope(RESUME_S))
+
+    def test_frames_of_agents_that_have_not_attached_do_not_count(self):
+        for now_s in (0.0, 0.4, 0.8, 1.2):
+            for agent in AGENTS:
+                self.following.on_frame(agent, now_s, now_s)
+        self.assertIs(DispatchScope.PART, self.scope(1.2))
 
     def test_restarted_agent_counts_once_it_has_attached_again(self):
         self.attach("a", "b", "c")
         self.following.on_restarted("c")
-        self.following.on_frame("c", 0.0)
+        self.following.on_frame("c", 0.0, 0.0)
         self.assertIs(DispatchScope.PART, self.scope())
 
     def test_retired_agents_count_while_entries_may_not_know_of_it(self):
@@ -94,8 +117,7 @@
             self.following.on_retired(agent, 0.0)
         self.assertIs(DispatchScope.PART, self.scope(0.1, {"a", "b", "c"}))
         later_s = RETIRED_RETENTION_S + 0.1
-        self.following.on_frame("a", later_s)
-        self.following.on_frame("b", later_s)
+        self.attach("a", "b", now_s=later_s)
         self.assertIs(DispatchScope.MAJORITY, self.scope(later_s, {"a", "b", "c"}))
 
 
@@ -253,6 +275,22 @@
         self.assertTrue(self.informed(first_term(1)))
         self.assertTrue(self.informed(first_term(1) + 1, session=3))
 
+    def test_dispatcher_is_told_after_a_gap_that_it_is_followed(self):
+        now_s = self.simulation.now_s
+        for gap_s, is_told in ((0.1, False), (0.5, True), (0.1, True), (0.5, True)):
+            now_s += gap_s
+            heartbeat = self.simulation.dispatcher.heartbeat_for_agent(
+                "a0", now_s, sent_at_s=now_s - 20.0
+            )
+            self.agent.on_heartbeat("e", heartbeat, now_s)
+            self.agent.tick(now_s)
+            reports = [
+                message.heartbeat_at_s
+                for _, message in self.agent.take_messages()
+                if isinstance(message, WorkerReport)
+            ]
+            self.assertEqual([now_s - 20.0] if is_told else [], reports)
+
     def test_standby_that_does_not_count_on_an_agent_is_not_informed(self):
         self.simulation.take_over()
         self.simulation.run(1.0)
