Look at who follows the dispatcher at fixed intervals

A busy dispatcher ticks for each batch of messages, and a look at its scope costs time for each agent, one at the entries' versions for each entry. The scope is now determined every 0.05 s, inside the time that the release of jobs allows for it, and the versions in maintenance. The jobs of a replaced process are looked at only where that process is an entry, not for each agent that restarts.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -68,6 +68,9 @@
     VoterRepair,
 )
 
+# A busy dispatcher ticks far more often, and a look costs time for each agent.
+_SCOPE_INTERVAL_S = 0.05
+
 _log = structlog.get_logger()
 
 _Send = collections.abc.Callable[
@@ -134,7 +137,10 @@
         self._entry_watch = EntryWatch(now_s=now_s)
         self._following_agents = FollowingAgents()
         self._following_entries = Followers(timeout_s=ENTRY_CONTACT_S)
+        self._scope_updated_at_s = -math.inf
         self._processes: dict[str, int] = {}
+        # Processes that were replaced, until their entries' jobs are looked at.
+        self._replaced: set[str] = set()
         has_gap_waiting = LoadFeature.GAP_WAITING in settings.features
         self._resubmission_bound = ResubmissionBound(
             resend_s=settings.resend_s if has_gap_waiting else None
@@ -238,7 +244,10 @@
             self._following_entries.on_frame(entry, confirmed_at_s, now_s)
 
     def on_entry_up(self, entry: str, *, is_restarted: bool, now_s: float) -> None:
-        """Records a new link to another entry."""
+        """Records a new link to another entry, after `on_peer_up`."""
+        if entry in self._replaced and self._dispatcher is not None:
+            self._dispatcher.on_entry_restarted(entry)
+        self._replaced.clear()
         self._entry_watch.on_link_up(entry, is_restarted=is_restarted, now_s=now_s)
 
     def on_entry_down(self, entry: str, now_s: float) -> None:
@@ -265,8 +274,7 @@
             for number, proposal in self._pending_proposals.items()
             if proposal[0] != peer
         }
-        if self._dispatcher is not None:
-            self._dispatcher.on_entry_restarted(peer)
+        self._replaced.add(peer)
 
     async def tick(
         self, now_s: float, table: QueueTable | None, membership: Membership
@@ -279,7 +287,6 @@
             membership: Entries that are or were alive.
         """
         self._observe_replica(now_s)
-        self._standby.set_needs_all_agents(membership.may_keep_jobs)
         authority = self._current_authority(now_s, table)
         if authority is None:
             self._suspend_dispatcher()
@@ -302,15 +309,15 @@
     def _update_scope(
         self, dispatcher: Dispatcher, authority: _DispatchAuthority, now_s: float
     ) -> None:
-        """Tells the dispatcher whether another one may be at work."""
-        scope = self._scope(authority, now_s)
-        entries = self._following_entries.in_contact(now_s)
-        dispatcher.set_scope(scope, entries | {self._settings.name})
-
-    def _scope(self, authority: _DispatchAuthority, now_s: float) -> DispatchScope:
-        return self._following_agents.scope(
+        """Tells the dispatcher from time to time whether another one may be at work."""
+        if now_s - self._scope_updated_at_s < _SCOPE_INTERVAL_S:
+            return
+        self._scope_updated_at_s = now_s
+        scope = self._following_agents.scope(
             authority.agents, now_s, is_standby=authority.is_standby
         )
+        entries = self._following_entries.in_contact(now_s)
+        dispatcher.set_scope(scope, entries | {self._settings.name})
 
     def _observe_replica(self, now_s: float) -> None:
         """Takes a newer state of the evacuations from this entry's replica."""
@@ -570,6 +577,10 @@
                 number = await ledger.propose(command)
                 self._pending_proposals[number] = (peer, message.number)
 
+    def observe_membership(self, membership: Membership) -> None:
+        """Takes into account of which versions the other entries are."""
+        self._standby.set_needs_all_agents(membership.may_keep_jobs)
+
     async def repair_voters(self, membership: Membership, now_s: float) -> None:
         """Replaces lost voters and adds voters where there are too few."""
         ledger = self._replica.ledger
@@ -657,6 +668,7 @@
         )
         self._following_agents.begin_term()
         self._following_entries.begin_term()
+        self._scope_updated_at_s = -math.inf
         self._table = None
         self._dispatching_since_s = now_s
         is_own = self._last_heartbeat_from == self._settings.name
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -643,6 +643,7 @@
         if voters:
             for member in self._membership.alive:
                 await self._send(member.name, BootstrapLedger(voters=voters))
+        self._dispatcher_role.observe_membership(self._membership)
         await self._dispatcher_role.repair_voters(self._membership, now_s)
         await self._dispatcher_role.retire_agents(now_s)
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/_split_simulation.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/_split_simulation.py
@@ -539,6 +539,7 @@
             self.send_keepalives()
         if round(self.now_s * 100) % round(MAINTENANCE_S * 100) == 0:
             for entry in self.entries.values():
+                entry.role.observe_membership(entry.membership)
                 _run(entry.role.retire_agents(self.now_s))
         if self.now_s >= self.arrives_at_s:
             self.arrives_at_s = self.now_s + ARRIVAL_INTERVAL_S
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_split_dispatch.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/tests/test_split_dispatch.py
@@ -111,6 +111,28 @@
         self.assertFalse(is_resumed(heartbeat_age_s=1.0))
         self.assertTrue(is_resumed(heartbeat_age_s=0.0))
 
+    def test_jobs_of_a_former_process_of_an_entry_have_no_entry(self):
+        """Guards against runs that go on for callers whose connections broke."""
+        simulation = _start(0)
+        leader = simulation.entries[simulation.leader]
+        name = next(name for name in simulation.entries if name != leader.name)
+
+        def count_jobs():
+            jobs = leader.role.dispatcher.jobs.values()
+            return sum(name in record.entries for record in jobs)
+
+        def link(process):
+            now_s = simulation.now_s
+            leader.role.on_peer_up(name, is_restarted=True, process=process)
+            leader.role.on_entry_up(name, is_restarted=True, now_s=now_s)
+
+        before = count_jobs()
+        self.assertGreater(before, 0)
+        link(simulation.entries[name].process)
+        self.assertEqual(before, count_jobs())
+        link(99)
+        self.assertEqual(0, count_jobs())
+
     def test_no_task_runs_twice_under_random_cuts(self):
         """Guards against any overlap of two dispatchers, whatever links are cut."""
         for seed in (*LATE_SUBMISSION_SEEDS, *range(100, 105)):
