Count a retired agent from its retirement until entries know of it

Found by reading: between the proposal of a retirement and its commit the ledger still lists the agent, and the look at the scope then forgot that it is being retired. After the commit it counted nowhere, so a leader of the new list and a standby of the old one could each have a majority.

Result: test_retired_agents_count_while_entries_may_not_know_of_it looks once in between, and fails without the change.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_voter_repair.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_voter_repair.py
@@ -92,7 +92,7 @@
         """
         alive = {replica for replica in replicas.values() if replica}
         self._stopping -= alive
-        self._stopping.update(replicas.get(name, "") for name in stopping)
+        self._stopping.update(replicas[name] for name in stopping if name in replicas)
         is_newcomer = now_s >= self._newcomers_from_s
         for replica in alive:
             self._appeared_at_s.setdefault(replica, now_s if is_newcomer else -math.inf)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatch_scope.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatch_scope.py
@@ -143,7 +143,7 @@
         self._followers.forget(agent)
 
     def on_retired(self, agent: str, now_s: float) -> None:
-        """Records that an agent leaves the ledger's list.
+        """Records that an agent is about to leave the ledger's list.
 
         Entries that have not heard of it yet count it among the agents that elect a
         standby, so it counts here as well for a while.
@@ -162,7 +162,7 @@
                 at work with a minority of the agents.
         """
         for agent, at_s in list(self._retired_at_s.items()):
-            if agent in agents or now_s - at_s > RETIRED_RETENTION_S:
+            if now_s - at_s > RETIRED_RETENTION_S:
                 del self._retired_at_s[agent]
         in_contact = self._followers.in_contact(now_s)
         electors = set(agents).union(self._retired_at_s)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_dispatch_scope.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_dispatch_scope.py
@@ -115,6 +115,8 @@
         self.attach("a", "b")
         for agent in ("d", "e"):
             self.following.on_retired(agent, 0.0)
+        # The ledger lists them until the command is committed.
+        self.assertIs(DispatchScope.PART, self.scope(0.05))
         self.assertIs(DispatchScope.PART, self.scope(0.1, {"a", "b", "c"}))
         later_s = RETIRED_RETENTION_S + 0.1
         self.attach("a", "b", now_s=later_s)
