Start offered jobs once all agents have told what they run

Cause: an offered job waited until all agents were in contact. What matters is that each of them has attached in this term: it has told its runs, and follows no dispatcher of a lower term any more.

Change: the wait ends when no agent of the ledger's list is missing. The time-outs of contact move to the module of the leases, so that agents do not import the dispatcher's modules.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -13,7 +13,6 @@
         with_document,
     )
     from hawthornbarrow.cells._dispatch_scope import (
-        ENTRY_CONTACT_S,
         DispatchScope,
         Followers,
         FollowingAgents,
@@ -104,7 +103,11 @@
         ledger_term_of,
         rank_standbys,
     )
-    from hawthornbarrow.cells._timing import TRACE_RETENTION_S, RunLeaseTiming
+    from hawthornbarrow.cells._timing import (
+        ENTRY_CONTACT_S,
+        TRACE_RETENTION_S,
+        RunLeaseTiming,
+    )
     from hawthornbarrow.cells._upstream_calls import (
         ListedEndedRun,
         ListedRun,
@@ -219,7 +222,7 @@
         "CancelledJobs": "_cancelled_jobs",
         "ConfigurationSender": "_configuration_transfer",
         "with_document": "_configuration_transfer",
-        "ENTRY_CONTACT_S": "_dispatch_scope",
+        "ENTRY_CONTACT_S": "_timing",
         "Followers": "_dispatch_scope",
         "DispatchScope": "_dispatch_scope",
         "FollowingAgents": "_dispatch_scope",
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatch_scope.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatch_scope.py
@@ -7,7 +7,7 @@
 - a dispatcher without a majority of the agents stops the runs of jobs whose entries it
   does not hear, no later than `notice_s` after the entry last heard it,
 - a job that an entry submitted to another dispatcher before starts when the runs that
-  this one could not stop have expired, unless all agents have told what they run, and
+  this one could not stop have expired, or once all agents have told what they run, and
 - a job that may be a resubmission starts when the runs that it could stop have ended:
 
     notice_s = heartbeat_interval_s + ENTRY_CONTACT_S + REACTION_S
@@ -26,10 +26,14 @@
 
 from hawthornbarrow.cells._job_record import JobRecord
 from hawthornbarrow.cells._messages import SubmitJob
-from hawthornbarrow.cells._timing import CLOCK_DRIFT, MARGIN_S, RunLeaseTiming
+from hawthornbarrow.cells._timing import (
+    CLOCK_DRIFT,
+    CONTACT_TIMEOUT_S,
+    ENTRY_CONTACT_S,
+    MARGIN_S,
+    RunLeaseTiming,
+)
 
-CONTACT_TIMEOUT_S = 0.5  # a majority of the agents must have been heard within it
-ENTRY_CONTACT_S = 0.5  # silence after which an entry may follow another dispatcher
 REACTION_S = 0.2  # time in which a dispatcher notices the silence of an entry
 RESUME_S = 1.0  # contact after which a process follows that does not tell
 RETIRED_RETENTION_S = 12.0  # entries that are cut off may still count a retired agent
@@ -228,23 +232,26 @@
             return False
         return record.entries.isdisjoint(self._entries)
 
-    def start_delay_s(self, record: JobRecord, now_s: float, *, is_new: bool) -> float:
+    def start_delay_s(
+        self, record: JobRecord, now_s: float, *, is_new: bool, knows_all_runs: bool
+    ) -> float:
         """Returns the time until no other dispatcher runs a job that is not released.
 
         Args:
             record: The job.
             now_s: Current time.
             is_new: Whether it is known to be no resubmission.
+            knows_all_runs: Whether all agents have told in this term what they run.
 
         Returns:
             The time, infinite when another dispatcher may keep the job.
         """
         if self._scope is DispatchScope.ALL:
             return 0.0
-        until_s = record.released_at_s
-        if self._scope is DispatchScope.PART:
-            if record.may_be_kept:
-                return math.inf
-            if not is_new:
-                until_s = max(until_s, record.settled_at_s)
+        is_part = self._scope is DispatchScope.PART
+        if is_part and record.may_be_kept and not knows_all_runs:
+            return math.inf
+        until_s = -math.inf if knows_all_runs else record.released_at_s
+        if is_part and not is_new:
+            until_s = max(until_s, record.settled_at_s)
         return max(0.0, until_s - now_s)
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_dispatcher.py
@@ -933,7 +933,9 @@
     def _scope_delay_s(self, job: JobRecord, now_s: float) -> float:
         """Returns the time until no other dispatcher can run a job."""
         is_new = job.is_new and job.arrived_at_s < self._new_before_s
-        return self._scoped_jobs.start_delay_s(job, now_s, is_new=is_new)
+        return self._scoped_jobs.start_delay_s(
+            job, now_s, is_new=is_new, knows_all_runs=not self._pool.has_missing_agents
+        )
 
     def _stop_released_jobs(self, now_s: float) -> None:
         """Stops the runs of jobs whose entries may follow another dispatcher.
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_previous_runs.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_previous_runs.py
@@ -1,9 +1,9 @@
 """PreviousRuns: runs that a previous dispatcher started at the agents."""
 
-from hawthornbarrow.cells._dispatch_scope import ENTRY_CONTACT_S
 from hawthornbarrow.cells._parts import (
     TaskKey,
 )
+from hawthornbarrow.cells._timing import ENTRY_CONTACT_S
 
 ORPHAN_RETENTION_S = 2.5
 RETENTION_S = 60.0
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_standby.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_standby.py
@@ -17,14 +17,13 @@
 
 import structlog
 
-from hawthornbarrow.cells._dispatch_scope import CONTACT_TIMEOUT_S
 from hawthornbarrow.cells._messages import (
     ClaimAgents,
 )
 from hawthornbarrow.cells._parts import (
     FleetMember,
 )
-from hawthornbarrow.cells._timing import RunLeaseTiming
+from hawthornbarrow.cells._timing import CONTACT_TIMEOUT_S, RunLeaseTiming
 
 TERMS_PER_LEDGER_TERM = 1024
 CLAIM_MARGIN_S = 0.1  # added to the time after which agents may follow another entry
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_timing.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_timing.py
@@ -22,6 +22,8 @@
 TRACE_RETENTION_S = 3.5  # part of that time on which a new dispatcher relies
 # Time for which an agent retains the runs under which its upstream crashed.
 CRASHED_RUN_RETENTION_S = 60.0
+CONTACT_TIMEOUT_S = 0.5  # a majority of the agents must have been heard within it
+ENTRY_CONTACT_S = 0.5  # silence after which an entry may follow another dispatcher
 MARGIN_S = 0.05  # covers the tick interval of the processes that act on leases
 
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_worker_pool.py
@@ -123,6 +123,11 @@
         """
         return math.inf if self._expected else self._reported_from_s
 
+    @property
+    def has_missing_agents(self) -> bool:
+        """Whether an agent has not told yet which runs it had before this term."""
+        return bool(self._expected)
+
     @property
     def suspect_after_s(self) -> float:
         """Silence after which a worker gets no new tasks."""
