Look at the scope at once when a process begins to follow

In a takeover jobs of entries that had just handed them over waited for up to 0.05 s, until the next look at who follows the dispatcher.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_dispatcher_role.py
@@ -309,7 +309,11 @@
     def _update_scope(
         self, dispatcher: Dispatcher, authority: _DispatchAuthority, now_s: float
     ) -> None:
-        """Tells the dispatcher from time to time whether another one may be at work."""
+        """Tells the dispatcher from time to time whether another one may be at work.
+
+        It is told at once of agents and entries that begin to follow it, as jobs wait
+        for them during a takeover.
+        """
         if now_s - self._scope_updated_at_s < _SCOPE_INTERVAL_S:
             return
         self._scope_updated_at_s = now_s
@@ -401,6 +405,7 @@
             case HandoverComplete() if message.term == self._dispatcher.term:
                 self._handed_over_by.add(peer)
                 self._following_entries.on_follow(peer, message.heartbeat_at_s, now_s)
+                self._scope_updated_at_s = -math.inf
 
     def _on_job_message(
         self, entry: str, message: SubmitJob | WithdrawJob, now_s: float
@@ -424,6 +429,7 @@
                     self._following_agents.on_attach(
                         agent, message.heartbeat_at_s, now_s
                     )
+                    self._scope_updated_at_s = -math.inf
                 self._registry.on_attach_request(agent, message, now_s)
             case WorkerReport():
                 self._dispatcher.report(agent, message, now_s)
