--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_standby.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/tests/test_standby.py
@@ -94,6 +94,15 @@
         self.standby.on_grant(AGENTS[4], term, SILENT_S)
         self.assertTrue(self.standby.is_dispatching(SILENT_S))
 
+    def test_standby_that_lost_its_majority_does_not_begin_again_by_frames(self):
+        """Guards against a standby whose agents may have promised to another one."""
+        self.claim_and_win()
+        later_s = SILENT_S + 2.0
+        self.assertFalse(self.standby.is_dispatching(later_s))
+        for agent in AGENTS[:3]:
+            self.standby.on_frame(agent, later_s)
+        self.assertFalse(self.standby.is_dispatching(later_s))
+
     def test_restart_of_an_agent_ends_its_promise(self):
         self.claim_and_win()
         self.standby.on_agent_restarted("a")
