Tests: crowds of clients that finish no request

Cause: a process keeps every byte that its connections send until their requests are whole, and reads a connection for as long as it has more, without a turn for any other task. A crowd of 900 connections whose bodies of 256 KiB lack one byte needs more than the 128 MB that the settings of these tests give a machine.

Change: tests of the processes of both stacks, with crowds of whole, partial, chunked, oversized and announced bodies and of heads with many fields, at all ports of the platform and at the agent of the own interface, and a test that counts what the server parses between two turns of other tasks. They check that the process lives, that memory (highest resident size and unread bytes) and descriptors stay within the limits of the machine, and that an ordinary job is served afterwards.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_deployment.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_deployment.py
@@ -215,6 +215,11 @@
     def call(self, entry, method, path, body=b"", token=OPERATOR_TOKEN):
         return curio.run(self.request, entry, method, path, body, None, token)
 
+    def call_with_key(self, entry, key, body, token):
+        """Submits a job and returns its answer."""
+        headers = {"Idempotency-Key": key}
+        return curio.run(self.request, entry, "POST", "/v1/jobs", body, headers, token)
+
     def configure(self, expect_version=0, request="first", entry=None):
         body = self.configuration_body(expect_version, request)
         return self.call(
--- /dev/null
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_crowds.py
@@ -0,0 +1,160 @@
+"""Processes of the own interface under crowds of clients that finish no request.
+
+Each process has less memory than usual. Without bounds of its own it keeps what the
+crowd sends, which is more than it has.
+"""
+
+import time
+import unittest
+
+from hawthornbarrow.http import HttpClientError
+
+from hawthornbarrow_entry.tests._crowds import (
+    Crowd,
+    Meter,
+    announced_body,
+    body_in_pieces,
+    chunked_body,
+    many_headers,
+    whole_body,
+)
+from hawthornbarrow_entry.tests._deployment import (
+    MEMBER_TOKEN,
+    Deployment,
+    echo_job,
+    has_expected_results,
+)
+
+MEMORY_MB = 128
+DESCRIPTORS = 1024
+MAX_BODY_BYTES = 262_144
+MANY = 900
+FEW = 64
+OVERSIZED_BYTES = 16 * 1024 * 1024
+ANNOUNCED_BYTES = 1024 * 1024 * 1024
+AGENT_BODY_BYTES = 4 * 1024 * 1024
+ORDINARY_TRIES = 60
+RETRY_S = 0.5
+
+SUBMISSION = (
+    f"POST /v1/jobs HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {MEMBER_TOKEN}\r\n"
+    "Idempotency-Key: {}\r\n"
+)
+
+
+def submission(number):
+    return SUBMISSION.format(f"crowd-{number}").encode()
+
+
+class CrowdsTest(unittest.TestCase):
+    """Crowds at the entry and at the agent."""
+
+    def setUp(self):
+        deployment = Deployment(entries=1, agents=1, slots=4)
+        deployment.environment |= {
+            "HAWTHORNBARROW_MAX_BODY_BYTES": str(MAX_BODY_BYTES),
+            "HAWTHORNBARROW_MEMORY_MB": str(MEMORY_MB),
+            "HAWTHORNBARROW_MAX_DESCRIPTORS": str(DESCRIPTORS),
+        }
+        self.deployment = self.enterContext(deployment)
+        self.job_number = 0
+
+    def check(self, wires, process="entry-1", port=None):
+        """Checks a process while a crowd stays and once it has left."""
+        deployment = self.deployment
+        meter = Meter(deployment.processes[process].pid, deployment.host)
+        port = port or deployment.ports["entry-1"]["http"]
+        with Crowd((deployment.host, port), wires, meter) as crowd:
+            crowd.send()
+            self.check_process(process, meter)
+        self.check_ordinary_job()
+        self.check_process(process, meter)
+        self.check_ordinary_job(size=MAX_BODY_BYTES)
+
+    def check_process(self, process, meter):
+        self.assertIsNone(self.deployment.processes[process].poll(), "it has ended")
+        self.assertLessEqual(meter.memory_bytes / 2**20, MEMORY_MB)
+        self.assertLessEqual(meter.descriptors, DESCRIPTORS)
+
+    def check_ordinary_job(self, size=0):
+        """Submits a job as often as a caller would, padded with blanks to a size."""
+        for _ in range(ORDINARY_TRIES):
+            self.job_number += 1
+            key = f"ordinary-{self.job_number}"
+            body = echo_job(key, 2, 1, repeatable=False).ljust(size)
+            try:
+                response = self.deployment.call_with_key(
+                    "entry-1", key, body, MEMBER_TOKEN
+                )
+            except HttpClientError:
+                response = None
+            if response is not None and response.status == 200:
+                self.assertTrue(has_expected_results(response, key, 2))
+                return
+            time.sleep(RETRY_S)
+        self.fail("the ordinary job was not served")
+
+    def test_bodies_that_lack_their_last_byte(self):
+        """Guards against a process that runs out of memory."""
+        self.check([whole_body(submission(n), MAX_BODY_BYTES) for n in range(MANY)])
+
+    def test_bodies_of_which_some_are_whole(self):
+        """Guards against a process that runs out of memory."""
+        self.check(
+            [
+                whole_body(submission(n), MAX_BODY_BYTES, missing=int(n % 4 > 0))
+                for n in range(MANY)
+            ]
+        )
+
+    def test_bodies_in_pieces_that_lack_their_last_byte(self):
+        """Guards against a process that runs out of memory."""
+        self.check([body_in_pieces(submission(n), MAX_BODY_BYTES) for n in range(MANY)])
+
+    def test_large_chunks_without_the_last_one(self):
+        """Guards against a process that runs out of memory."""
+        self.check(
+            [
+                chunked_body(submission(n), MAX_BODY_BYTES - 65536, 65536)
+                for n in range(MANY)
+            ]
+        )
+
+    def test_small_chunks_without_the_last_one(self):
+        """Guards against a process that is kept busy by tiny chunks."""
+        self.check([chunked_body(submission(n), 65536, 4) for n in range(FEW)])
+
+    def test_bodies_that_announce_more_than_the_limit(self):
+        """Guards against a process that reads what it will not take."""
+        self.check(
+            [
+                announced_body(submission(n), ANNOUNCED_BYTES, OVERSIZED_BYTES)
+                for n in range(MANY)
+            ]
+        )
+
+    def test_bodies_that_grow_over_the_limit(self):
+        """Guards against a process that runs out of memory."""
+        self.check(
+            [chunked_body(submission(n), OVERSIZED_BYTES, 65536) for n in range(MANY)]
+        )
+
+    def test_many_small_header_fields(self):
+        """Guards against heads that take many times their size."""
+        self.check([many_headers(submission(n), 2_000, 1_000) for n in range(MANY)])
+
+    def test_whole_body_of_many_small_objects(self):
+        """Guards against a body that is decoded to many times its size."""
+        body = b'{"service":"echo","tasks":[' + b"{}," * 87_000 + b"{}]}"
+        wires = [
+            [submission(n) + b"Content-Length: %d\r\n\r\n" % len(body), body]
+            for n in range(FEW)
+        ]
+        self.check(wires)
+
+    def test_bodies_at_the_agent(self):
+        """Guards against an agent that runs out of memory."""
+        head = b"PUT /v1/upstreams/x HTTP/1.1\r\nHost: x\r\n"
+        wires = [whole_body(head, AGENT_BODY_BYTES) for _ in range(FEW)]
+        port = self.deployment.agent_ports["agent-1"]
+        self.check(wires, process="agent-1", port=port)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -23,6 +23,7 @@
 SERIAL_MODULES = frozenset(
     {
         "hawthornbarrow.http.tests.test_http",
+        "hawthornbarrow.http.tests.test_turns",
         "hawthornbarrow.ledger.tests.test_full_disk",
         "hawthornbarrow.ledger.tests.test_raft_fuzz",
         "hawthornbarrow.links.tests.test_port",
@@ -31,9 +32,11 @@
         "hawthornbarrow_entry.fleet.tests.test_entry_relays",
         "hawthornbarrow_entry.fleet.tests.test_evacuation",
         "hawthornbarrow_entry.fleet.tests.test_process",
+        "hawthornbarrow_entry.tests.test_crowds",
         "hawthornbarrow_entry.tests.test_fleet_fuzz",
         "hawthornbarrow_entry.tests.test_full_disk",
         "hawthornbarrow_entry.tests.test_processes",
+        "hawthornbarrow_platform.tests.test_crowds",
     }
 )
 _KNOWN_RED_TEST = re.compile(r"^test: (\S+)", re.MULTILINE)
