Bound what the connections of a process take together

Callers saw: connections that were reset and nothing served, as the entry was killed for its memory. Clients that are outside our control sent many bodies of legal size at once and stopped just short of their end, or bodies far over the limit.

Cause: the server bounded the size of one body and the number of connections, each by itself: 2,048 connections of 8 MiB are 16 GiB. Nothing counted what they take together, nobody read `[limits]` of the settings, a body that announces more than the limit was read up to it, and a head of 16 KiB takes 0.3 MB of parsed fields. The same holds at every port of both stacks: frontend, control, readiness, metrics, the agent's registry, the own interface and its agent.

Change: `hawthornbarrow.limits` derives from the machine's memory and descriptors what each port may keep; `PortBudget` (sans-I/O, one class for all ports) decides. A request of up to 16 KiB is paid for by its connection and needs nothing else, so ordinary callers do not depend on what a crowd has used up. What is larger is charged to a part that all share; when it is used up, the request that has been arriving longest is refused with 503, `not_run` and Retry-After. A request that has arrived in full is never refused for another, and is charged until it is answered. Bodies that announce too much are refused at their head. Refused peers are read from for a moment, so that closing the connection does not reset it before the refusal arrives. Receive buffers are 16 KiB at each port, as unread bytes count too. A body is collected in blocks. Counters by port and cause, gauges of connections and bytes, and `limits_in_force` at the start.

Why it works: all that a connection takes before its request is complete is either included in a charge for which the number of connections is bounded, or in the shared part; both are shares of the machine.

--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_process.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/_process.py
@@ -11,6 +11,7 @@
 import structlog
 from hawthornbarrow.configuration import decode_configuration
 from hawthornbarrow.http import HttpServer, Request, Response, problem
+from hawthornbarrow.limits import MachineLimits, PortKind, ProcessBudget
 from hawthornbarrow.links import LinkPort, Mailbox, PeerDown, PeerUp
 from hawthornbarrow.observability import Metrics
 from hawthornbarrow.upstreams import Announcement
@@ -35,6 +36,7 @@
         cluster_key: Secret shared by all processes of the deployment.
         announce_token: Token that upstreams must present, empty if none is required.
         drain_limit_s: Longest time that a graceful shutdown waits.
+        machine: Limits of the machine on the process.
     """
 
     name: str
@@ -43,6 +45,7 @@
     cluster_key: bytes
     announce_token: str = ""
     drain_limit_s: float = 60.0
+    machine: MachineLimits = MachineLimits()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -82,7 +85,12 @@
         self._core = AgentCore(timing=timing)
         self._caller = UpstreamCaller(on_end=self._on_call_ended)
         self._metrics = Metrics(process=settings.name)
-        self._http = HttpServer(handler=self._handle_request)
+        self._budget = ProcessBudget(machine=settings.machine)
+        self._http = HttpServer(
+            handler=self._handle_request,
+            budget=self._budget.add_port("http", PortKind.OPERATORS),
+        )
+        _log.info("limits_in_force", **self._budget.limits)
         self._port = LinkPort(
             process=settings.name,
             role="agent",
@@ -232,6 +240,8 @@
             return Response(status=200, body=b'{"status":"ok"}')
         if request.path == "/metrics":
             self._metrics.set_state("jobs_held", self._core.job_count)
+            for name, value in {**self._budget.states, **self._budget.counts}.items():
+                self._metrics.set_state(name, value)
             return Response(
                 status=200, body=self._metrics.render(), content_type="text/plain"
             )
--- a/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/cli.py
+++ b/packages/hawthornbarrow-agent/src/hawthornbarrow_agent/cli.py
@@ -5,6 +5,7 @@
 import sys
 
 import curio
+from hawthornbarrow.limits import add_machine_options, machine_from_options
 from hawthornbarrow.observability import configure_logs
 from hawthornbarrow.shutdown import serve_until_signalled
 
@@ -48,6 +49,7 @@
         help="longest time that a graceful shutdown waits, in seconds "
         "(default %(default)s)",
     )
+    add_machine_options(parser)
     return parser
 
 
@@ -68,6 +70,7 @@
         cluster_key=cluster_key.encode(),
         announce_token=os.environ.get("HAWTHORNBARROW_ANNOUNCE_TOKEN", ""),
         drain_limit_s=arguments.drain_limit_s,
+        machine=machine_from_options(arguments),
     )
     curio.run(_run, settings)
     return 0
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_api.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_api.py
@@ -22,6 +22,7 @@
     Outcome,
     job_id_of,
 )
+from hawthornbarrow.limits import ProcessBudget
 from hawthornbarrow.links import LinkPort, Mailbox
 from hawthornbarrow.observability import (
     BurnRateTracker,
@@ -87,6 +88,7 @@
         burn: Tracker of the burn rates of the service-level objectives.
         mailbox: Mailbox of the entry.
         operator_token_hashes: SHA-256 of each operator's token.
+        budget: Budget of the process, which is exported with the metrics.
     """
 
     def __init__(
@@ -99,8 +101,10 @@
         burn: BurnRateTracker,
         mailbox: Mailbox,
         operator_token_hashes: list[str],
+        budget: ProcessBudget,
     ) -> None:
         """Stores the components."""
+        self._budget = budget
         self._core = core
         self._ledger = ledger
         self._port = port
@@ -159,6 +163,8 @@
         self._metrics.set_state("open_jobs", len(self._core.job_table.open_jobs))
         self._metrics.set_state("claims", self._ledger.state.claim_count)
         self._metrics.set_state("frames_sent", self._port.counters.frames_sent)
+        for name, value in {**self._budget.states, **self._budget.counts}.items():
+            self._metrics.set_state(name, value)
         for cause, count in self._core.wasted.items():
             self._metrics.set_state(f"wasted_{cause}", count)
         return Response(
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
@@ -19,6 +19,7 @@
     ReplicatedLedger,
     load_identity,
 )
+from hawthornbarrow.limits import MachineLimits, PortKind, ProcessBudget
 from hawthornbarrow.links import (
     LinkPort,
     Mailbox,
@@ -55,6 +56,7 @@
         operator_token_hashes: SHA-256 of each operator's token.
         drain_limit_s: Timeout of a graceful shutdown.
         limits: Limits of the HTTP server on requests and connections.
+        machine: Limits of the machine on the process.
     """
 
     name: str
@@ -69,6 +71,7 @@
     data_centre: str = ""
     drain_limit_s: float = 60.0
     limits: HttpLimits = HttpLimits()
+    machine: MachineLimits = MachineLimits()
 
 
 class EntryProcess:
@@ -105,6 +108,11 @@
             cluster_key=settings.cluster_key,
             mailbox=self._mailbox,
         )
+        budget = ProcessBudget(machine=settings.machine)
+        http_budget = budget.add_port(
+            "http", PortKind.CALLERS, max_connections=settings.limits.connections
+        )
+        _log.info("limits_in_force", **budget.limits)
         self._api = Api(
             core=self._core,
             ledger=self._ledger,
@@ -113,8 +121,11 @@
             burn=self._burn,
             mailbox=self._mailbox,
             operator_token_hashes=settings.operator_token_hashes,
+            budget=budget,
+        )
+        self._http = HttpServer(
+            handler=self._api.handle, limits=settings.limits, budget=http_budget
         )
-        self._http = HttpServer(handler=self._api.handle, limits=settings.limits)
 
     @property
     def core(self) -> EntryCore:
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/cli/_serve.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/cli/_serve.py
@@ -8,6 +8,7 @@
 import curio
 from hawthornbarrow.http import HttpLimits
 from hawthornbarrow.ledger import LedgerStorageError, initialise_folder
+from hawthornbarrow.limits import add_machine_options, machine_from_options
 from hawthornbarrow.observability import configure_logs
 from hawthornbarrow.shutdown import serve_until_signalled
 
@@ -62,6 +63,7 @@
         type=int,
         default=int(environ.get("HAWTHORNBARROW_MAX_CONNECTIONS", "2048")),
     )
+    add_machine_options(serve)
     serve.set_defaults(run=_serve)
 
 
@@ -119,6 +121,7 @@
         limits=HttpLimits(
             body_bytes=arguments.max_body_bytes, connections=arguments.max_connections
         ),
+        machine=machine_from_options(arguments),
     )
     try:
         entry = EntryProcess(settings=settings)
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
@@ -1,17 +1,34 @@
 """HTTP/1.1 server: one curio task per connection, with resource limits."""
 
 import collections.abc
+import contextlib
 import dataclasses
+import functools
 import socket
 
 import curio
 import h11
 
 from hawthornbarrow.http._exchange import Request, Response, problem
+from hawthornbarrow.http._request_reader import BodyTooLargeError, RequestReader
+from hawthornbarrow.limits import (
+    RECEIVE_BUFFER_BYTES,
+    ConnectionAccount,
+    MachineLimits,
+    PortBudget,
+    PortKind,
+    ProcessBudget,
+)
 from hawthornbarrow.tasks import BackgroundTasks
 
-_READ_SIZE_BYTES = 64 * 1024
-_HEADER_OVERHEAD_BYTES = 4
+_FIRST_READ_BYTES = 8 * 1024
+_MAX_EVENTS = 10_000
+_SEPARATE_BODY_BYTES = 16 * 1024  # from which on a copy costs more than a second send
+_REFUSAL_RETRY_S = 1.0
+# A peer that still sends when its connection is closed loses the response.
+_LINGER_S = 1.0
+_LINGER_BYTES = 1024 * 1024
+_LINGER_READ_BYTES = 64 * 1024
 
 Handler = collections.abc.Callable[[Request], collections.abc.Awaitable[Response]]
 
@@ -35,8 +52,32 @@
     request_timeout_s: float = 10.0
 
 
-class _BodyTooLargeError(Exception):
-    """The request body is larger than the limit."""
+class _EvictedError(curio.TaskCancelled):
+    """The connection's request is refused, as another one needs its memory."""
+
+
+class _OverBudgetError(Exception):
+    """The request takes more memory than there is."""
+
+
+class _Connection:
+    """One open connection.
+
+    Args:
+        sock: Its socket.
+        limits: Limits on its requests.
+        task: The task that serves it.
+    """
+
+    def __init__(
+        self, *, sock: curio.io.Socket, limits: HttpLimits, task: curio.Task
+    ) -> None:
+        self.sock = sock
+        self.task = task
+        self.parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        self.reader: RequestReader | None = None
 
 
 class HttpServer:
@@ -49,13 +90,28 @@
     Args:
         handler: Coroutine function from request to response.
         limits: Limits on connections and requests, None for the defaults.
+        budget: Bounds what the connections take together, None for that of a machine
+            with the default limits.
     """
 
-    def __init__(self, *, handler: Handler, limits: HttpLimits | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        limits: HttpLimits | None = None,
+        budget: PortBudget | None = None,
+    ) -> None:
         """Initializes a server without connections."""
         self._handler = handler
-        self._limits = limits or HttpLimits()
-        self._open_connections = 0
+        limits = limits or HttpLimits()
+        if budget is None:
+            budget = ProcessBudget(machine=MachineLimits()).add_port(
+                "http", PortKind.CALLERS, max_connections=limits.connections
+            )
+        # A larger body could never be kept.
+        body_bytes = min(limits.body_bytes, budget.request_bytes)
+        self._limits = dataclasses.replace(limits, body_bytes=body_bytes)
+        self._budget = budget
         self._active_requests = 0
         self._is_draining = False
         self._bound_port = 0
@@ -88,63 +144,61 @@
         sock = curio.network.tcp_server_socket(
             host, port, backlog=1024, reuse_address=True
         )
+        # Connections inherit it, so that what arrives unread is bounded as well.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._bound_port = sock.getsockname()[1]
         async with sock, BackgroundTasks() as tasks:
             while True:
                 client, _ = await sock.accept()
-                await tasks.spawn(self._serve_connection, client)
-
-    async def _serve_connection(self, sock: curio.io.Socket) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._open_connections += 1
-        connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+                account = self._budget.open()
+                if account is None:
+                    await _turn_away(client)
+                else:
+                    await tasks.spawn(self._serve_connection, client, account)
+
+    async def _serve_connection(
+        self, sock: curio.io.Socket, account: ConnectionAccount
+    ) -> None:
+        connection = _Connection(
+            sock=sock, limits=self._limits, task=await curio.current_task()
         )
+        account.owner = connection
         try:
-            if self._open_connections > self._limits.connections:
-                busy = problem(
-                    503, "too many connections", not_run=True, retry_after_s=1.0
-                )
-                await _send(sock, connection, busy, close=True)
-                return
-            while await self._serve_request(sock, connection):
-                connection.start_next_cycle()
-        except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            while await self._serve_request(connection, account):
+                connection.parser.start_next_cycle()
+        except (OSError, curio.TaskTimeout, h11.LocalProtocolError, _EvictedError):
             return
         finally:
-            self._open_connections -= 1
+            self._budget.close(account)
             await sock.close()
 
     async def _serve_request(
-        self, sock: curio.io.Socket, connection: h11.Connection
+        self, connection: _Connection, account: ConnectionAccount
     ) -> bool:
         """Serves one request; returns whether the connection stays open for another."""
-        try:
-            request = await self._receive_request(sock, connection)
-        except h11.RemoteProtocolError as error:
-            await self._refuse(sock, connection, error.error_status_hint, str(error))
-            return False
-        except _BodyTooLargeError:
-            detail = f"body is larger than {self._limits.body_bytes} bytes"
-            await self._refuse(sock, connection, 413, detail)
-            return False
+        request = await self._receive_or_refuse(connection, account)
         if request is None:
             return False
+        sock, parser = connection.sock, connection.parser
         request = dataclasses.replace(
             request, is_abandoned=lambda: _is_closed_by_peer(sock)
         )
         self._active_requests += 1
         try:
             response = await self._handle(request)
+            del request
             must_close = (
                 self._is_draining
                 or response.closes_connection
-                or connection.their_state is not h11.DONE
+                or parser.their_state is not h11.DONE
             )
-            await _send(sock, connection, response, close=must_close)
+            self._budget.hold_response(account, len(response.body))
+            await _send(sock, parser, response, close=must_close)
         finally:
             self._active_requests -= 1
-        return connection.our_state is h11.DONE and not must_close
+            self._budget.release(account)
+        return parser.our_state is h11.DONE and not must_close
 
     async def _handle(self, request: Request) -> Response:
         """Calls the handler; a body that is nested too deeply to be read gets a 400."""
@@ -153,111 +207,104 @@
         except RecursionError:
             return problem(400, "bad request", detail="the body is nested too deeply")
 
+    async def _receive_or_refuse(
+        self, connection: _Connection, account: ConnectionAccount
+    ) -> Request | None:
+        """Returns the next request, or None when the connection must be closed.
+
+        Its bytes are freed before a refusal is sent.
+        """
+        try:
+            return await self._receive_request(connection, account)
+        except h11.RemoteProtocolError as error:
+            refusal = _bad_request(error.error_status_hint, str(error))
+        except BodyTooLargeError:
+            detail = f"body is larger than {self._limits.body_bytes} bytes"
+            refusal = _bad_request(413, detail)
+        except (_OverBudgetError, _EvictedError):
+            refusal = _refusal("too much memory is taken by other requests")
+        finally:
+            connection.reader = None
+        self._budget.release(account)
+        if connection.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            await _send(connection.sock, connection.parser, refusal, close=True)
+            await _linger(connection.sock)
+        return None
+
     async def _receive_request(
-        self, sock: curio.io.Socket, connection: h11.Connection
+        self, connection: _Connection, account: ConnectionAccount
     ) -> Request | None:
         """Returns the next request, or None when the connection has ended.
 
         Data that has already arrived is parsed without a timeout, as setting a
         timeout costs more than parsing a small request.
         """
-        if not await self._wait_for_request(sock, connection):
+        if not await self._wait_for_request(connection):
             return None
-        reader = _RequestReader(connection=connection, limits=self._limits)
-        request = reader.read()
+        reader = connection.reader = RequestReader(
+            connection=connection.parser,
+            header_bytes=self._limits.header_bytes,
+            body_bytes=self._limits.body_bytes,
+        )
+        request = reader.read(_MAX_EVENTS)
         if request is None:
+            await self._keep(account, reader)
             async with curio.timeout_after(self._limits.request_timeout_s):
                 while request is None:
-                    await self._receive_more(sock, connection)
-                    request = reader.read()
+                    request = await self._receive_more(connection, account, reader)
+        if not self._budget.complete(account):
+            raise _OverBudgetError
         return request
 
-    async def _wait_for_request(
-        self, sock: curio.io.Socket, connection: h11.Connection
-    ) -> bool:
+    async def _wait_for_request(self, connection: _Connection) -> bool:
         """Waits for the first bytes of a request; returns False when none arrive."""
-        if connection.trailing_data[0]:
+        if connection.parser.trailing_data[0]:
             return True
         data = await curio.ignore_after(
-            self._limits.idle_timeout_s, sock.recv, _READ_SIZE_BYTES
+            self._limits.idle_timeout_s, connection.sock.recv, _FIRST_READ_BYTES
         )
         if not data:
             return False
-        connection.receive_data(data)
+        connection.parser.receive_data(data)
         return True
 
     async def _receive_more(
-        self, sock: curio.io.Socket, connection: h11.Connection
-    ) -> None:
-        if connection.they_are_waiting_for_100_continue:
+        self,
+        connection: _Connection,
+        account: ConnectionAccount,
+        reader: RequestReader,
+    ) -> Request | None:
+        """Waits for more of a request and reads it."""
+        if reader.needs_data:
+            await self._wait_for_data(connection)
+        if reader.needs_data:
+            data = await connection.sock.recv(reader.next_read_bytes)
+            connection.parser.receive_data(data)
+        request = reader.read(_MAX_EVENTS)
+        await self._keep(account, reader)
+        return request
+
+    async def _wait_for_data(self, connection: _Connection) -> None:
+        """Waits until data has arrived, without taking it from the socket."""
+        parser, sock = connection.parser, connection.sock
+        if parser.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
-            await sock.sendall(connection.send(continue_response))
-        data = await sock.recv(_READ_SIZE_BYTES)
-        if not data:
+            await sock.sendall(parser.send(continue_response))
+        if not await sock.recv(1, socket.MSG_PEEK):
             raise ConnectionResetError(
                 "connection closed before the request was complete"
             )
-        connection.receive_data(data)
 
-    async def _refuse(
-        self, sock: curio.io.Socket, connection: h11.Connection, status: int, text: str
-    ) -> None:
-        if connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            refusal = problem(status, "bad request", detail=text, not_run=True)
-            await _send(sock, connection, refusal, close=True)
-
-
-class _RequestReader:
-    """Assembles one request from the events of a connection's parser."""
-
-    def __init__(self, *, connection: h11.Connection, limits: HttpLimits) -> None:
-        self._connection = connection
-        self._limits = limits
-        self._head: h11.Request | None = None
-        self._body = bytearray()
-
-    def read(self) -> Request | None:
-        """Returns the request once it is complete, or None while more data is needed.
-
-        Raises:
-            _BodyTooLargeError: The body is larger than the limit.
-            ConnectionResetError: The connection ended within the request.
-            h11.RemoteProtocolError: The request is not valid HTTP, or its head is
-                larger than the limit.
-        """
-        while True:
-            event = self._connection.next_event()
-            if event is h11.NEED_DATA:
-                return None
-            if isinstance(event, h11.Request):
-                self._check_head_size(event)
-                self._head = event
-            elif isinstance(event, h11.Data):
-                self._body += event.data
-                if len(self._body) > self._limits.body_bytes:
-                    raise _BodyTooLargeError
-            elif isinstance(event, h11.EndOfMessage) and self._head is not None:
-                return _build_request(self._head, bytes(self._body))
-            else:
-                raise ConnectionResetError(
-                    "connection closed before the request was complete"
-                )
-
-    def _check_head_size(self, head: h11.Request) -> None:
-        """Refuses a request head over the limit.
-
-        The parser limits only the size of an incomplete head, so it accepts a larger
-        one that arrives at once.
-        """
-        size = len(head.target)
-        for name, value in head.headers.raw_items():
-            size += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
-        if size > self._limits.header_bytes:
-            raise h11.RemoteProtocolError(
-                f"request line and headers of {size} bytes, expected at most "
-                f"{self._limits.header_bytes}",
-                error_status_hint=431,
-            )
+    async def _keep(self, account: ConnectionAccount, reader: RequestReader) -> None:
+        """Charges what a request takes, at the expense of others if need be."""
+        growth = self._budget.grow(account, reader.held_bytes)
+        for evicted in growth.evicted:
+            other = evicted.owner
+            if other.reader is not None:
+                other.reader.discard()
+            await other.task.cancel(exc=_EvictedError, blocking=False)
+        if not growth.is_granted:
+            raise _OverBudgetError
 
 
 def _is_closed_by_peer(sock: curio.io.Socket) -> bool:
@@ -271,17 +318,12 @@
         return False
 
 
-def _build_request(head: h11.Request, body: bytes) -> Request:
-    target = head.target.decode("ascii", "replace")
-    headers = {
-        name.decode("ascii"): value.decode("latin-1") for name, value in head.headers
-    }
-    return Request(
-        method=head.method.decode("ascii"),
-        path=target.partition("?")[0],
-        headers=headers,
-        body=body,
-    )
+def _refusal(reason: str) -> Response:
+    return problem(503, reason, not_run=True, retry_after_s=_REFUSAL_RETRY_S)
+
+
+def _bad_request(status: int, detail: str) -> Response:
+    return problem(status, "bad request", detail=detail, not_run=True)
 
 
 async def _send(
@@ -291,6 +333,18 @@
     *,
     close: bool,
 ) -> None:
+    head, body = _encode(connection, response, close=close)
+    if len(body) > _SEPARATE_BODY_BYTES:
+        await sock.sendall(head)
+        await sock.sendall(body)
+    else:
+        await sock.sendall(head + body)
+
+
+def _encode(
+    connection: h11.Connection, response: Response, *, close: bool
+) -> tuple[bytes, bytes]:
+    """Returns the head and the body of a response as they are sent."""
     headers = [
         ("Content-Length", str(len(response.body))),
         ("Content-Type", response.content_type),
@@ -298,8 +352,32 @@
     ]
     if close:
         headers.append(("Connection", "close"))
-    head = h11.Response(status_code=response.status, headers=headers)
-    data = connection.send(head)
-    data += connection.send(h11.Data(data=response.body))
-    data += connection.send(h11.EndOfMessage())
-    await sock.sendall(data)
+    head = connection.send(h11.Response(status_code=response.status, headers=headers))
+    body = connection.send(h11.Data(data=response.body))
+    return head, body + connection.send(h11.EndOfMessage())
+
+
+@functools.cache
+def _encoded_turn_away() -> bytes:
+    connection = h11.Connection(h11.SERVER)
+    return b"".join(_encode(connection, _refusal("too many connections"), close=True))
+
+
+async def _turn_away(sock: curio.io.Socket) -> None:
+    """Refuses a connection for which there is no room, and closes it at once."""
+    with contextlib.suppress(OSError):
+        sock._socket.send(_encoded_turn_away())
+    await sock.close()
+
+
+async def _linger(sock: curio.io.Socket) -> None:
+    """Reads and drops what a refused peer still sends, within bounds.
+
+    Closing a connection that has unread data resets it, and the peer may then lose the
+    response.
+    """
+    sock._socket.shutdown(socket.SHUT_WR)
+    async with curio.ignore_after(_LINGER_S):
+        for _ in range(_LINGER_BYTES // _LINGER_READ_BYTES):
+            if not await sock.recv(_LINGER_READ_BYTES):
+                return
--- /dev/null
+++ b/packages/hawthornbarrow/src/hawthornbarrow/limits/__init__.py
@@ -0,0 +1,27 @@
+"""Bounds on what connections may make a process keep, derived from its machine."""
+
+from hawthornbarrow.limits._machine import MachineLimits, PortKind
+from hawthornbarrow.limits._options import add_machine_options, machine_from_options
+from hawthornbarrow.limits._port_budget import (
+    CONNECTION_BYTES,
+    INCLUDED_BYTES,
+    RECEIVE_BUFFER_BYTES,
+    ConnectionAccount,
+    Growth,
+    PortBudget,
+)
+from hawthornbarrow.limits._process_budget import ProcessBudget
+
+__all__ = [
+    "CONNECTION_BYTES",
+    "INCLUDED_BYTES",
+    "RECEIVE_BUFFER_BYTES",
+    "ConnectionAccount",
+    "Growth",
+    "MachineLimits",
+    "PortBudget",
+    "PortKind",
+    "ProcessBudget",
+    "add_machine_options",
+    "machine_from_options",
+]
--- a/packages/hawthornbarrow/src/hawthornbarrow/observability/_endpoint.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/observability/_endpoint.py
@@ -5,13 +5,15 @@
 
 import curio
 
-from hawthornbarrow.http import HttpServer, Request, Response
+from hawthornbarrow.http import HttpLimits, HttpServer, Request, Response
+from hawthornbarrow.limits import PortKind, ProcessBudget
 
 if typing.TYPE_CHECKING:
     from hawthornbarrow.observability._cell_metrics import CellMetrics
 
 _METRICS_MODULE = "hawthornbarrow.observability._cell_metrics"
 _CONTENT_TYPE = "text/plain; version=0.0.4"
+_LIMITS = HttpLimits(body_bytes=64 * 1024)
 
 
 class MetricsSource(typing.Protocol):
@@ -31,13 +33,18 @@
         name: Name of the process.
         source: Process that provides the counts and states.
         address: IP address and port to listen at.
+        budget: Budget of the process, which is exported as well.
     """
 
-    def __init__(self, *, name: str, source: MetricsSource, address: str) -> None:
+    def __init__(
+        self, *, name: str, source: MetricsSource, address: str, budget: ProcessBudget
+    ) -> None:
         """Initializes an endpoint without instruments."""
         self._name = name
         self._source = source
         self._address = address
+        self._budget = budget
+        self._port = budget.add_port("metrics", PortKind.PROBES)
         self._metrics: CellMetrics | None = None
 
     @property
@@ -47,14 +54,15 @@
             module = importlib.import_module(_METRICS_MODULE)
             self._metrics = module.CellMetrics(
                 process=self._name,
-                counts=lambda: self._source.counts,
-                states=lambda: self._source.states,
+                counts=lambda: {**self._source.counts, **self._budget.counts},
+                states=lambda: {**self._source.states, **self._budget.states},
             )
         return self._metrics
 
     async def run(self) -> None:
         """Serves requests until cancelled."""
-        await HttpServer(handler=self._handle).serve_address(self._address)
+        server = HttpServer(handler=self._handle, limits=_LIMITS, budget=self._port)
+        await server.serve_address(self._address)
 
     async def _handle(self, request: Request) -> Response:
         if self._metrics is None:
