Give other tasks a turn while requests arrive

Callers saw: no answers, and an entry that its agents and the other entries took for lost, while some connections sent without a pause.

Cause: curio's `recv` suspends a task only when nothing has arrived, so a connection that always has more was read, and its chunks parsed, without a turn for any other task, and without its own timeout, until its body was whole or over the limit. One-byte chunks cost the parser an event each: 8 MiB of them are 17 million events. The accept loop took all waiting connections in the same way.

Change: a request that is not complete with its first 8 KiB is read in turns: 64 KiB or 128 events, then the other tasks run. One request of a port is read at a time, in the order of arrival, so a crowd takes no more turns than one connection. What waits for its turn stays in the socket, whose buffer is bounded. 16 connections are accepted in a turn.

--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import functools
+import itertools
 import socket
 
 import curio
@@ -21,8 +22,10 @@
 )
 from hawthornbarrow.tasks import BackgroundTasks
 
+_ACCEPTS_PER_TURN = 16
 _FIRST_READ_BYTES = 8 * 1024
-_MAX_EVENTS = 10_000
+_FIRST_READ_EVENTS = 16
+_EVENTS_PER_TURN = 128
 _SEPARATE_BODY_BYTES = 16 * 1024  # from which on a copy costs more than a second send
 _REFUSAL_RETRY_S = 1.0
 # A peer that still sends when its connection is closed loses the response.
@@ -112,6 +115,9 @@
         body_bytes = min(limits.body_bytes, budget.request_bytes)
         self._limits = dataclasses.replace(limits, body_bytes=body_bytes)
         self._budget = budget
+        # Held while a request that is not complete is read, so that no crowd of them
+        # takes more than one turn at a time.
+        self._reading = curio.Lock()
         self._active_requests = 0
         self._is_draining = False
         self._bound_port = 0
@@ -148,13 +154,15 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._bound_port = sock.getsockname()[1]
         async with sock, BackgroundTasks() as tasks:
-            while True:
+            for number in itertools.count(1):
                 client, _ = await sock.accept()
                 account = self._budget.open()
                 if account is None:
                     await _turn_away(client)
                 else:
                     await tasks.spawn(self._serve_connection, client, account)
+                if number % _ACCEPTS_PER_TURN == 0:
+                    await curio.sleep(0)
 
     async def _serve_connection(
         self, sock: curio.io.Socket, account: ConnectionAccount
@@ -246,7 +254,7 @@
             header_bytes=self._limits.header_bytes,
             body_bytes=self._limits.body_bytes,
         )
-        request = reader.read(_MAX_EVENTS)
+        request = reader.read(_FIRST_READ_EVENTS)
         if request is None:
             await self._keep(account, reader)
             async with curio.timeout_after(self._limits.request_timeout_s):
@@ -274,18 +282,25 @@
         account: ConnectionAccount,
         reader: RequestReader,
     ) -> Request | None:
-        """Waits for more of a request and reads it."""
+        """Waits for more of a request and reads it when it is this one's turn."""
         if reader.needs_data:
             await self._wait_for_data(connection)
-        if reader.needs_data:
-            data = await connection.sock.recv(reader.next_read_bytes)
-            connection.parser.receive_data(data)
-        request = reader.read(_MAX_EVENTS)
-        await self._keep(account, reader)
-        return request
+        async with self._reading:
+            if reader.needs_data:
+                data = await connection.sock.recv(reader.next_read_bytes)
+                connection.parser.receive_data(data)
+            while True:
+                request = reader.read(_EVENTS_PER_TURN)
+                await self._keep(account, reader)
+                await curio.sleep(0)
+                if request is not None or reader.needs_data:
+                    return request
 
     async def _wait_for_data(self, connection: _Connection) -> None:
-        """Waits until data has arrived, without taking it from the socket."""
+        """Waits until data has arrived, without taking it from the socket.
+
+        What has been taken and waits for its turn would not be charged.
+        """
         parser, sock = connection.parser, connection.sock
         if parser.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
@@ -381,3 +396,4 @@
         for _ in range(_LINGER_BYTES // _LINGER_READ_BYTES):
             if not await sock.recv(_LINGER_READ_BYTES):
                 return
+            await curio.sleep(0)
