Count the values of a job's body before it is decoded

Callers saw: connections that were reset, as the entry was killed for its memory after a few whole bodies of 8 MiB.

Cause: limits on steps were checked after the body had been decoded and converted. A phase of 12 bytes takes 200 bytes as a decoded object and 400 more as a step.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -25,7 +25,12 @@
         InvalidEvacuationError,
         check_data_centre_name,
     )
-    from hawthornbarrow.cells._job_limits import InvalidJobError, check_document
+    from hawthornbarrow.cells._job_limits import (
+        InvalidJobError,
+        check_document,
+        check_encoded_job,
+        check_step_count,
+    )
     from hawthornbarrow.cells._job_record import (
         GIVE_UP_FACTOR,
         OVERHEAD_S,
@@ -201,6 +206,8 @@
     "WorkerReport",
     "check_data_centre_name",
     "check_document",
+    "check_encoded_job",
+    "check_step_count",
     "decode_worker",
     "encode_worker",
     "first_term",
@@ -233,6 +240,8 @@
         "check_data_centre_name": "_evacuation",
         "InvalidJobError": "_job_limits",
         "check_document": "_job_limits",
+        "check_encoded_job": "_job_limits",
+        "check_step_count": "_job_limits",
         "GIVE_UP_FACTOR": "_job_record",
         "OVERHEAD_S": "_job_record",
         "JobRecord": "_job_record",
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_limits.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_limits.py
@@ -10,6 +10,8 @@
 
 MAX_STEPS = 1_000
 MAX_TASKS = 10_000  # of all steps; a dispatcher keeps a record of each
+# Values in an encoded document; the largest body of a client has no more.
+MAX_ENCODED_VALUES = 128 * 1024
 MAX_RUN_S = 7 * 86_400.0  # estimated run time of a task
 
 
@@ -17,14 +19,36 @@
     """The job document is not valid."""
 
 
+def check_encoded_job(body: bytes) -> None:
+    """Checks that an encoded job may be decoded.
+
+    A small value takes a hundred times its size once it is decoded. The values are
+    counted by the commas between them, before any of them is built.
+
+    Raises:
+        InvalidJobError: It has too many values.
+    """
+    if len(body) > MAX_ENCODED_VALUES and body.count(b",") > MAX_ENCODED_VALUES:
+        raise InvalidJobError(f"more than {MAX_ENCODED_VALUES} values")
+
+
+def check_step_count(count: int) -> None:
+    """Checks the number of steps of a job.
+
+    Raises:
+        InvalidJobError: It has no step or too many.
+    """
+    if not 1 <= count <= MAX_STEPS:
+        raise InvalidJobError(f"{count} steps, expected 1 to {MAX_STEPS}")
+
+
 def check_document(document: JobDocument) -> None:
     """Checks that a job can be run.
 
     Raises:
         InvalidJobError: A limit is exceeded, or a step depends on a later one.
     """
-    if not 1 <= len(document.steps) <= MAX_STEPS:
-        raise InvalidJobError(f"{len(document.steps)} steps, expected 1 to {MAX_STEPS}")
+    check_step_count(len(document.steps))
     for position, step in enumerate(document.steps):
         _check_step(position, step)
     task_count = sum(step.count for step in document.steps)
