Let a new connection take the place of one that asks for nothing

Callers saw: 503 "too many connections" from an entry that ran nothing, for as long as connections that sent nothing, or a part of a request, stayed open: 10 s for a request, 120 s for an idle connection.

Cause: all open connections counted alike, and a new one was refused while the limit was reached.

Change: when all connections are open, the one that has waited longest with nothing asked is closed for the new one, or else the one whose request has been arriving longest, after a 503 with `not_run`. One whose request has arrived in full is never closed; while all are being answered, a new one is refused as before. `PortBudget.open` decides.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_crowds.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_crowds.py
@@ -67,6 +67,7 @@
         with Crowd((deployment.host, port), wires, meter) as crowd:
             crowd.send()
             self.check_process(process, meter)
+            self.check_ordinary_job()
         self.check_ordinary_job()
         self.check_process(process, meter)
         self.check_ordinary_job(size=MAX_BODY_BYTES)
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
@@ -156,11 +156,13 @@
         async with sock, BackgroundTasks() as tasks:
             for number in itertools.count(1):
                 client, _ = await sock.accept()
-                account = self._budget.open()
-                if account is None:
+                admission = self._budget.open()
+                if admission.replaced is not None:
+                    await _evict(admission.replaced)
+                if admission.account is None:
                     await _turn_away(client)
                 else:
-                    await tasks.spawn(self._serve_connection, client, account)
+                    await tasks.spawn(self._serve_connection, client, admission.account)
                 if number % _ACCEPTS_PER_TURN == 0:
                     await curio.sleep(0)
 
@@ -172,6 +174,8 @@
         )
         account.owner = connection
         try:
+            if account.is_replaced:
+                return
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             while await self._serve_request(connection, account):
                 connection.parser.start_next_cycle()
@@ -205,7 +209,7 @@
             await _send(sock, parser, response, close=must_close)
         finally:
             self._active_requests -= 1
-            self._budget.release(account)
+            self._budget.wait(account)
         return parser.our_state is h11.DONE and not must_close
 
     async def _handle(self, request: Request) -> Response:
@@ -230,13 +234,16 @@
             detail = f"body is larger than {self._limits.body_bytes} bytes"
             refusal = _bad_request(413, detail)
         except (_OverBudgetError, _EvictedError):
-            refusal = _refusal("too much memory is taken by other requests")
+            if connection.reader is None:
+                return None
+            refusal = _refusal("the room is needed for other requests")
         finally:
             connection.reader = None
-        self._budget.release(account)
+        self._budget.dismiss(account)
         if connection.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             await _send(connection.sock, connection.parser, refusal, close=True)
-            await _linger(connection.sock)
+            if not account.is_replaced:
+                await _linger(connection.sock)
         return None
 
     async def _receive_request(
@@ -249,6 +256,7 @@
         """
         if not await self._wait_for_request(connection):
             return None
+        self._budget.begin(account)
         reader = connection.reader = RequestReader(
             connection=connection.parser,
             header_bytes=self._limits.header_bytes,
@@ -314,10 +322,7 @@
         """Charges what a request takes, at the expense of others if need be."""
         growth = self._budget.grow(account, reader.held_bytes)
         for evicted in growth.evicted:
-            other = evicted.owner
-            if other.reader is not None:
-                other.reader.discard()
-            await other.task.cancel(exc=_EvictedError, blocking=False)
+            await _evict(evicted)
         if not growth.is_granted:
             raise _OverBudgetError
 
@@ -333,6 +338,16 @@
         return False
 
 
+async def _evict(account: ConnectionAccount) -> None:
+    """Frees what a connection keeps, and lets its task refuse its request."""
+    connection = account.owner
+    if not isinstance(connection, _Connection):
+        return  # its task has not begun and will find that it is replaced
+    if connection.reader is not None:
+        connection.reader.discard()
+    await connection.task.cancel(exc=_EvictedError, blocking=False)
+
+
 def _refusal(reason: str) -> Response:
     return problem(503, reason, not_run=True, retry_after_s=_REFUSAL_RETRY_S)
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/limits/_port_budget.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/limits/_port_budget.py
@@ -17,15 +17,31 @@
         owner: The connection, as the user of the budget knows it.
         charged_bytes: Bytes of its request or response beyond what is included.
         is_evicted: Whether its request must be refused, as another one has its bytes.
+        is_replaced: Whether another connection has its place, so that it must be
+            closed.
     """
 
-    __slots__ = ("charged_bytes", "is_evicted", "owner")
+    __slots__ = ("charged_bytes", "is_evicted", "is_replaced", "owner")
 
     def __init__(self) -> None:
         """Initializes the account of a connection without a request."""
         self.owner: object = None
         self.charged_bytes = 0
         self.is_evicted = False
+        self.is_replaced = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Admission:
+    """Decision about a new connection.
+
+    Attributes:
+        account: Account of the connection, or None when it must be refused.
+        replaced: Connection that must be closed for it, if any.
+    """
+
+    account: ConnectionAccount | None
+    replaced: ConnectionAccount | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -43,15 +59,23 @@
     evicted: tuple[ConnectionAccount, ...] = ()
 
 
+_REFUSED = Admission(account=None)
 _GRANTED = Growth(is_granted=True)
 _DENIED = Growth(is_granted=False)
 
+# Ordered sets, with the connection that has been in them longest in front.
+_Accounts = collections.OrderedDict[ConnectionAccount, None]
+
 
 class PortBudget:
     """Bounds the connections of one port and the bytes that it keeps for them.
 
-    This handles crowds of connections whose requests take much memory and are never
-    finished. A request up to INCLUDED_BYTES is paid for by its connection. What a
+    This handles crowds of connections that ask for nothing, or whose requests are
+    never finished.
+
+    When all connections are open, a new one takes the place of the one that has waited
+    longest with nothing asked, or else of the one whose request has been arriving
+    longest. A request up to INCLUDED_BYTES is paid for by its connection. What a
     larger one takes beyond that is charged to the requests in common. When that is
     used up, the request that has been arriving longest is refused first. A request
     that has arrived in full is never refused for another.
@@ -62,7 +86,7 @@
 
     Examples:
         >>> budget = PortBudget(max_connections=2, request_bytes=100_000)
-        >>> slow, fast = budget.open(), budget.open()
+        >>> slow, fast = budget.open().account, budget.open().account
         >>> budget.grow(slow, 80_000).is_granted
         True
         >>> budget.grow(fast, 80_000).evicted == (slow,)
@@ -75,12 +99,12 @@
         self._request_bytes = request_bytes
         self._connection_count = 0
         self._charged_bytes = 0
-        # Requests that are arriving and charged, the one that began first in front.
-        self._arriving: collections.OrderedDict[ConnectionAccount, None] = (
-            collections.OrderedDict()
-        )
+        self._idle: _Accounts = collections.OrderedDict()
+        self._arriving: _Accounts = collections.OrderedDict()
+        self._charged: _Accounts = collections.OrderedDict()  # and arriving
         self._counts = {
             "connection_refused": 0,
+            "connection_replaced": 0,
             "request_evicted": 0,
             "request_over_budget": 0,
         }
@@ -110,13 +134,25 @@
         """Number of refusals by cause."""
         return dict(self._counts)
 
-    def open(self) -> ConnectionAccount | None:
-        """Returns the account of a new connection, or None when it must be refused."""
+    def open(self) -> Admission:
+        """Decides on a new connection, which has asked for nothing yet."""
+        replaced = None
         if self._connection_count >= self._max_connections:
-            self._counts["connection_refused"] += 1
-            return None
+            replaced = next(iter(self._idle or self._arriving), None)
+            if replaced is None:
+                self._counts["connection_refused"] += 1
+                return _REFUSED
+            self._counts["connection_replaced"] += 1
+            self.close(replaced)
+            replaced.is_evicted = replaced.is_replaced = True
         self._connection_count += 1
-        return ConnectionAccount()
+        account = ConnectionAccount()
+        self._idle[account] = None
+        return Admission(account=account, replaced=replaced)
+
+    def begin(self, account: ConnectionAccount) -> None:
+        """Notes that the first bytes of a request have arrived."""
+        self._idle.pop(account, None)
 
     def grow(self, account: ConnectionAccount, held_bytes: int) -> Growth:
         """Decides whether a request that is arriving may keep what it takes.
@@ -127,14 +163,14 @@
         """
         if account.is_evicted:
             return _DENIED
+        self._arriving[account] = None
         if held_bytes <= INCLUDED_BYTES:
             return _GRANTED
-        if account not in self._arriving:
-            self._arriving[account] = None
+        self._charged[account] = None
         self._charge(account, held_bytes - INCLUDED_BYTES)
         evicted = []
         while self._charged_bytes > self._request_bytes:
-            oldest = next(iter(self._arriving))
+            oldest = next(iter(self._charged))
             if oldest is account:
                 self._counts["request_over_budget"] += 1
                 self.release(account)
@@ -151,8 +187,8 @@
         It is kept from then on until it is released. Returns False when it must be
         refused, as it was evicted.
         """
-        if account.charged_bytes:
-            self._arriving.pop(account, None)
+        self._arriving.pop(account, None)
+        self._charged.pop(account, None)
         return not account.is_evicted
 
     def hold_response(self, account: ConnectionAccount, size_bytes: int) -> None:
@@ -165,14 +201,28 @@
 
     def release(self, account: ConnectionAccount) -> None:
         """Releases what the connection's request or response was charged with."""
-        if account.charged_bytes:
-            self._charge(account, 0)
-            self._arriving.pop(account, None)
+        self._charge(account, 0)
+        self._arriving.pop(account, None)
+        self._charged.pop(account, None)
+
+    def wait(self, account: ConnectionAccount) -> None:
+        """Releases a connection's request, as it waits for the next one."""
+        self.release(account)
+        if not account.is_replaced:
+            self._idle[account] = None
+
+    def dismiss(self, account: ConnectionAccount) -> None:
+        """Releases a request that is refused; its connection is the first to go."""
+        self.wait(account)
+        if not account.is_replaced:
+            self._idle.move_to_end(account, last=False)
 
     def close(self, account: ConnectionAccount) -> None:
-        """Notes that a connection is closed."""
+        """Notes that a connection is closed, unless another one has its place."""
         self.release(account)
-        self._connection_count -= 1
+        self._idle.pop(account, None)
+        if not account.is_replaced:
+            self._connection_count -= 1
 
     def _charge(self, account: ConnectionAccount, charged_bytes: int) -> None:
         self._charged_bytes += charged_bytes - account.charged_bytes
