Go on accepting after an error of accept

Callers saw: an entry that was gone. With 1,024 descriptors and 2,048 connections to the port for links that send nothing, the process ended; so it did at the callers' port before its connections were bounded by the machine's descriptors.

Cause: an error of `accept` (no descriptor, no buffer, a connection that is gone) ended the listening task, and so the process, in `HttpServer` and in `LinkPort`.

Change: `Listener` accepts for both.

HttpServer has a property for its open connections; `test_connections_of_callers_that_left_are_closed` used the private attribute that the budget replaced.

--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
@@ -15,6 +15,7 @@
 from hawthornbarrow.limits import (
     RECEIVE_BUFFER_BYTES,
     ConnectionAccount,
+    Listener,
     MachineLimits,
     PortBudget,
     PortKind,
@@ -132,6 +133,11 @@
         """Number of requests received and not yet answered."""
         return self._active_requests
 
+    @property
+    def open_connections(self) -> int:
+        """Number of open connections."""
+        return self._budget.connection_count
+
     def drain(self) -> None:
         """Makes the server close each connection after its next response.
 
@@ -153,9 +159,10 @@
         # Connections inherit it, so that what arrives unread is bounded as well.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._bound_port = sock.getsockname()[1]
+        listener = Listener(sock=sock, name=f"{host}:{self._bound_port}")
         async with sock, BackgroundTasks() as tasks:
             for number in itertools.count(1):
-                client, _ = await sock.accept()
+                client = await listener.accept()
                 admission = self._budget.open()
                 if admission.replaced is not None:
                     await _evict(admission.replaced)
--- a/packages/hawthornbarrow/src/hawthornbarrow/limits/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/limits/__init__.py
@@ -1,5 +1,6 @@
 """Bounds on what connections may make a process keep, derived from its machine."""
 
+from hawthornbarrow.limits._listener import Listener
 from hawthornbarrow.limits._machine import MachineLimits, PortKind
 from hawthornbarrow.limits._options import add_machine_options, machine_from_options
 from hawthornbarrow.limits._port_budget import (
@@ -20,6 +21,7 @@
     "Admission",
     "ConnectionAccount",
     "Growth",
+    "Listener",
     "MachineLimits",
     "PortBudget",
     "PortKind",
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
@@ -8,6 +8,7 @@
 import curio
 
 from hawthornbarrow.clock import steady_s
+from hawthornbarrow.limits import Listener
 from hawthornbarrow.links._codec import NONCE_BYTES, Codec, LinkError
 from hawthornbarrow.links._frames import Frame, Hello
 from hawthornbarrow.links._mailbox import Mailbox
@@ -229,9 +230,10 @@
             host, port, backlog=512, reuse_address=True
         )
         self._bound_port = sock.getsockname()[1]
+        listener = Listener(sock=sock, name=f"{host}:{self._bound_port}")
         async with sock, BackgroundTasks() as tasks:
             while True:
-                client, _ = await sock.accept()
+                client = await listener.accept()
                 await tasks.spawn(self._accept, client)
 
     async def dial(self, host: str, port: int) -> None:
