Bound what a peer may send before it has proved the cluster key

Callers saw: an entry that was killed for its memory, after connections to its port for links that had announced large blocks and sent them without their last byte.

Cause: a block of up to 64 MiB was read before anything was checked, from any number of connections. The cluster key is proved by the first frame after the nonces.

Change: until then a block has 4 KiB at most, and no more is taken from the socket. Nothing that peers exchange changes, so old and new versions run side by side.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
@@ -107,6 +107,7 @@
             incarnation=incarnation,
             cluster_key=settings.cluster_key,
             mailbox=self._mailbox,
+            machine=settings.machine,
         )
         budget = ProcessBudget(machine=settings.machine)
         http_budget = budget.add_port(
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -143,6 +143,7 @@
                 if LoadFeature.FAST_RESTART in settings.features
                 else FLEET_LINK_TIMINGS
             ),
+            machine=settings.machine,
         )
         self._replica = ReplicaManager(
             settings=settings,
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_settings.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_settings.py
@@ -4,6 +4,7 @@
 import pathlib
 
 from hawthornbarrow.cells import NO_FEATURES, LoadFeature, RunLeaseTiming
+from hawthornbarrow.limits import MachineLimits
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -31,6 +32,7 @@
             then.
         catch_up_s: Time from the start of a machine that replaces another, or from the
             return of one, after which the next disk may be lost.
+        machine: Limits of the machine on the process.
     """
 
     name: str
@@ -48,3 +50,4 @@
     features: frozenset[LoadFeature] = NO_FEATURES
     resend_s: float | None = None
     catch_up_s: float = 4.0
+    machine: MachineLimits = MachineLimits()
--- a/packages/hawthornbarrow/src/hawthornbarrow/limits/_machine.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/limits/_machine.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from hawthornbarrow.limits._handshake_budget import HANDSHAKE_CONNECTION_BYTES
+
 _MIB = 1024 * 1024
 _FILE_DESCRIPTORS = 264  # for files, links, the ledger and connections to upstreams
 
@@ -41,6 +43,9 @@
     PortKind.PROBES: _Share(connections=1 / 64, requests=1 / 64, descriptors=1 / 32),
 }
 
+_HANDSHAKE_MEMORY_SHARE = 1 / 16
+_HANDSHAKE_DESCRIPTOR_SHARE = 1 / 4
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class MachineLimits:
@@ -54,6 +59,19 @@
     memory_bytes: int = 512 * _MIB
     descriptors: int = 8192
 
+    @property
+    def handshakes(self) -> int:
+        """Links of peers that have not proved the cluster key, at once."""
+        usable = max(0, self.descriptors - _FILE_DESCRIPTORS)
+        by_memory = int(self.memory_bytes * _HANDSHAKE_MEMORY_SHARE)
+        return max(
+            1,
+            min(
+                by_memory // HANDSHAKE_CONNECTION_BYTES,
+                int(usable * _HANDSHAKE_DESCRIPTOR_SHARE),
+            ),
+        )
+
     def connection_bytes(self, kind: PortKind) -> int:
         """Returns the memory for open connections at one port of a kind."""
         return int(self.memory_bytes * _SHARES[kind].connections)
--- a/packages/hawthornbarrow/src/hawthornbarrow/limits/tests/test_port_budget.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/limits/tests/test_port_budget.py
@@ -9,6 +9,7 @@
     PortKind,
     ProcessBudget,
 )
+from hawthornbarrow.limits._handshake_budget import HANDSHAKE_CONNECTION_BYTES
 
 MIB = 1024 * 1024
 POOL_BYTES = 1000
@@ -184,8 +185,10 @@
                 port.max_connections * CONNECTION_BYTES + port.request_bytes
                 for port in ports
             )
+            total += machine.handshakes * HANDSHAKE_CONNECTION_BYTES
             self.assertLessEqual(total, machine.memory_bytes * 2 / 3)
             connections = sum(port.max_connections for port in ports)
+            connections += machine.handshakes
             self.assertLess(connections, machine.descriptors)
 
     def test_port_keeps_to_the_connections_that_it_is_set_to(self):
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_port.py
@@ -8,7 +8,12 @@
 import curio
 
 from hawthornbarrow.clock import steady_s
-from hawthornbarrow.limits import Listener
+from hawthornbarrow.limits import (
+    HANDSHAKE_BYTES,
+    HandshakeBudget,
+    Listener,
+    MachineLimits,
+)
 from hawthornbarrow.links._codec import NONCE_BYTES, Codec, LinkError
 from hawthornbarrow.links._frames import Frame, Hello
 from hawthornbarrow.links._mailbox import Mailbox
@@ -25,6 +30,7 @@
 # Short, as a host that has come back is reached by the next attempt.
 _CONNECT_TIMEOUT_S = 0.4
 _HANDSHAKE_TIMEOUT_S = 2.0
+_HANDSHAKE_POLL_INTERVAL_S = 0.02
 _MIN_WAIT_S = 0.01
 _MIN_REDIAL_DELAY_S = 0.05
 _MAX_REDIAL_DELAY_S = 0.4
@@ -107,6 +113,7 @@
         cluster_key: Secret shared by all processes of the deployment.
         mailbox: Mailbox to which link events are posted.
         timings: Timing settings of the links, None for the defaults.
+        machine: Limits of the machine on the process, None for the defaults.
     """
 
     def __init__(
@@ -118,8 +125,11 @@
         cluster_key: bytes,
         mailbox: Mailbox,
         timings: LinkTimings | None = None,
+        machine: MachineLimits | None = None,
     ) -> None:
         """Initializes a port without links."""
+        machine = machine or MachineLimits()
+        self._handshakes = HandshakeBudget(max_handshakes=machine.handshakes)
         self._timings = timings or LinkTimings()
         self._created_at_s = steady_s()
         self._peers_by_address: dict[str, str] = {}
@@ -234,7 +244,13 @@
         async with sock, BackgroundTasks() as tasks:
             while True:
                 client = await listener.accept()
-                await tasks.spawn(self._accept, client)
+                while delay_s := self._handshakes.delay_s(steady_s()):
+                    await curio.sleep(min(delay_s, _HANDSHAKE_POLL_INTERVAL_S))
+                task = await tasks.spawn(self._accept, client)
+                replaced = self._handshakes.begin(task, steady_s())
+                if isinstance(replaced, curio.Task):
+                    self._counters.refused_connections += 1
+                    await replaced.cancel(blocking=False)
 
     async def dial(self, host: str, port: int) -> None:
         """Keeps a link to the given address connected until cancelled."""
@@ -267,7 +283,7 @@
             own_nonce = secrets.token_bytes(NONCE_BYTES)
             async with curio.timeout_after(_HANDSHAKE_TIMEOUT_S):
                 await stream.send_all([own_nonce])
-                peer_nonce = await stream.receive()
+                peer_nonce = await stream.receive(max_bytes=HANDSHAKE_BYTES)
             codec = self._new_codec(own_nonce, peer_nonce or b"", is_dialer=True)
             session = self._sessions.get(peer) if peer else None
             if session is None or session.is_up:
@@ -295,9 +311,10 @@
             async with curio.timeout_after(_HANDSHAKE_TIMEOUT_S):
                 own_nonce = secrets.token_bytes(NONCE_BYTES)
                 await stream.send_all([own_nonce])
-                peer_nonce = await stream.receive()
+                peer_nonce = await stream.receive(max_bytes=HANDSHAKE_BYTES)
                 codec = self._new_codec(own_nonce, peer_nonce or b"", is_dialer=False)
                 hello = await self._receive_hello(stream, codec)
+            self._handshakes.end(await curio.current_task())
             session = self._sessions.get(hello.process) or self._new_session()
             if self._is_crossing(hello, session):
                 is_refused = session.is_up and not self._yields_to(hello.process)
@@ -312,6 +329,7 @@
         except (OSError, LinkError, curio.TaskTimeout):
             self._counters.refused_connections += 1
         finally:
+            self._handshakes.end(await curio.current_task())
             await stream.close()
 
     def _yields_to(self, peer: str) -> bool:
@@ -422,7 +440,7 @@
         await self._wake_dialers()
 
     async def _receive_hello(self, stream: BlockStream, codec: Codec) -> Hello:
-        block = await stream.receive()
+        block = await stream.receive(max_bytes=HANDSHAKE_BYTES)
         if block is None:
             raise LinkError("connection closed before the peer sent its Hello frame")
         frame = codec.decode(block)
--- a/packages/hawthornbarrow/src/hawthornbarrow/links/_stream.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/links/_stream.py
@@ -40,20 +40,24 @@
             parts.append(block)
         await self._sock.sendall(b"".join(parts))
 
-    async def receive(self) -> bytes | None:
+    async def receive(self, *, max_bytes: int = MAX_BLOCK_BYTES) -> bytes | None:
         """Returns the next block, or None at the end of the stream.
 
+        Args:
+            max_bytes: Maximum size of the block.
+
         Raises:
-            LinkProtocolError: The block is larger than MAX_BLOCK_BYTES.
+            LinkProtocolError: The block is larger.
         """
-        if not await self._fill(_LENGTH_PREFIX.size):
+        read_bytes = min(_READ_SIZE_BYTES, max_bytes)
+        if not await self._fill(_LENGTH_PREFIX.size, read_bytes):
             return None
         (size,) = _LENGTH_PREFIX.unpack_from(self._buffer)
-        if size > MAX_BLOCK_BYTES:
+        if size > max_bytes:
             raise LinkProtocolError(
-                f"block of {size} bytes, expected at most {MAX_BLOCK_BYTES}"
+                f"block of {size} bytes, expected at most {max_bytes}"
             )
-        if not await self._fill(_LENGTH_PREFIX.size + size):
+        if not await self._fill(_LENGTH_PREFIX.size + size, read_bytes):
             return None
         block = bytes(self._buffer[_LENGTH_PREFIX.size : _LENGTH_PREFIX.size + size])
         del self._buffer[: _LENGTH_PREFIX.size + size]
@@ -84,9 +88,9 @@
         """Closes the socket."""
         await self._sock.close()
 
-    async def _fill(self, size: int) -> bool:
+    async def _fill(self, size: int, read_bytes: int) -> bool:
         while len(self._buffer) < size:
-            data = await self._sock.recv(_READ_SIZE_BYTES)
+            data = await self._sock.recv(read_bytes)
             if not data:
                 return False
             self._buffer += data
