Bound the time that a peer takes to read a response

Callers saw: 503 from an entry that ran nothing, as peers that sent many requests and read no answer kept their connections, with what was to be sent, for good.

Cause: sending waited for the peer without a timeout, and a connection whose request is complete is never closed for another.

Change: what does not fit into the send buffer must be read within 30 s (`HttpLimits.send_timeout_s`); then the connection is closed.

`test_connection_whose_peer_reads_no_answer_is_closed` failed before (the peer waited until its own timeout) and passes.

--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
@@ -47,6 +47,7 @@
         connections: Maximum number of connections open at once.
         idle_timeout_s: Longest time that a connection may wait for its next request.
         request_timeout_s: Longest time that one request may take to arrive.
+        send_timeout_s: Longest time that the peer may take to read one response.
     """
 
     header_bytes: int = 16 * 1024
@@ -54,6 +55,7 @@
     connections: int = 2048
     idle_timeout_s: float = 60.0
     request_timeout_s: float = 10.0
+    send_timeout_s: float = 30.0
 
 
 class _EvictedError(curio.TaskCancelled):
@@ -213,7 +215,7 @@
                 or parser.their_state is not h11.DONE
             )
             self._budget.hold_response(account, len(response.body))
-            await _send(sock, parser, response, close=must_close)
+            await self._send(connection, response, close=must_close)
         finally:
             self._active_requests -= 1
             self._budget.wait(account)
@@ -248,7 +250,7 @@
             connection.reader = None
         self._budget.dismiss(account)
         if connection.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            await _send(connection.sock, connection.parser, refusal, close=True)
+            await self._send(connection, refusal, close=True)
             if not account.is_replaced:
                 await _linger(connection.sock)
         return None
@@ -325,6 +327,18 @@
                 "connection closed before the request was complete"
             )
 
+    async def _send(
+        self, connection: _Connection, response: Response, *, close: bool
+    ) -> None:
+        """Sends a response, with a timeout if it does not fit into the send buffer."""
+        head, body = _encode(connection.parser, response, close=close)
+        parts = [head, body] if len(body) > _SEPARATE_BODY_BYTES else [head + body]
+        for part in parts:
+            sent = _send_at_once(connection.sock, part)
+            if sent < len(part):
+                async with curio.timeout_after(self._limits.send_timeout_s):
+                    await connection.sock.sendall(memoryview(part)[sent:])
+
     async def _keep(self, account: ConnectionAccount, reader: RequestReader) -> None:
         """Charges what a request takes, at the expense of others if need be."""
         growth = self._budget.grow(account, reader.held_bytes)
@@ -363,19 +377,12 @@
     return problem(status, "bad request", detail=detail, not_run=True)
 
 
-async def _send(
-    sock: curio.io.Socket,
-    connection: h11.Connection,
-    response: Response,
-    *,
-    close: bool,
-) -> None:
-    head, body = _encode(connection, response, close=close)
-    if len(body) > _SEPARATE_BODY_BYTES:
-        await sock.sendall(head)
-        await sock.sendall(body)
-    else:
-        await sock.sendall(head + body)
+def _send_at_once(sock: curio.io.Socket, data: bytes) -> int:
+    """Returns how much of the data fitted into the send buffer."""
+    try:
+        return sock._socket.send(data)
+    except BlockingIOError:
+        return 0
 
 
 def _encode(
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/tests/test_http.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/tests/test_http.py
@@ -123,6 +123,19 @@
             self.assertIn(b'"not_run":true', reply)
         self.assertIn(b"200", valid_reply)
 
+    def test_connection_whose_peer_reads_no_answer_is_closed(self):
+        """Guards against peers that keep a connection for good by not reading."""
+
+        def scenario(port):
+            with socket.create_connection(("127.0.0.1", port), timeout=5) as sock:
+                requests = GET.replace(b"/a", b"/" + b"a" * 1000) * 50_000
+                with self.assertRaises(ConnectionError):
+                    while True:
+                        sock.sendall(requests)
+
+        limits = dataclasses.replace(LIMITS, send_timeout_s=0.2)
+        run_with_server(scenario, limits=limits)
+
     def test_deeply_nested_body_is_answered_with_400(self):
         """Guards against requests that get no answer at all."""
         body = b"[" * 100_000
