Go by the size of a body in the configuration in force

Callers saw: bodies of up to 8 MiB were read, where the operators' configuration says 256 KiB. Nothing read its `limits`, so "far over the limit" began at 32 times the limit.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/fleet/_process.py
@@ -238,6 +238,11 @@
             self._serving_state(steady_s())
         )
 
+    @property
+    def max_body_bytes(self) -> int | None:
+        """Size of a caller's body by the configuration in force, None if not said."""
+        return self._table.max_body_bytes if self._table else None
+
     @property
     def job_count(self) -> int:
         """Number of jobs that callers of this entry wait for."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_request_reader.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_request_reader.py
@@ -86,8 +86,7 @@
                 self._begin(event)
             elif isinstance(event, h11.Data):
                 self._body.append(event.data)
-                if len(self._body) > self._body_bytes:
-                    raise BodyTooLargeError
+                self._check_body_size(len(self._body))
             elif isinstance(event, h11.EndOfMessage) and self._head is not None:
                 return _build_request(self._head, self._body.take())
             else:
@@ -124,11 +123,14 @@
             )
         if is_chunked:
             self._announced_bytes = None  # chunks go before an announced size
-        if self._announced_bytes and self._announced_bytes > self._body_bytes:
-            raise BodyTooLargeError
+        self._check_body_size(self._announced_bytes or 0)
         self._head = head
         self._held_bytes = size + len(fields) * _FIELD_BYTES
 
+    def _check_body_size(self, size: int) -> None:
+        if size > self._body_bytes:
+            raise BodyTooLargeError(f"body is larger than {self._body_bytes} bytes")
+
 
 class _BodyBuffer:
     """Collects a body in blocks, so that one that grows is not copied each time."""
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
@@ -35,6 +35,7 @@
 _LINGER_READ_BYTES = 64 * 1024
 
 Handler = collections.abc.Callable[[Request], collections.abc.Awaitable[Response]]
+BodyLimit = collections.abc.Callable[[], int | None]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -98,6 +99,8 @@
         limits: Limits on connections and requests, None for the defaults.
         budget: Bounds what the connections take together, None for that of a machine
             with the default limits.
+        body_limit: Returns the maximum size of a request body that is in force, or
+            None for that of the limits. It is asked for each request.
     """
 
     def __init__(
@@ -106,6 +109,7 @@
         handler: Handler,
         limits: HttpLimits | None = None,
         budget: PortBudget | None = None,
+        body_limit: BodyLimit | None = None,
     ) -> None:
         """Initializes a server without connections."""
         self._handler = handler
@@ -114,10 +118,9 @@
             budget = ProcessBudget(machine=MachineLimits()).add_port(
                 "http", PortKind.CALLERS, max_connections=limits.connections
             )
-        # A larger body could never be kept.
-        body_bytes = min(limits.body_bytes, budget.request_bytes)
-        self._limits = dataclasses.replace(limits, body_bytes=body_bytes)
+        self._limits = limits
         self._budget = budget
+        self._body_limit = body_limit
         # Held while a request that is not complete is read, so that no crowd of them
         # takes more than one turn at a time.
         self._reading = curio.Lock()
@@ -239,9 +242,8 @@
             return await self._receive_request(connection, account)
         except h11.RemoteProtocolError as error:
             refusal = _bad_request(error.error_status_hint, str(error))
-        except BodyTooLargeError:
-            detail = f"body is larger than {self._limits.body_bytes} bytes"
-            refusal = _bad_request(413, detail)
+        except BodyTooLargeError as error:
+            refusal = _bad_request(413, str(error))
         except (_OverBudgetError, _EvictedError):
             if connection.reader is None:
                 return None
@@ -269,7 +271,7 @@
         reader = connection.reader = RequestReader(
             connection=connection.parser,
             header_bytes=self._limits.header_bytes,
-            body_bytes=self._limits.body_bytes,
+            body_bytes=self._max_body_bytes(),
         )
         request = reader.read(_FIRST_READ_EVENTS)
         if request is None:
@@ -281,6 +283,13 @@
             raise _OverBudgetError
         return request
 
+    def _max_body_bytes(self) -> int:
+        """Returns the limit in force; a larger body could never be kept."""
+        in_force = self._body_limit() if self._body_limit is not None else None
+        if in_force is None:
+            in_force = self._limits.body_bytes
+        return min(in_force, self._budget.request_bytes)
+
     async def _wait_for_request(self, connection: _Connection) -> bool:
         """Waits for the first bytes of a request; returns False when none arrive."""
         if connection.parser.trailing_data[0]:
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/tests/test_http.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/tests/test_http.py
@@ -46,9 +46,11 @@
     return Response(status=200)
 
 
-def run_with_server(scenario, *, is_draining=False, handler=echo, limits=LIMITS):
+def run_with_server(
+    scenario, *, is_draining=False, handler=echo, limits=LIMITS, body_limit=None
+):
     """Runs a scenario in a thread against a server and returns its result."""
-    server = HttpServer(handler=handler, limits=limits)
+    server = HttpServer(handler=handler, limits=limits, body_limit=body_limit)
     if is_draining:
         server.drain()
     result = []
@@ -76,6 +78,9 @@
 
 
 GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+CLOSING_POST = (
+    b"POST /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: %d\r\n\r\n"
+)
 CLOSING_GET = GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
 
 
@@ -148,6 +153,19 @@
         )
         self.assertIn(b"400", reply.split(b"\r\n", 1)[0])
 
+    def test_limit_in_force_holds_from_the_next_request_on(self):
+        in_force = [10, None, 2_000]
+        body = b"z" * 20
+
+        def scenario(port):
+            return [exchange(port, CLOSING_POST % len(body) + body) for _ in range(3)]
+
+        replies = run_with_server(scenario, body_limit=lambda: in_force.pop(0))
+        self.assertIn(b"413", replies[0])
+        self.assertIn(b"larger than 10 bytes", replies[0])
+        self.assertIn(b"200", replies[1])
+        self.assertIn(b"200", replies[2])
+
     def test_content_length_with_chunked_encoding_does_not_smuggle_a_request(self):
         data = (
             b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
--- a/packages/hawthornbarrow/src/hawthornbarrow/queues/_table.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/queues/_table.py
@@ -65,6 +65,8 @@
         version: Version of the configuration.
         queues: All queues.
         services: All services.
+        max_body_bytes: Maximum size of a caller's request body, or None if the
+            configuration does not say.
 
     Raises:
         InvalidConfigurationError: A queue refers to an unknown service, two queues
@@ -72,10 +74,16 @@
     """
 
     def __init__(
-        self, *, version: int, queues: list[Queue], services: list[Service]
+        self,
+        *,
+        version: int,
+        queues: list[Queue],
+        services: list[Service],
+        max_body_bytes: int | None = None,
     ) -> None:
         """Validates the queues and builds the index."""
         self._version = version
+        self._max_body_bytes = max_body_bytes
         self._services = {service.name: service for service in services}
         self._queues = {queue.name: queue for queue in queues}
         self._queues_by_prefix: dict[str, dict[str, Queue]] = {}
@@ -91,6 +99,11 @@
         """Version of the configuration."""
         return self._version
 
+    @property
+    def max_body_bytes(self) -> int | None:
+        """Maximum size of a caller's request body, or None if it is not said."""
+        return self._max_body_bytes
+
     @property
     def queues(self) -> dict[str, Queue]:
         """Queues by name."""
