Bound the texts of a job

Callers saw: an entry that was killed for its memory after a stream of whole bodies of legal size, each of which was served.

Cause: a dispatcher keeps a job for 60 s after its end, and the spec had no limit but that of the body.

Change: `check_texts` refuses a longer spec, or a label over 1,000 bytes, with 400 at the entry, before the job is handed to a dispatcher.

Numbers and labels can still fill a body; see docs/design/limits.md.

--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/__init__.py
@@ -30,6 +30,7 @@
         check_document,
         check_encoded_job,
         check_step_count,
+        check_texts,
     )
     from hawthornbarrow.cells._job_record import (
         GIVE_UP_FACTOR,
@@ -208,6 +209,7 @@
     "check_document",
     "check_encoded_job",
     "check_step_count",
+    "check_texts",
     "decode_worker",
     "encode_worker",
     "first_term",
@@ -242,6 +244,7 @@
         "check_document": "_job_limits",
         "check_encoded_job": "_job_limits",
         "check_step_count": "_job_limits",
+        "check_texts": "_job_limits",
         "GIVE_UP_FACTOR": "_job_record",
         "OVERHEAD_S": "_job_record",
         "JobRecord": "_job_record",
--- a/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_limits.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/cells/_job_limits.py
@@ -12,6 +12,8 @@
 MAX_TASKS = 10_000  # of all steps; a dispatcher keeps a record of each
 # Values in an encoded document; the largest body of a client has no more.
 MAX_ENCODED_VALUES = 128 * 1024
+MAX_SPEC_BYTES = 4_000
+MAX_LABEL_BYTES = 1_000
 MAX_RUN_S = 7 * 86_400.0  # estimated run time of a task
 
 
@@ -42,6 +44,22 @@
         raise InvalidJobError(f"{count} steps, expected 1 to {MAX_STEPS}")
 
 
+def check_texts(document: JobDocument) -> None:
+    """Checks the texts of a job that a caller submits.
+
+    A dispatcher keeps them with the job for a time after its end. They are checked at
+    the entry only: a job that another dispatcher may have started is not refused.
+
+    Raises:
+        InvalidJobError: The spec or a label is too long.
+    """
+    if len(document.spec.encode()) > MAX_SPEC_BYTES:
+        raise InvalidJobError(f"spec is longer than {MAX_SPEC_BYTES} bytes")
+    for position, step in enumerate(document.steps):
+        if max(len(step.label), len(step.rack)) > MAX_LABEL_BYTES:
+            raise InvalidJobError(f"step {position} has too long a label")
+
+
 def check_document(document: JobDocument) -> None:
     """Checks that a job can be run.
 
