Keep answers of ended jobs within the machine's memory

Callers saw nothing yet; the entry of the own interface took 138 MB of 128 after 900 whole jobs of 256 KiB that echo their text.

Cause: answers of ended jobs were bounded by a constant of 64 MiB, which no machine was asked about.

Change: they get an eighth of the memory, which is 64 MiB at the default of 512 MiB, so nothing changes where no memory is named. The oldest is dropped first, as before.

`test_whole_jobs_with_large_texts_one_after_the_other` of the own interface: 138 MB before, 66 MB now.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_context.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_context.py
@@ -13,6 +13,7 @@
     UpstreamHealth,
 )
 from hawthornbarrow.ledger import ClaimRecord, Command, LedgerState
+from hawthornbarrow.limits import MachineLimits
 from hawthornbarrow.links import ForwardReply, Message
 
 from hawthornbarrow_entry._effects import (
@@ -42,6 +43,7 @@
         generator: Seeded random generator for jitter.
         order: Policy that orders the jobs of one member.
         placement: Policy that chooses the upstream of a task.
+        machine: Limits of the machine on the process.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         generator: random.Random,
         order: type[JobOrder],
         placement: PlacementPolicy,
+        machine: MachineLimits,
     ) -> None:
         """Creates the collaborators."""
         self.name = name
@@ -66,7 +69,7 @@
         self.has_quorum_contact = False
         self.is_draining = False
         self.dispatching_entry = ""
-        self.job_table = JobTable()
+        self.job_table = JobTable(max_answer_bytes=machine.answer_bytes)
         self.estimator = RunTimeEstimator()
         self.health = UpstreamHealth()
         self.fleet = FleetView(health=self.health, data_centre=data_centre)
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_core.py
@@ -22,6 +22,7 @@
     RegisterAgent,
     RegisterEntry,
 )
+from hawthornbarrow.limits import MachineLimits
 from hawthornbarrow.links import (
     ConfigurationUpdate,
     DispatchItem,
@@ -84,6 +85,7 @@
         order: Policy that orders the jobs of one member.
         placement: Policy that chooses the upstream of a task; `LeastExpectedStart`
             by default.
+        machine: Limits of the machine on the process, None for the defaults.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         generator: random.Random,
         order: type[JobOrder] = LeastRemainingWork,
         placement: PlacementPolicy | None = None,
+        machine: MachineLimits | None = None,
     ) -> None:
         """Initializes the entry without jobs, agents or a configuration."""
         self._context = EntryContext(
@@ -104,6 +107,7 @@
             generator=generator,
             order=order,
             placement=placement or LeastExpectedStart(),
+            machine=machine or MachineLimits(),
         )
         self._lifecycle = JobLifecycle(context=self._context)
         self._ownership = Ownership(
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_job_table.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_job_table.py
@@ -9,14 +9,18 @@
 from hawthornbarrow_entry._effects import Answer, ReplyTarget
 
 ANSWER_RETENTION_S = 600.0
-MAX_CLOSED_ANSWER_BYTES = 64 * 1024 * 1024
 
 
 class JobTable:
-    """Holds open jobs, the answers of closed ones and the waiting callers."""
+    """Holds open jobs, the answers of closed ones and the waiting callers.
 
-    def __init__(self) -> None:
+    Args:
+        max_answer_bytes: Maximum size of the answers of closed jobs together.
+    """
+
+    def __init__(self, *, max_answer_bytes: int) -> None:
         """Initializes an empty table."""
+        self._max_answer_bytes = max_answer_bytes
         self.jobs: dict[str, Job] = {}
         self._digests: dict[str, bytes] = {}
         self._bodies: dict[str, bytes] = {}
@@ -93,7 +97,7 @@
         while self._closed:
             job = self._closed[0]
             is_old = now_s - job.closed_at_s > ANSWER_RETENTION_S
-            if not is_old and self._answer_bytes <= MAX_CLOSED_ANSWER_BYTES:
+            if not is_old and self._answer_bytes <= self._max_answer_bytes:
                 return
             if job.job_id in pinned:
                 return
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/_process.py
@@ -97,6 +97,7 @@
             ),
             state=self._ledger.state,
             generator=generator,
+            machine=settings.machine,
         )
         self._metrics = Metrics(process=settings.name)
         self._burn = BurnRateTracker(path=settings.data_dir / "burn.json")
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_crowds.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_crowds.py
@@ -153,6 +153,20 @@
         ]
         self.check(wires)
 
+    def test_whole_jobs_with_large_texts_one_after_the_other(self):
+        """Guards against ended jobs that keep many times what a caller may submit."""
+        process = self.deployment.processes["entry-1"]
+        meter = Meter(process.pid, self.deployment.host)
+        for number in range(MANY):
+            key = f"large-{number}"
+            nonce = b'"nonce":"' + b"x" * (MAX_BODY_BYTES - 1_000)
+            body = echo_job(key, 1, 1, repeatable=False)
+            body = body.replace(b'"nonce":"', nonce)
+            response = self.deployment.call_with_key("entry-1", key, body, MEMBER_TOKEN)
+            self.assertIn(response.status, (200, 400, 409, 429, 503))
+        self.check_process("entry-1", meter)
+        self.check_ordinary_job()
+
     def test_bodies_at_the_agent(self):
         """Guards against an agent that runs out of memory."""
         head = b"PUT /v1/upstreams/x HTTP/1.1\r\nHost: x\r\n"
--- a/packages/hawthornbarrow/src/hawthornbarrow/limits/_machine.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/limits/_machine.py
@@ -43,6 +43,7 @@
     PortKind.PROBES: _Share(connections=1 / 64, requests=1 / 64, descriptors=1 / 32),
 }
 
+_ANSWER_MEMORY_SHARE = 1 / 8
 _HANDSHAKE_MEMORY_SHARE = 1 / 16
 _HANDSHAKE_DESCRIPTOR_SHARE = 1 / 4
 
@@ -59,6 +60,11 @@
     memory_bytes: int = 512 * _MIB
     descriptors: int = 8192
 
+    @property
+    def answer_bytes(self) -> int:
+        """Memory for the answers of jobs that have ended."""
+        return int(self.memory_bytes * _ANSWER_MEMORY_SHARE)
+
     @property
     def handshakes(self) -> int:
         """Links of peers that have not proved the cluster key, at once."""
