--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
@@ -1,9 +1,7 @@
 """HTTP/1.1 server: one curio task per connection, with resource limits."""
 
 import collections.abc
-import contextlib
 import dataclasses
-import functools
 import itertools
 import socket
 
@@ -12,6 +10,14 @@
 
 from hawthornbarrow.http._exchange import Request, Response, problem
 from hawthornbarrow.http._request_reader import BodyTooLargeError, RequestReader
+from hawthornbarrow.http._sending import (
+    bad_request,
+    encode_response,
+    linger,
+    refusal,
+    send_at_once,
+    turn_away,
+)
 from hawthornbarrow.limits import (
     RECEIVE_BUFFER_BYTES,
     ConnectionAccount,
@@ -28,11 +34,6 @@
 _FIRST_READ_EVENTS = 16
 _EVENTS_PER_TURN = 128
 _SEPARATE_BODY_BYTES = 16 * 1024  # from which on a copy costs more than a second send
-_REFUSAL_RETRY_S = 1.0
-# A peer that still sends when its connection is closed loses the response.
-_LINGER_S = 1.0
-_LINGER_BYTES = 1024 * 1024
-_LINGER_READ_BYTES = 64 * 1024
 
 Handler = collections.abc.Callable[[Request], collections.abc.Awaitable[Response]]
 BodyLimit = collections.abc.Callable[[], int | None]
@@ -172,7 +173,7 @@
                 if admission.replaced is not None:
                     await _evict(admission.replaced)
                 if admission.account is None:
-                    await _turn_away(client)
+                    await turn_away(client)
                 else:
                     await tasks.spawn(self._serve_connection, client, admission.account)
                 if number % _ACCEPTS_PER_TURN == 0:
@@ -241,20 +242,20 @@
         try:
             return await self._receive_request(connection, account)
         except h11.RemoteProtocolError as error:
-            refusal = _bad_request(error.error_status_hint, str(error))
+            answer = bad_request(error.error_status_hint, str(error))
         except BodyTooLargeError as error:
-            refusal = _bad_request(413, str(error))
+            answer = bad_request(413, str(error))
         except (_OverBudgetError, _EvictedError):
             if connection.reader is None:
                 return None
-            refusal = _refusal("the room is needed for other requests")
+            answer = refusal("the room is needed for other requests")
         finally:
             connection.reader = None
         self._budget.dismiss(account)
         if connection.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            await self._send(connection, refusal, close=True)
+            await self._send(connection, answer, close=True)
             if not account.is_replaced:
-                await _linger(connection.sock)
+                await linger(connection.sock)
         return None
 
     async def _receive_request(
@@ -340,10 +341,10 @@
         self, connection: _Connection, response: Response, *, close: bool
     ) -> None:
         """Sends a response, with a timeout if it does not fit into the send buffer."""
-        head, body = _encode(connection.parser, response, close=close)
+        head, body = encode_response(connection.parser, response, close=close)
         parts = [head, body] if len(body) > _SEPARATE_BODY_BYTES else [head + body]
         for part in parts:
-            sent = _send_at_once(connection.sock, part)
+            sent = send_at_once(connection.sock, part)
             if sent < len(part):
                 async with curio.timeout_after(self._limits.send_timeout_s):
                     await connection.sock.sendall(memoryview(part)[sent:])
@@ -376,62 +377,3 @@
     if connection.reader is not None:
         connection.reader.discard()
     await connection.task.cancel(exc=_EvictedError, blocking=False)
-
-
-def _refusal(reason: str) -> Response:
-    return problem(503, reason, not_run=True, retry_after_s=_REFUSAL_RETRY_S)
-
-
-def _bad_request(status: int, detail: str) -> Response:
-    return problem(status, "bad request", detail=detail, not_run=True)
-
-
-def _send_at_once(sock: curio.io.Socket, data: bytes) -> int:
-    """Returns how much of the data fitted into the send buffer."""
-    try:
-        return sock._socket.send(data)
-    except BlockingIOError:
-        return 0
-
-
-def _encode(
-    connection: h11.Connection, response: Response, *, close: bool
-) -> tuple[bytes, bytes]:
-    """Returns the head and the body of a response as they are sent."""
-    headers = [
-        ("Content-Length", str(len(response.body))),
-        ("Content-Type", response.content_type),
-        *response.headers.items(),
-    ]
-    if close:
-        headers.append(("Connection", "close"))
-    head = connection.send(h11.Response(status_code=response.status, headers=headers))
-    body = connection.send(h11.Data(data=response.body))
-    return head, body + connection.send(h11.EndOfMessage())
-
-
-@functools.cache
-def _encoded_turn_away() -> bytes:
-    connection = h11.Connection(h11.SERVER)
-    return b"".join(_encode(connection, _refusal("too many connections"), close=True))
-
-
-async def _turn_away(sock: curio.io.Socket) -> None:
-    """Refuses a connection for which there is no room, and closes it at once."""
-    with contextlib.suppress(OSError):
-        sock._socket.send(_encoded_turn_away())
-    await sock.close()
-
-
-async def _linger(sock: curio.io.Socket) -> None:
-    """Reads and drops what a refused peer still sends, within bounds.
-
-    Closing a connection that has unread data resets it, and the peer may then lose the
-    response.
-    """
-    sock._socket.shutdown(socket.SHUT_WR)
-    async with curio.ignore_after(_LINGER_S):
-        for _ in range(_LINGER_BYTES // _LINGER_READ_BYTES):
-            if not await sock.recv(_LINGER_READ_BYTES):
-                return
-            await curio.sleep(0)
