Share the crowds of both stacks' tests

The crowds that both interfaces are tested with stand once, in `UnfinishedRequests`; names, crowds and bounds of the tests are unchanged.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_crowds.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_crowds.py
@@ -8,6 +8,13 @@
 import socket
 import time
 
+MEMORY_MB = 128  # of the machine in the settings of these tests
+DESCRIPTORS = 1024
+MAX_BODY_BYTES = 262_144  # as the configuration says
+MANY = 900
+FEW = 64
+OVERSIZED_BYTES = 16 * 1024 * 1024
+ANNOUNCED_BYTES = 1024 * 1024 * 1024
 STALL_S = 5.0  # without a byte sent, after which a crowd stops sending
 _POLL_S = 0.05
 _PIECE_BYTES = 4096
@@ -55,6 +62,77 @@
     yield b" " * (size - 1)
 
 
+class UnfinishedRequests:
+    """Tests with crowds of requests that are not finished, for either interface.
+
+    A test case that has them provides `check`, which takes the wires of a crowd, and
+    `submission`, which returns the head of a numbered submission but for its length.
+
+    Attributes:
+        oversized_count: Connections whose bodies are over the limit.
+    """
+
+    oversized_count = FEW
+
+    def test_bodies_that_lack_their_last_byte(self):
+        """Guards against a process that runs out of memory."""
+        self.check(
+            [whole_body(self.submission(n), MAX_BODY_BYTES) for n in range(MANY)]
+        )
+
+    def test_bodies_of_which_some_are_whole(self):
+        """Guards against a process that runs out of memory."""
+        self.check(
+            [
+                whole_body(self.submission(n), MAX_BODY_BYTES, missing=int(n % 4 > 0))
+                for n in range(MANY)
+            ]
+        )
+
+    def test_bodies_in_pieces_that_lack_their_last_byte(self):
+        """Guards against a process that runs out of memory."""
+        self.check(
+            [body_in_pieces(self.submission(n), MAX_BODY_BYTES) for n in range(MANY)]
+        )
+
+    def test_large_chunks_without_the_last_one(self):
+        """Guards against a process that runs out of memory."""
+        self.check(
+            [
+                chunked_body(self.submission(n), MAX_BODY_BYTES - 65536, 65536)
+                for n in range(MANY)
+            ]
+        )
+
+    def test_small_chunks_without_the_last_one(self):
+        """Guards against a process that is kept busy by tiny chunks."""
+        self.check([chunked_body(self.submission(n), 65536, 4) for n in range(FEW)])
+
+    def test_bodies_that_announce_more_than_the_limit(self):
+        """Guards against a process that reads what it will not take."""
+        self.check(
+            [
+                announced_body(self.submission(n), ANNOUNCED_BYTES, OVERSIZED_BYTES)
+                for n in range(self.oversized_count)
+            ]
+        )
+
+    def test_bodies_that_grow_over_the_limit(self):
+        """Guards against a process that runs out of memory."""
+        self.check(
+            [
+                chunked_body(self.submission(n), OVERSIZED_BYTES, 65536)
+                for n in range(self.oversized_count)
+            ]
+        )
+
+    def test_many_small_header_fields(self):
+        """Guards against heads that take many times their size."""
+        self.check(
+            [many_headers(self.submission(n), 2_000, 1_000) for n in range(MANY)]
+        )
+
+
 class Crowd:
     """Connections to one address, each of which sends one wire as far as it gets.
 
--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_crowds.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/test_crowds.py
@@ -10,12 +10,14 @@
 from hawthornbarrow.http import HttpClientError
 
 from hawthornbarrow_entry.tests._crowds import (
+    DESCRIPTORS,
+    FEW,
+    MANY,
+    MAX_BODY_BYTES,
+    MEMORY_MB,
     Crowd,
     Meter,
-    announced_body,
-    body_in_pieces,
-    chunked_body,
-    many_headers,
+    UnfinishedRequests,
     whole_body,
 )
 from hawthornbarrow_entry.tests._deployment import (
@@ -25,13 +27,6 @@
     has_expected_results,
 )
 
-MEMORY_MB = 128
-DESCRIPTORS = 1024
-MAX_BODY_BYTES = 262_144
-MANY = 900
-FEW = 64
-OVERSIZED_BYTES = 16 * 1024 * 1024
-ANNOUNCED_BYTES = 1024 * 1024 * 1024
 AGENT_BODY_BYTES = 4 * 1024 * 1024
 ORDINARY_TRIES = 60
 RETRY_S = 0.5
@@ -42,12 +37,14 @@
 )
 
 
-def submission(number):
-    return SUBMISSION.format(f"crowd-{number}").encode()
+class CrowdsTest(UnfinishedRequests, unittest.TestCase):
+    """Crowds at the entry and at the agent."""
 
+    oversized_count = MANY
 
-class CrowdsTest(unittest.TestCase):
-    """Crowds at the entry and at the agent."""
+    @staticmethod
+    def submission(number):
+        return SUBMISSION.format(f"crowd-{number}").encode()
 
     def setUp(self):
         deployment = Deployment(entries=1, agents=1, slots=4)
@@ -95,60 +92,11 @@
             time.sleep(RETRY_S)
         self.fail("the ordinary job was not served")
 
-    def test_bodies_that_lack_their_last_byte(self):
-        """Guards against a process that runs out of memory."""
-        self.check([whole_body(submission(n), MAX_BODY_BYTES) for n in range(MANY)])
-
-    def test_bodies_of_which_some_are_whole(self):
-        """Guards against a process that runs out of memory."""
-        self.check(
-            [
-                whole_body(submission(n), MAX_BODY_BYTES, missing=int(n % 4 > 0))
-                for n in range(MANY)
-            ]
-        )
-
-    def test_bodies_in_pieces_that_lack_their_last_byte(self):
-        """Guards against a process that runs out of memory."""
-        self.check([body_in_pieces(submission(n), MAX_BODY_BYTES) for n in range(MANY)])
-
-    def test_large_chunks_without_the_last_one(self):
-        """Guards against a process that runs out of memory."""
-        self.check(
-            [
-                chunked_body(submission(n), MAX_BODY_BYTES - 65536, 65536)
-                for n in range(MANY)
-            ]
-        )
-
-    def test_small_chunks_without_the_last_one(self):
-        """Guards against a process that is kept busy by tiny chunks."""
-        self.check([chunked_body(submission(n), 65536, 4) for n in range(FEW)])
-
-    def test_bodies_that_announce_more_than_the_limit(self):
-        """Guards against a process that reads what it will not take."""
-        self.check(
-            [
-                announced_body(submission(n), ANNOUNCED_BYTES, OVERSIZED_BYTES)
-                for n in range(MANY)
-            ]
-        )
-
-    def test_bodies_that_grow_over_the_limit(self):
-        """Guards against a process that runs out of memory."""
-        self.check(
-            [chunked_body(submission(n), OVERSIZED_BYTES, 65536) for n in range(MANY)]
-        )
-
-    def test_many_small_header_fields(self):
-        """Guards against heads that take many times their size."""
-        self.check([many_headers(submission(n), 2_000, 1_000) for n in range(MANY)])
-
     def test_whole_body_of_many_small_objects(self):
         """Guards against a body that is decoded to many times its size."""
         body = b'{"service":"echo","tasks":[' + b"{}," * 87_000 + b"{}]}"
         wires = [
-            [submission(n) + b"Content-Length: %d\r\n\r\n" % len(body), body]
+            [self.submission(n) + b"Content-Length: %d\r\n\r\n" % len(body), body]
             for n in range(FEW)
         ]
         self.check(wires)
