Promise nothing in refusals that are sent before a request is read

Callers saw: 503 for a job that ran. A refusal for want of room is sent before the request has been read, so it may answer the repetition of a submission that runs elsewhere, after its connection broke.

Other refusals stay as they are.

--- a/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_crowds.py
+++ b/packages/hawthornbarrow-entry/src/hawthornbarrow_entry/tests/_crowds.py
@@ -181,6 +181,14 @@
         selector.close()
         self._wait_until_read()
 
+    def statuses(self):
+        """Returns the status lines of all answers that have arrived."""
+        lines = set()
+        for sock in self._sockets:
+            with contextlib.suppress(OSError):
+                lines.add(sock.recv(65536).split(b"\r\n", 1)[0])
+        return lines - {b""}
+
     def _wait_until_read(self):
         """Waits until the process has read what has arrived, or reads no more."""
         progress_at_s = time.monotonic()
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_sending.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_sending.py
@@ -16,9 +16,13 @@
 _LINGER_READ_BYTES = 64 * 1024
 
 
-def refusal(reason: str) -> Response:
-    """Returns the refusal of a request that has not run, for want of room."""
-    return problem(503, reason, not_run=True, retry_after_s=_RETRY_S)
+def refusal(status: int, reason: str) -> Response:
+    """Returns the refusal of a request for want of room.
+
+    The request has not been read, so it is not known whether it repeats an earlier one
+    that has run.
+    """
+    return problem(status, reason, not_run=False, retry_after_s=_RETRY_S)
 
 
 def bad_request(status: int, detail: str) -> Response:
@@ -51,17 +55,17 @@
 
 
 @functools.cache
-def _encoded_turn_away() -> bytes:
+def _encoded_turn_away(status: int) -> bytes:
     connection = h11.Connection(h11.SERVER)
     return b"".join(
-        encode_response(connection, refusal("too many connections"), close=True)
+        encode_response(connection, refusal(status, "too many connections"), close=True)
     )
 
 
-async def turn_away(sock: curio.io.Socket) -> None:
+async def turn_away(sock: curio.io.Socket, status: int) -> None:
     """Refuses a connection for which there is no room, and closes it at once."""
     with contextlib.suppress(OSError):
-        sock._socket.send(_encoded_turn_away())
+        sock._socket.send(_encoded_turn_away(status))
     await sock.close()
 
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_server.py
@@ -102,6 +102,8 @@
             with the default limits.
         body_limit: Returns the maximum size of a request body that is in force, or
             None for that of the limits. It is asked for each request.
+        refusal_status: Status of refusals for want of room. They must not promise that
+            a request has not run, as it may repeat an earlier one.
     """
 
     def __init__(
@@ -111,6 +113,7 @@
         limits: HttpLimits | None = None,
         budget: PortBudget | None = None,
         body_limit: BodyLimit | None = None,
+        refusal_status: int = 503,
     ) -> None:
         """Initializes a server without connections."""
         self._handler = handler
@@ -122,6 +125,7 @@
         self._limits = limits
         self._budget = budget
         self._body_limit = body_limit
+        self._refusal_status = refusal_status
         # Held while a request that is not complete is read, so that no crowd of them
         # takes more than one turn at a time.
         self._reading = curio.Lock()
@@ -173,7 +177,7 @@
                 if admission.replaced is not None:
                     await _evict(admission.replaced)
                 if admission.account is None:
-                    await turn_away(client)
+                    await turn_away(client, self._refusal_status)
                 else:
                     await tasks.spawn(self._serve_connection, client, admission.account)
                 if number % _ACCEPTS_PER_TURN == 0:
@@ -248,7 +252,8 @@
         except (_OverBudgetError, _EvictedError):
             if connection.reader is None:
                 return None
-            answer = refusal("the room is needed for other requests")
+            reason = "the room is needed for other requests"
+            answer = refusal(self._refusal_status, reason)
         finally:
             connection.reader = None
         self._budget.dismiss(account)
