Charge a whole body until its request is answered

Callers saw nothing yet; found by reading. A body that arrived in several parts was no longer charged once it was whole, so hundreds of whole bodies that wait for their jobs took memory that nothing bounded.

Cause: the size that is charged was read after the body had been taken from its buffer.

Change: the buffer keeps its size when the body is taken.

`test_whole_body_is_charged_until_its_request_is_answered` failed before and passes.

--- a/packages/hawthornbarrow/src/hawthornbarrow/http/_request_reader.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/_request_reader.py
@@ -154,8 +154,8 @@
             self._blocks.append(bytes(data))
 
     def take(self) -> bytes:
-        """Returns the whole body and forgets it."""
-        blocks, self._blocks, self._size = self._blocks, [], 0
+        """Returns the whole body and drops the blocks; the size stays."""
+        blocks, self._blocks = self._blocks, []
         return b"".join(blocks)
 
 
--- a/packages/hawthornbarrow/src/hawthornbarrow/http/tests/test_http.py
+++ b/packages/hawthornbarrow/src/hawthornbarrow/http/tests/test_http.py
@@ -19,6 +19,7 @@
     Response,
     TruncatedError,
 )
+from hawthornbarrow.limits import INCLUDED_BYTES, PortBudget
 
 LIMITS = HttpLimits(
     header_bytes=2000,
@@ -47,10 +48,10 @@
 
 
 def run_with_server(
-    scenario, *, is_draining=False, handler=echo, limits=LIMITS, body_limit=None
+    scenario, *, is_draining=False, handler=echo, limits=LIMITS, **options
 ):
     """Runs a scenario in a thread against a server and returns its result."""
-    server = HttpServer(handler=handler, limits=limits, body_limit=body_limit)
+    server = HttpServer(handler=handler, limits=limits, **options)
     if is_draining:
         server.drain()
     result = []
@@ -153,6 +154,26 @@
         )
         self.assertIn(b"400", reply.split(b"\r\n", 1)[0])
 
+    def test_whole_body_is_charged_until_its_request_is_answered(self):
+        """Guards against requests that are kept by the hundred while they wait."""
+        budget = PortBudget(max_connections=5, request_bytes=1_000_000)
+        size = 200_000
+        charged = []
+
+        async def record(request):
+            charged.append(budget.charged_bytes)
+            return Response(status=200)
+
+        limits = dataclasses.replace(LIMITS, body_bytes=size)
+        run_with_server(
+            lambda port: exchange(port, CLOSING_POST % size + b"z" * size),
+            handler=record,
+            limits=limits,
+            budget=budget,
+        )
+        self.assertGreaterEqual(charged[0], size - INCLUDED_BYTES)
+        self.assertEqual(0, budget.charged_bytes)
+
     def test_limit_in_force_holds_from_the_next_request_on(self):
         in_force = [10, None, 2_000]
         body = b"z" * 20
